--- /dev/null
+++ b/crates/bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! placeholder
--- /dev/null
+++ b/crates/node/src/main.rs
@@ -0,0 +1,2 @@
+//! placeholder
+fn main() {}
