Add the gate with its ledger, queue and pause detection

Cause: the node needs one place that decides finally whether a call runs. Ruled out: a table of refused identities, which grows without bound; the ledger keeps one state for each sequence number in a bounded window instead and refuses what falls out of it. Change: Gate, Ledger, Queue, Limit (fixed for now), Latency and Pause, with the interface that the node is wired against.

--- a/crates/oriolering/src/lib.rs
+++ b/crates/oriolering/src/lib.rs
@@ -27,3 +27,19 @@
 pub use keys::{CallId, Grant, Incarnation, ServerKey, ServiceKey, ZoneKey};
 pub use load::LoadHint;
 pub use outcome::{Cause, Outcome, Refusal};
+
+mod calls;
+mod gate;
+mod latency;
+mod ledger;
+mod limit;
+mod pause;
+mod queue;
+
+pub use calls::Ticket;
+pub use gate::{Decision, Finish, Gate, GateEvent, GateSettings, Offer};
+pub use latency::Latency;
+pub use ledger::{Fate, Ledger};
+pub use limit::Limit;
+pub use pause::{Pause, SETTLE_MS, TICK_MAX_MS};
+pub use queue::{Push, Queue};
