Adapt the limit of the gate to the backend server

Cause: the slots of a backend server are not known exactly, and a report of them would be stale; a fixed limit leaves slots idle or queues inside the server, where nothing is fair and nothing can be refused. Ruled out: a gradient on a long-term average, which follows its own queue upward; an AIMD on errors alone, which a server that fails fast defeats. Change: the limit follows the inflation of the median service time and shed calls, a start ramps from the floor, failures hold the limit and their slots. The estimates move from the gate to a type of their own.

--- a/crates/oriolering/src/calls.rs
+++ b/crates/oriolering/src/calls.rs
@@ -1,6 +1,7 @@
 //! The arena of live calls of a gate.
 
-use crate::{CallId, Millis, Refusal};
+use crate::server::Run;
+use crate::{CallId, Millis, Offer, Refusal};
 
 /// A key to a live call of a gate; it is never valid again after the call ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -18,8 +19,8 @@
     Refused(Refusal),
     /// It holds a slot and is not dispatched yet.
     Reserved,
-    /// It holds a slot and was dispatched in this epoch of the limit.
-    Running { epoch: u32 },
+    /// It holds a slot and was dispatched.
+    Running(Run),
 }
 
 /// A live call of a gate.
@@ -32,6 +33,18 @@
     pub(crate) phase: Phase,
 }
 
+impl Call {
+    pub(crate) fn new(offer: Offer) -> Self {
+        Self {
+            id: offer.id,
+            customer: offer.customer,
+            deadline: offer.deadline,
+            fingerprint: offer.fingerprint,
+            phase: Phase::Waiting,
+        }
+    }
+}
+
 /// An arena whose keys carry a generation, so that an old key finds nothing.
 #[derive(Debug, Default)]
 pub(crate) struct Calls {
@@ -72,8 +85,17 @@
         Some(call)
     }
 
-    pub(crate) fn iter(&self) -> impl Iterator<Item = &Call> {
-        self.entries.iter().filter_map(|(_, call)| call.as_ref())
+    /// Returns the fingerprints of the calls that run, each of them once.
+    pub(crate) fn fingerprints(&self) -> Vec<u64> {
+        let calls = self.entries.iter().filter_map(|(_, call)| call.as_ref());
+        let running = calls.filter(|call| match call.phase {
+            Phase::Running(_) => call.fingerprint != 0,
+            Phase::Waiting | Phase::Refused(_) | Phase::Reserved => false,
+        });
+        let mut fingerprints: Vec<u64> = running.map(|call| call.fingerprint).collect();
+        fingerprints.sort_unstable();
+        fingerprints.dedup();
+        fingerprints
     }
 
     /// Returns the key of the call with this identity while it waits.
--- a/crates/oriolering/src/latency.rs
+++ b/crates/oriolering/src/latency.rs
@@ -50,6 +50,17 @@
         let count = self.samples.len().max(1) as u64;
         (self.sum / count) as u32
     }
+
+    /// Returns the median in milliseconds, rounded down.
+    pub fn service_ms(&self) -> u64 {
+        u64::from(self.median) / 1_000
+    }
+
+    /// Returns the time in which `slots` slots finish `count` calls, in milliseconds.
+    pub fn drain_ms(&self, count: usize, slots: u32) -> u64 {
+        let work = count as u64 * u64::from(self.mean());
+        work.div_ceil(u64::from(slots.max(1)) * 1_000)
+    }
 }
 
 impl Default for Latency {
--- a/crates/oriolering/src/lib.rs
+++ b/crates/oriolering/src/lib.rs
@@ -33,13 +33,17 @@
 mod latency;
 mod ledger;
 mod limit;
+mod offer;
 mod pause;
 mod queue;
+mod server;
+mod slots;
 
 pub use calls::Ticket;
-pub use gate::{Decision, Finish, Gate, GateEvent, GateSettings, Offer};
+pub use gate::Gate;
 pub use latency::Latency;
 pub use ledger::{Fate, Ledger};
 pub use limit::Limit;
+pub use offer::{Decision, Finish, GateEvent, GateSettings, Offer};
 pub use pause::{Pause, SETTLE_MS, TICK_MAX_MS};
 pub use queue::{Push, Queue};
--- a/crates/oriolering/src/limit.rs
+++ b/crates/oriolering/src/limit.rs
@@ -1,19 +1,63 @@
-//! The concurrency limit of a backend server.
+//! The concurrency limit of a backend server, adapted to the slots that it really has.
 
 use crate::Millis;
+use crate::latency::scan_median;
+
+/// The fewest service times that a limit is judged by.
+const WINDOW_MIN: usize = 32;
+/// The most service times that a limit is judged by.
+const WINDOW_MAX: usize = 256;
+/// The inflation of the service time, in percent, from which two windows lower the limit.
+const INFLATED_PERCENT: u64 = 130;
+/// The inflation of the service time, in percent, from which one window lowers the limit.
+const CONGESTED_PERCENT: u64 = 200;
+/// The most windows that pass before a limit that met a shed call is tried again.
+const PATIENCE_MAX: u32 = 64;
+
+/// A start of the backend server, after which the limit rises over a while.
+#[derive(Clone, Copy, Debug)]
+struct Ramp {
+    start: Millis,
+    length: u64,
+}
+
+/// The state before the last decrease that inflation caused.
+#[derive(Clone, Copy, Debug)]
+struct Decrease {
+    median: u32,
+    limit: u32,
+}
 
 /// A limit on the calls that run at once, between a floor and a ceiling.
+///
+/// The limit is judged by windows of service times of calls that started under it. The median
+/// of a window over the baseline shows that calls wait inside the backend server: the limit
+/// falls to the share that was really served. A decrease that does not shorten the service
+/// time shows that the backend server itself became slower, and the baseline follows. A window
+/// in which the limit was used up without inflation raises it by one.
 #[derive(Debug)]
 pub struct Limit {
     value: u32,
     min: u32,
     max: u32,
     epoch: u32,
+    ramp: Ramp,
+    samples: Vec<u32>,
+    failures: usize,
+    full: bool,
+    inflated: bool,
+    baseline: u32,
+    decrease: Option<Decrease>,
+    shed_at: u32,
+    patience: u32,
+    calm: u32,
 }
 
 impl Limit {
-    /// Returns a limit that starts at `initial`.
-    pub fn new(initial: u32, min: u32, max: u32) -> Self {
+    /// Returns a limit that rises from `min` to `initial` within `ramp` milliseconds.
+    ///
+    /// The floor is raised to one when it is zero.
+    pub fn new(initial: u32, min: u32, max: u32, now: Millis, ramp: u64) -> Self {
         let min = min.max(1);
         let max = max.max(min);
         Self {
@@ -21,6 +65,19 @@
             min,
             max,
             epoch: 0,
+            ramp: Ramp {
+                start: now,
+                length: ramp,
+            },
+            samples: Vec::new(),
+            failures: 0,
+            full: false,
+            inflated: false,
+            baseline: 0,
+            decrease: None,
+            shed_at: u32::MAX,
+            patience: 1,
+            calm: 0,
         }
     }
 
@@ -28,16 +85,186 @@
     pub fn resize(&mut self, min: u32, max: u32) {
         self.min = min.max(1);
         self.max = max.max(self.min);
-        self.value = self.value.clamp(self.min, self.max);
+        let value = self.value.clamp(self.min, self.max);
+        if value != self.value {
+            self.change(value);
+        }
+    }
+
+    /// Lets the limit rise again from the floor, since the backend server started anew.
+    pub fn restart(&mut self, now: Millis, ramp: u64) {
+        self.ramp = Ramp {
+            start: now,
+            length: ramp,
+        };
+        self.change(self.value);
     }
 
     /// Returns the limit in force.
-    pub fn value(&self, _now: Millis) -> u32 {
-        self.value
+    pub fn value(&self, now: Millis) -> u32 {
+        let elapsed = now.since(self.ramp.start);
+        if elapsed >= self.ramp.length {
+            return self.value;
+        }
+        let rise = u64::from(self.value - self.min) * elapsed / self.ramp.length;
+        self.min + rise as u32
+    }
+
+    /// Returns whether the limit still rises after a start of the backend server.
+    pub fn is_ramping(&self, now: Millis) -> bool {
+        now.since(self.ramp.start) < self.ramp.length
+    }
+
+    /// Returns when the limit rises next after a start of the backend server.
+    pub fn next_rise(&self, now: Millis) -> Option<Millis> {
+        let rise = u64::from(self.value - self.min);
+        if rise == 0 || !self.is_ramping(now) {
+            return None;
+        }
+        let next = u64::from(self.value(now) - self.min) + 1;
+        Some(self.ramp.start + (next * self.ramp.length).div_ceil(rise))
     }
 
-    /// Returns the number of changes of the limit.
+    /// Returns the number of the window, which is passed back when a call ends.
     pub fn epoch(&self) -> u32 {
         self.epoch
     }
+
+    /// Returns the service time without congestion in microseconds, or zero when unknown.
+    pub fn baseline(&self) -> u32 {
+        self.baseline
+    }
+
+    /// Records that a call started, and that `running` calls run now.
+    pub fn start(&mut self, now: Millis, running: u32) {
+        if running >= self.value(now) {
+            self.full = true;
+        }
+    }
+
+    /// Records the service time of a successful call that started in `epoch`.
+    pub fn done(&mut self, now: Millis, epoch: u32, us: u32) {
+        if epoch != self.epoch || self.is_ramping(now) {
+            return;
+        }
+        self.samples.push(us.max(1));
+        let window = (4 * self.value as usize).clamp(WINDOW_MIN, WINDOW_MAX);
+        if self.samples.len() < window {
+            return;
+        }
+        if let Some(median) = scan_median(&self.samples) {
+            self.judge(median);
+        }
+        self.samples.clear();
+        self.failures = 0;
+        self.full = false;
+    }
+
+    /// Records a failed call, which is no evidence of free slots.
+    pub fn failed(&mut self, epoch: u32) {
+        if epoch == self.epoch {
+            self.failures += 1;
+        }
+    }
+
+    /// Records that the backend server shed a call that started in `epoch`.
+    ///
+    /// The limit falls once for all calls of an epoch.
+    pub fn shed(&mut self, epoch: u32) {
+        if epoch != self.epoch {
+            return;
+        }
+        self.shed_at = self.value;
+        self.patience = (self.patience * 2).min(PATIENCE_MAX);
+        self.calm = 0;
+        self.decrease = None;
+        let step = (self.value / 10).max(1);
+        self.change(self.value - step);
+    }
+
+    fn judge(&mut self, median: u32) {
+        if self.baseline == 0 {
+            self.baseline = median;
+        }
+        self.check_decrease(median);
+        let percent = u64::from(median) * 100 / u64::from(self.baseline);
+        let inflated = percent >= INFLATED_PERCENT;
+        let congested = percent >= CONGESTED_PERCENT || (inflated && self.inflated);
+        self.inflated = inflated;
+        if congested {
+            return self.fall(median);
+        }
+        if inflated {
+            return;
+        }
+        self.follow(median);
+        if self.full && self.failures * 10 <= self.samples.len() {
+            self.grow();
+        }
+    }
+
+    /// Takes the median for the baseline when the last decrease did not lower it.
+    fn check_decrease(&mut self, median: u32) {
+        let Some(before) = self.decrease.take() else {
+            return;
+        };
+        let full = u64::from(before.median);
+        let expected = full * u64::from(self.value) / u64::from(before.limit);
+        if u64::from(median) > full.midpoint(expected) {
+            self.baseline = median;
+        }
+    }
+
+    /// Lowers the limit to the share of the calls that did not wait in the backend server.
+    fn fall(&mut self, median: u32) {
+        if self.value == self.min {
+            self.baseline = median;
+            self.inflated = false;
+            return;
+        }
+        self.decrease = Some(Decrease {
+            median,
+            limit: self.value,
+        });
+        let served = u64::from(self.value) * u64::from(self.baseline) / u64::from(median);
+        let value = (served as u32).clamp(self.value / 2, self.value - 1);
+        self.change(value);
+    }
+
+    /// Moves the baseline toward the median; upward only while slots are free.
+    fn follow(&mut self, median: u32) {
+        let gap = i64::from(median) - i64::from(self.baseline);
+        let step = match (self.full, gap < 0) {
+            (false, _) => gap / 4,
+            (true, true) => gap / 16,
+            (true, false) => 0,
+        };
+        self.baseline = (i64::from(self.baseline) + step).max(1) as u32;
+    }
+
+    /// Raises the limit by one, and waits for a while before one that met a shed call.
+    fn grow(&mut self) {
+        if self.value >= self.shed_at {
+            self.shed_at = u32::MAX;
+            self.patience = 1;
+        }
+        if self.value.saturating_add(1) == self.shed_at && self.calm < self.patience {
+            self.calm += 1;
+            return;
+        }
+        self.calm = 0;
+        if self.value < self.max {
+            self.change(self.value + 1);
+        }
+    }
+
+    /// Sets the limit and starts a new window.
+    fn change(&mut self, value: u32) {
+        self.value = value.clamp(self.min, self.max);
+        self.epoch = self.epoch.wrapping_add(1);
+        self.samples.clear();
+        self.failures = 0;
+        self.full = false;
+        self.inflated = false;
+    }
 }
--- a/crates/oriolering/src/queue.rs
+++ b/crates/oriolering/src/queue.rs
@@ -108,7 +108,7 @@
     }
 
     /// Takes the next call: from the customer with the fewest calls `running`, by turns.
-    pub fn pop(&mut self, running: impl Fn(u64) -> usize) -> Option<Ticket> {
+    pub fn pop(&mut self, running: impl Fn(u64) -> u32) -> Option<Ticket> {
         let lanes = self.lanes.iter().enumerate();
         let (index, _) = lanes.min_by_key(|(_, lane)| running(lane.customer))?;
         let mut lane = self.lanes.remove(index)?;
--- /dev/null
+++ b/crates/oriolering/src/server.rs
@@ -0,0 +1,135 @@
+//! What a gate knows about its backend server: slots, limit and service time.
+
+use crate::latency::Latency;
+use crate::limit::Limit;
+use crate::slots::Slots;
+use crate::{Finish, GateSettings, LoadHint, Millis};
+
+/// The run of a dispatched call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Run {
+    pub(crate) epoch: u32,
+    pub(crate) start: Millis,
+}
+
+/// The estimates about a backend server and the slots that are given out.
+#[derive(Debug)]
+pub(crate) struct Server {
+    limit: Limit,
+    latency: Latency,
+    slots: Slots,
+}
+
+impl Server {
+    pub(crate) fn new(settings: GateSettings, now: Millis) -> Self {
+        let limit = Limit::new(
+            settings.initial,
+            settings.min,
+            settings.max,
+            now,
+            settings.ramp,
+        );
+        Self {
+            limit,
+            latency: Latency::new(),
+            slots: Slots::default(),
+        }
+    }
+
+    pub(crate) fn update(&mut self, settings: GateSettings) {
+        self.limit.resize(settings.min, settings.max);
+    }
+
+    pub(crate) fn restart(&mut self, now: Millis, ramp: u64) {
+        self.limit.restart(now, ramp);
+    }
+
+    pub(crate) fn has_slot(&self, now: Millis) -> bool {
+        self.slots.used(now) < self.limit.value(now)
+    }
+
+    pub(crate) fn take(&mut self, customer: u64) {
+        self.slots.take(customer);
+    }
+
+    pub(crate) fn free(&mut self, customer: u64) {
+        self.slots.free(customer);
+    }
+
+    /// Returns the number of slots that calls of `customer` have taken.
+    pub(crate) fn running(&self, customer: u64) -> u32 {
+        self.slots.running(customer)
+    }
+
+    /// Starts the run of a call that has a slot.
+    pub(crate) fn start(&mut self, now: Millis) -> Run {
+        self.limit.start(now, self.slots.used(now));
+        Run {
+            epoch: self.limit.epoch(),
+            start: now,
+        }
+    }
+
+    /// Records how a run ended; its slot is held for a while after a fast failure.
+    pub(crate) fn finish(&mut self, now: Millis, run: Run, finish: Finish) {
+        match finish {
+            Finish::Done { latency_us } => {
+                self.latency.record(latency_us);
+                self.limit.done(now, run.epoch, latency_us);
+                return;
+            }
+            Finish::Failed { .. } | Finish::NotSent => self.limit.failed(run.epoch),
+            Finish::Shed => self.limit.shed(run.epoch),
+            Finish::Lost => self.cut(now, run),
+        }
+        let usual = self.latency.service_ms();
+        self.slots
+            .hold(now, usual.saturating_sub(now.since(run.start)));
+    }
+
+    /// Records a run that ended without an answer.
+    ///
+    /// Its service time is at least the time that it ran, which counts when that is longer
+    /// than usual.
+    pub(crate) fn cut(&mut self, now: Millis, run: Run) {
+        let us = now.since(run.start).saturating_mul(1_000);
+        let us = u32::try_from(us).unwrap_or(u32::MAX);
+        if us > self.latency.median() {
+            self.latency.record(us);
+            self.limit.done(now, run.epoch, us);
+        } else {
+            self.limit.failed(run.epoch);
+        }
+    }
+
+    /// Drops the holds of slots that have ended.
+    pub(crate) fn prune(&mut self, now: Millis) {
+        self.slots.prune(now);
+    }
+
+    /// Returns when a slot becomes free without the end of a call.
+    pub(crate) fn next_slot(&self, now: Millis) -> Option<Millis> {
+        let ends = [self.slots.next_end(), self.limit.next_rise(now)];
+        ends.into_iter().flatten().min()
+    }
+
+    /// Returns the usual service time in milliseconds, rounded down.
+    pub(crate) fn service_ms(&self) -> u64 {
+        self.latency.service_ms()
+    }
+
+    /// Returns the time in which `count` waiting calls find a slot, in milliseconds.
+    pub(crate) fn drain_ms(&self, now: Millis, count: usize) -> u64 {
+        self.latency.drain_ms(count, self.limit.value(now))
+    }
+
+    pub(crate) fn load(&self, now: Millis, queued: usize, leaving: bool) -> LoadHint {
+        LoadHint {
+            running: self.slots.used(now),
+            queued: queued as u32,
+            limit: self.limit.value(now),
+            latency_us: self.latency.median(),
+            leaving,
+        }
+    }
+}
