--- a/crates/oriolering/src/limit.rs
+++ b/crates/oriolering/src/limit.rs
@@ -8,11 +8,15 @@
 /// The most service times that a limit is judged by.
 const WINDOW_MAX: usize = 256;
 /// The inflation of the service time, in percent, from which two windows lower the limit.
-const INFLATED_PERCENT: u64 = 130;
+const INFLATED_PERCENT: u64 = 125;
 /// The inflation of the service time, in percent, from which one window lowers the limit.
-const CONGESTED_PERCENT: u64 = 200;
+const CONGESTED_PERCENT: u64 = 180;
 /// The most windows that pass before a limit that met a shed call is tried again.
 const PATIENCE_MAX: u32 = 64;
+/// The fewest windows with the limit used up after which the baseline is checked.
+const CHECK_MIN: u32 = 16;
+/// The most windows with the limit used up after which the baseline is checked.
+const CHECK_MAX: u32 = 128;
 
 /// A start of the backend server, after which the limit rises over a while.
 #[derive(Clone, Copy, Debug)]
@@ -21,11 +25,12 @@
     length: u64,
 }
 
-/// The state before the last decrease that inflation caused.
+/// The state before the last decrease of the limit.
 #[derive(Clone, Copy, Debug)]
 struct Decrease {
     median: u32,
     limit: u32,
+    check: bool,
 }
 
 /// A limit on the calls that run at once, between a floor and a ceiling.
@@ -33,8 +38,10 @@
 /// The limit is judged by windows of service times of calls that started under it. The median
 /// of a window over the baseline shows that calls wait inside the backend server: the limit
 /// falls to the share that was really served. A decrease that does not shorten the service
-/// time shows that the backend server itself became slower, and the baseline follows. A window
-/// in which the limit was used up without inflation raises it by one.
+/// time shows that the backend server itself became slower: the baseline follows, and the
+/// limit is restored. A window in which the limit was used up without inflation raises it by
+/// one. A limit that stays used up is halved for one window now and then, to learn whether
+/// the baseline itself was taken while calls waited.
 #[derive(Debug)]
 pub struct Limit {
     value: u32,
@@ -48,6 +55,8 @@
     inflated: bool,
     baseline: u32,
     decrease: Option<Decrease>,
+    unchecked: u32,
+    check_after: u32,
     shed_at: u32,
     patience: u32,
     calm: u32,
@@ -75,6 +84,8 @@
             inflated: false,
             baseline: 0,
             decrease: None,
+            unchecked: 0,
+            check_after: 0,
             shed_at: u32::MAX,
             patience: 1,
             calm: 0,
@@ -186,37 +197,45 @@
         if self.baseline == 0 {
             self.baseline = median;
         }
-        self.check_decrease(median);
+        if let Some(before) = self.decrease.take() {
+            return self.conclude(before, median);
+        }
         let percent = u64::from(median) * 100 / u64::from(self.baseline);
         let inflated = percent >= INFLATED_PERCENT;
         let congested = percent >= CONGESTED_PERCENT || (inflated && self.inflated);
         self.inflated = inflated;
         if congested {
-            return self.fall(median);
+            let served = u64::from(self.value) * u64::from(self.baseline) / u64::from(median);
+            return self.fall(median, served as u32, false);
         }
         if inflated {
             return;
         }
         self.follow(median);
-        if self.full && self.failures * 10 <= self.samples.len() {
-            self.grow();
+        if self.full {
+            self.check_or_grow(median);
         }
     }
 
-    /// Takes the median for the baseline when the last decrease did not lower it.
-    fn check_decrease(&mut self, median: u32) {
-        let Some(before) = self.decrease.take() else {
-            return;
-        };
+    /// Compares the service time with the one before the last decrease of the limit.
+    fn conclude(&mut self, before: Decrease, median: u32) {
         let full = u64::from(before.median);
         let expected = full * u64::from(self.value) / u64::from(before.limit);
         if u64::from(median) > full.midpoint(expected) {
             self.baseline = median;
+            self.check_after = (self.check_after * 2).clamp(CHECK_MIN, CHECK_MAX);
+            return self.change(before.limit);
+        }
+        self.check_after = CHECK_MIN;
+        if before.check {
+            self.baseline = self.baseline.min(median);
+            self.fall(median, self.value / 2, true);
         }
     }
 
-    /// Lowers the limit to the share of the calls that did not wait in the backend server.
-    fn fall(&mut self, median: u32) {
+    /// Lowers the limit to about `value`, at most by half.
+    fn fall(&mut self, median: u32, value: u32, check: bool) {
+        self.unchecked = 0;
         if self.value == self.min {
             self.baseline = median;
             self.inflated = false;
@@ -225,10 +244,19 @@
         self.decrease = Some(Decrease {
             median,
             limit: self.value,
+            check,
         });
-        let served = u64::from(self.value) * u64::from(self.baseline) / u64::from(median);
-        let value = (served as u32).clamp(self.value / 2, self.value - 1);
-        self.change(value);
+        self.change(value.clamp(self.value / 2, self.value - 1));
+    }
+
+    fn check_or_grow(&mut self, median: u32) {
+        self.unchecked += 1;
+        if self.unchecked > self.check_after && self.shed_at == u32::MAX {
+            return self.fall(median, self.value / 2, true);
+        }
+        if self.failures * 10 <= self.samples.len() {
+            self.grow();
+        }
     }
 
     /// Moves the baseline toward the median; upward only while slots are free.
