--- /dev/null
+++ b/crates/oriolering/tests/quarantine.rs
@@ -0,0 +1,163 @@
+//! Suspects, quarantine, innocence and the exchange between nodes.
+
+use oriolering::{Incarnation, Millis, Quarantine, QuarantineSettings, Verdict};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+
+const SETTINGS: QuarantineSettings = QuarantineSettings {
+    capacity: 8,
+    quarantine: 60_000,
+    suspicion: 30_000,
+};
+const START: Millis = Millis(100_000);
+
+fn node(number: u64) -> Quarantine {
+    Quarantine::new(SETTINGS, Incarnation(number))
+}
+
+/// Passes the entries of `from` to `to`.
+fn tell(now: Millis, from: &Quarantine, to: &mut Quarantine) {
+    to.import(now, &from.export(now));
+}
+
+#[test]
+fn quarantines_at_the_second_crash() {
+    let mut table = node(1);
+    assert_eq!(table.crashed(START, &[7, 8]), 0);
+    assert!(table.is_suspect(START, 7));
+    assert_eq!(table.remaining(START, 7), None);
+    assert_eq!(table.crashed(START + 10, &[7, 9]), 1);
+    assert_eq!(table.remaining(START + 10, 7), Some(60_000));
+    assert_eq!(table.remaining(START + 10, 8), None);
+    assert_eq!(table.remaining(START + 10 + 60_000, 7), None);
+}
+
+#[test]
+fn counts_one_crash_once() {
+    let mut table = node(1);
+    assert_eq!(table.crashed(START, &[7, 7]), 0);
+    assert_eq!(table.remaining(START, 7), None);
+}
+
+#[test]
+fn forgets_a_suspect_after_a_while() {
+    let mut table = node(1);
+    table.crashed(START, &[7]);
+    assert_eq!(table.crashed(START + 30_000, &[7]), 0);
+}
+
+#[test]
+fn clears_a_suspect_that_finishes_a_run() {
+    let mut table = node(1);
+    table.crashed(START, &[7]);
+    table.cleared(START + 1, 7);
+    assert!(!table.is_suspect(START + 1, 7));
+    assert_eq!(table.crashed(START + 2, &[7]), 0);
+    assert!(!table.is_suspect(START + 2, 7));
+}
+
+#[test]
+fn knows_nothing_of_requests_without_a_fingerprint() {
+    let mut table = node(1);
+    table.crashed(START, &[0]);
+    table.crashed(START, &[0]);
+    table.cleared(START, 0);
+    assert!(table.is_empty());
+}
+
+#[test]
+fn quarantines_across_nodes() {
+    let (mut first, mut second, mut third) = (node(1), node(2), node(3));
+    first.crashed(START, &[7]);
+    tell(START, &first, &mut second);
+    tell(START, &first, &mut second);
+    assert_eq!(second.remaining(START, 7), None);
+    assert_eq!(second.crashed(START + 5, &[7]), 1);
+    tell(START + 6, &second, &mut third);
+    tell(START + 6, &second, &mut first);
+    assert_eq!(third.remaining(START + 6, 7), Some(59_999));
+    assert_eq!(first.remaining(START + 6, 7), Some(59_999));
+}
+
+#[test]
+fn combines_suspicions_that_crossed_on_the_way() {
+    let (mut first, mut second, mut third) = (node(1), node(2), node(3));
+    first.crashed(START, &[7]);
+    second.crashed(START, &[7]);
+    let entries = (first.export(START), second.export(START));
+    first.import(START + 1, &entries.1);
+    second.import(START + 1, &entries.0);
+    assert!(first.remaining(START + 1, 7).is_some());
+    assert!(second.remaining(START + 1, 7).is_some());
+    tell(START + 2, &first, &mut third);
+    assert!(third.remaining(START + 2, 7).is_some());
+}
+
+#[test]
+fn keeps_a_request_that_finishes_elsewhere_in_service() {
+    let (mut first, mut second) = (node(1), node(2));
+    second.cleared(START, 7);
+    first.crashed(START, &[7]);
+    first.crashed(START + 1, &[7]);
+    tell(START + 2, &first, &mut second);
+    assert_eq!(second.remaining(START + 2, 7), None);
+}
+
+#[test]
+fn keeps_quarantined_requests_rather_than_suspects() {
+    let mut table = node(1);
+    table.crashed(START, &[1]);
+    table.crashed(START, &[1]);
+    for fingerprint in 2..100 {
+        table.crashed(START, &[fingerprint]);
+    }
+    assert_eq!(table.len(), 8);
+    assert!(table.remaining(START, 1).is_some());
+    assert_eq!(table.export(START)[0].verdict, Verdict::Quarantined);
+}
+
+#[test]
+fn bounds_what_a_peer_claims() {
+    let mut first = node(1);
+    first.crashed(START, &[7]);
+    first.crashed(START, &[7]);
+    let mut entries = first.export(START);
+    entries[0].remaining = u32::MAX;
+    let mut second = node(2);
+    second.import(START, &entries);
+    assert_eq!(second.remaining(START, 7), Some(60_000));
+    assert!(second.export(START).is_empty());
+}
+
+/// Without new crashes every entry ends within its time, however long nodes tell each other.
+#[test]
+fn entries_end_however_they_go_round() {
+    let hops = prop::collection::vec((0..4usize, 0..4usize, 0..3_000u64), 1..200);
+    let crashes = prop::collection::vec(0..4usize, 1..5);
+    let config = Config {
+        cases: 64,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    let result = runner.run(&(crashes, hops), |(crashes, hops)| {
+        let mut nodes: Vec<Quarantine> = (0..4).map(node).collect();
+        for index in crashes {
+            nodes[index].crashed(START, &[7]);
+        }
+        let mut now = START;
+        for (from, to, delay) in hops {
+            let entries = nodes[from].export(now);
+            now = now + delay;
+            nodes[to].import(now, &entries);
+        }
+        let end = now.max(START + SETTINGS.quarantine + SETTINGS.suspicion + 10_000);
+        for node in &nodes {
+            prop_assert!(node.export(end).is_empty());
+            prop_assert!(!node.is_suspect(end, 7));
+        }
+        Ok(())
+    });
+    result.expect("an entry outlived its time");
+}
