Add the budget for measuring

Cause: the work of measuring must stay within one budget for all nodes of a service, which share no state and see the number of nodes late. Ruled out: a token bucket, which saves credit over a pause and passes two budgets in one second across the refill; aligned windows, for the same reason; counting an act at its start only, since it runs into the next second. Change: a charge counts from its debit until a second after the end of the act; a node's share is the budget over the largest number of nodes seen of late; a node spends nothing before a fresh view has been kept for twice the lag, the longest act and a second, nor with a view older than the lag.

--- a/crates/oriolering/src/lib.rs
+++ b/crates/oriolering/src/lib.rs
@@ -28,6 +28,7 @@
 pub use load::LoadHint;
 pub use outcome::{Cause, Outcome, Refusal};
 
+mod budget;
 mod calls;
 mod gate;
 mod latency;
@@ -40,6 +41,7 @@
 mod server;
 mod slots;
 
+pub use budget::{Budget, BudgetSettings, Receipt};
 pub use calls::Ticket;
 pub use gate::Gate;
 pub use latency::Latency;
--- /dev/null
+++ b/crates/oriolering/tests/budget.rs
@@ -0,0 +1,251 @@
+//! The budget for measuring: one node, and a fleet without agreement.
+
+mod runner;
+
+use oriolering::{Budget, BudgetSettings, Millis};
+use proptest::prelude::*;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+const SETTINGS: BudgetSettings = BudgetSettings {
+    allowed: 100_000,
+    lag: 1_000,
+};
+/// The time after which a node that sees the others regularly may spend.
+const COUNTED_MS: u64 = 5_000;
+
+/// Returns the budget of a node among `nodes` that may spend, and the time.
+fn ready(nodes: u32) -> (Budget, Millis) {
+    let mut budget = Budget::new(SETTINGS);
+    let mut now = Millis(0);
+    while now.0 < COUNTED_MS {
+        budget.see(now, nodes);
+        now = now + 500;
+    }
+    budget.see(now, nodes);
+    (budget, now)
+}
+
+#[test]
+fn debits_up_to_the_share() {
+    let (mut budget, now) = ready(4);
+    assert_eq!(budget.allowed(now), 25_000);
+    for _ in 0..4 {
+        assert!(budget.debit(now, 6_000, 10).is_some());
+    }
+    assert!(budget.debit(now, 6_000, 10).is_none());
+    assert_eq!(budget.spent(now), 24_000);
+    assert!(budget.debit(now, 1_000, 10).is_some());
+    assert!(budget.debit(now, 1, 10).is_none());
+}
+
+#[test]
+fn refunds_what_was_not_used() {
+    let (mut budget, now) = ready(4);
+    let receipt = budget.debit(now, 25_000, 100).expect("the share suffices");
+    budget.settle(now + 5, receipt, 2_000);
+    assert_eq!(budget.spent(now + 5), 2_000);
+    assert!(budget.debit(now + 5, 23_000, 100).is_some());
+}
+
+#[test]
+fn keeps_a_cost_above_the_charge_as_spent() {
+    let (mut budget, now) = ready(4);
+    let receipt = budget.debit(now, 1_000, 100).expect("the share suffices");
+    budget.settle(now + 5, receipt, 30_000);
+    assert!(budget.debit(now + 900, 1, 10).is_none());
+}
+
+#[test]
+fn counts_an_act_until_a_second_after_its_end() {
+    let (mut budget, now) = ready(1);
+    let dropped = budget.debit(now, 100_000, 300);
+    assert!(dropped.is_some());
+    assert_eq!(budget.spent(now + 1_300), 100_000);
+    assert_eq!(budget.spent(now + 1_320), 0);
+}
+
+#[test]
+fn spends_nothing_before_the_others_have_counted_it() {
+    let mut budget = Budget::new(SETTINGS);
+    assert_eq!(budget.allowed(Millis(0)), 0);
+    for ms in (0..COUNTED_MS).step_by(500) {
+        budget.see(Millis(ms), 1);
+        assert_eq!(budget.allowed(Millis(ms)), 0, "at {ms} ms");
+    }
+    budget.see(Millis(COUNTED_MS), 1);
+    assert_eq!(budget.allowed(Millis(COUNTED_MS)), 100_000);
+}
+
+#[test]
+fn spends_nothing_after_a_pause_until_the_view_is_fresh() {
+    let (mut budget, now) = ready(2);
+    let woken = now + 10_000;
+    assert_eq!(budget.allowed(woken), 0);
+    budget.see(woken, 2);
+    assert!(budget.debit(woken, 1, 10).is_none());
+}
+
+#[test]
+fn remembers_the_largest_number_of_nodes() {
+    let (mut budget, mut now) = ready(10);
+    budget.see(now, 2);
+    assert_eq!(budget.allowed(now), 10_000);
+    for _ in 0..16 {
+        now = now + 500;
+        budget.see(now, 2);
+    }
+    assert_eq!(budget.allowed(now), 50_000);
+    budget.see(now, 20);
+    assert_eq!(budget.allowed(now), 5_000);
+}
+
+#[test]
+fn stops_at_once_when_the_budget_is_lowered() {
+    let (mut budget, now) = ready(1);
+    assert!(budget.debit(now, 60_000, 10).is_some());
+    budget.update(BudgetSettings {
+        allowed: 50_000,
+        ..SETTINGS
+    });
+    assert!(budget.debit(now, 1, 10).is_none());
+    assert_eq!(budget.allowed(now), 50_000);
+}
+
+/// One node of the fleet, when it runs, pauses and sees the others.
+#[derive(Clone, Debug)]
+struct Life {
+    start: u64,
+    end: u64,
+    pause: (u64, u64),
+    see_every: u64,
+    seed: u64,
+}
+
+impl Life {
+    fn runs(&self, ms: u64) -> bool {
+        (self.start..self.end).contains(&ms)
+    }
+
+    fn acts(&self, ms: u64) -> bool {
+        self.runs(ms) && !(self.pause.0..self.pause.1).contains(&ms)
+    }
+}
+
+/// A measurement: who, from when to when, and its cost.
+#[derive(Clone, Copy, Debug)]
+struct Act {
+    start: u64,
+    end: u64,
+    cost: u64,
+}
+
+fn life() -> impl Strategy<Value = Life> {
+    let times = (0..12_000u64, 0..30_000u64, 0..30_000u64, 0..12_000u64);
+    (times, 50..1_500u64, any::<u64>()).prop_map(|(times, see_every, seed)| {
+        let (start, length, pause, paused) = times;
+        Life {
+            start,
+            end: start + length,
+            pause: (pause, pause + paused),
+            see_every,
+            seed,
+        }
+    })
+}
+
+const STEP_MS: u64 = 20;
+const END_MS: u64 = 32_000;
+
+/// Lets a greedy node spend all that it may, with views up to `lag` old.
+fn spend(life: &Life, fleet: &[Life], budgets: (u64, u64)) -> Vec<Act> {
+    let mut rng = SmallRng::seed_from_u64(life.seed);
+    let mut budget = Budget::new(SETTINGS);
+    let mut acts: Vec<Act> = Vec::new();
+    let mut open = Vec::new();
+    let mut next_see = life.start;
+    for ms in (0..END_MS).step_by(STEP_MS as usize) {
+        if !life.acts(ms) {
+            next_see = ms + rng.random_range(0..life.see_every);
+            continue;
+        }
+        let now = Millis(ms);
+        let lowered = ms > END_MS / 2 + rng.random_range(0..500);
+        let allowed = if lowered { budgets.1 } else { budgets.0 };
+        budget.update(BudgetSettings {
+            allowed,
+            ..SETTINGS
+        });
+        if ms >= next_see {
+            let late = rng.random_range(0..=SETTINGS.lag);
+            let seen = ms.saturating_sub(late);
+            let nodes = fleet.iter().filter(|other| other.runs(seen)).count();
+            budget.see(now, nodes as u32);
+            next_see = ms + life.see_every;
+        }
+        let ends = rng.random_bool(0.05);
+        if let Some((index, receipt)) =
+            open.pop_if(|(i, _): &mut (usize, _)| ends && acts[*i].end > ms)
+        {
+            let act = &mut acts[index];
+            act.end = ms;
+            act.cost /= 2;
+            budget.settle(now, receipt, act.cost);
+        }
+        let cost = rng.random_range(1..=budget.allowed(now).max(1));
+        let hold = rng.random_range(0..=2_000);
+        if let Some(receipt) = budget.debit(now, cost, hold) {
+            open.push((acts.len(), receipt));
+            acts.push(Act {
+                start: ms,
+                end: ms + hold,
+                cost,
+            });
+        }
+    }
+    acts
+}
+
+/// Returns the highest cost of the acts that overlap one second, wherever it starts.
+fn highest_second(acts: &[Act]) -> u64 {
+    let starts = acts.iter().flat_map(|act| {
+        let before = act.start.saturating_sub(1_000);
+        [before, act.start, act.end]
+    });
+    let cost = |from: u64| {
+        acts.iter()
+            .filter(|act| act.start <= from + 1_000 && act.end >= from)
+            .map(|act| act.cost)
+            .sum()
+    };
+    starts.map(cost).max().unwrap_or(0)
+}
+
+#[test]
+fn a_fleet_keeps_the_budget_in_every_second() {
+    let fleets = prop::collection::vec(life(), 1..7);
+    let budgets = (1_000..200_000u64, 1_000..200_000u64);
+    let result = runner::runner(128).run(&(fleets, budgets), |(fleet, budgets)| {
+        let spent = |life| spend(life, &fleet, budgets);
+        let acts: Vec<Act> = fleet.iter().flat_map(spent).collect();
+        let highest = highest_second(&acts);
+        prop_assert!(highest <= budgets.0.max(budgets.1), "{highest} spent");
+        Ok(())
+    });
+    result.expect("the fleet spent more than its budget");
+}
+
+#[test]
+fn a_steady_fleet_can_use_its_budget() {
+    let (mut budget, mut now) = ready(4);
+    let mut spent = 0;
+    for _ in 0..1_000 {
+        now = now + 10;
+        budget.see(now, 4);
+        if let Some(receipt) = budget.debit(now, 6_000, 50) {
+            budget.settle(now, receipt, 6_000);
+            spent += 6_000;
+        }
+    }
+    assert!(spent >= 10 * 23_000, "{spent} of 250000 were spent");
+}
--- a/crates/oriolering/tests/quarantine.rs
+++ b/crates/oriolering/tests/quarantine.rs
@@ -1,8 +1,9 @@
 //! Suspects, quarantine, innocence and the exchange between nodes.
 
+mod runner;
+
 use oriolering::{Incarnation, Millis, Quarantine, QuarantineSettings, Verdict};
 use proptest::prelude::*;
-use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 
 const SETTINGS: QuarantineSettings = QuarantineSettings {
     capacity: 8,
@@ -134,14 +135,7 @@
 fn entries_end_however_they_go_round() {
     let hops = prop::collection::vec((0..4usize, 0..4usize, 0..3_000u64), 1..200);
     let crashes = prop::collection::vec(0..4usize, 1..5);
-    let config = Config {
-        cases: 64,
-        failure_persistence: None,
-        ..Config::default()
-    };
-    let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
-    let mut runner = TestRunner::new_with_rng(config, rng);
-    let result = runner.run(&(crashes, hops), |(crashes, hops)| {
+    let result = runner::runner(64).run(&(crashes, hops), |(crashes, hops)| {
         let mut nodes: Vec<Quarantine> = (0..4).map(node).collect();
         for index in crashes {
             nodes[index].crashed(START, &[7]);
