--- a/crates/oriolering/src/ledger.rs
+++ b/crates/oriolering/src/ledger.rs
@@ -15,7 +15,8 @@
     Running,
     /// The call was dispatched and its run has ended.
     Done,
-    /// Nothing is recorded about the call, and it will not be dispatched from now on.
+    /// Nothing is recorded about the call; if the inquiry fences, it will not be dispatched
+    /// from now on.
     Forgotten,
 }
 
