Hold slots also before the first success; split the gate's tests

Cause: a backend server that never answered had no service time, so that its failures held no slot and the gate looked idle; sub-millisecond service times were rounded down to no hold; a call cancelled early, such as the loser of a hedge, counted as a failure and kept the limit from rising. Ruled out: refusing calls after a number of failures, which is a second limiter with a state of its own.

--- a/crates/oriolering/src/offer.rs
+++ b/crates/oriolering/src/offer.rs
@@ -30,7 +30,7 @@
     pub id: CallId,
     /// The sequence number up to which every attempt of the session is settled.
     pub ack: u64,
-    /// A hash of the customer key, or zero without one.
+    /// A hash of the customer key; calls with zero, that is without a key, count as one customer.
     pub customer: u64,
     /// When the caller stops waiting.
     pub deadline: Millis,
--- a/crates/oriolering/src/server.rs
+++ b/crates/oriolering/src/server.rs
@@ -5,6 +5,9 @@
 use crate::slots::Slots;
 use crate::{Finish, GateSettings, LoadHint, Millis};
 
+/// How long a slot is held after a failure while no service time is known.
+const FIRST_HOLD_MS: u64 = 10;
+
 /// The run of a dispatched call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Run {
@@ -80,11 +83,13 @@
             }
             Finish::Failed { .. } | Finish::NotSent => self.limit.failed(run.epoch),
             Finish::Shed => self.limit.shed(run.epoch),
-            Finish::Lost => self.cut(now, run),
+            Finish::Lost => {
+                self.limit.failed(run.epoch);
+                self.cut(now, run);
+            }
         }
-        let usual = self.latency.service_ms();
-        self.slots
-            .hold(now, usual.saturating_sub(now.since(run.start)));
+        let ms = self.hold_ms(now, run, finish);
+        self.slots.hold(now, ms);
     }
 
     /// Records a run that ended without an answer.
@@ -92,13 +97,25 @@
     /// Its service time is at least the time that it ran, which counts when that is longer
     /// than usual.
     pub(crate) fn cut(&mut self, now: Millis, run: Run) {
-        let us = now.since(run.start).saturating_mul(1_000);
-        let us = u32::try_from(us).unwrap_or(u32::MAX);
+        let us = elapsed_us(now, run);
         if us > self.latency.median() {
             self.latency.record(us);
             self.limit.done(now, run.epoch, us);
-        } else {
-            self.limit.failed(run.epoch);
+        }
+    }
+
+    /// Returns how long the slot of a failed run is held, so that failures take as long as
+    /// successes.
+    fn hold_ms(&self, now: Millis, run: Run, finish: Finish) -> u64 {
+        let elapsed = match finish {
+            Finish::Failed { latency_us } => latency_us,
+            Finish::Done { .. } | Finish::NotSent | Finish::Shed | Finish::Lost => {
+                elapsed_us(now, run)
+            }
+        };
+        match self.latency.median() {
+            0 => FIRST_HOLD_MS,
+            usual => u64::from(usual.saturating_sub(elapsed).div_ceil(1_000)),
         }
     }
 
@@ -133,3 +150,9 @@
         }
     }
 }
+
+/// Returns the time since the start of a run in microseconds.
+fn elapsed_us(now: Millis, run: Run) -> u32 {
+    let us = now.since(run.start).saturating_mul(1_000);
+    u32::try_from(us).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/crates/oriolering/tests/gate/main.rs
@@ -0,0 +1,6 @@
+//! Decisions of the gate.
+
+mod fixture;
+mod identity;
+mod server;
+mod waiting;
