Name backoff and quarantine states plainly; show the gate in an example

Cause: words such as verdict, patience and calm are not the usual terms. Ruled out: keeping the old name as an alias, since nothing uses it yet. Change: QuarantineState for Verdict, backoff in the limit, a documented example of the gate's protocol.

--- a/crates/oriolering/src/gate.rs
+++ b/crates/oriolering/src/gate.rs
@@ -20,6 +20,34 @@
 /// A call is dispatched at most once. A call that was refused, fenced, cancelled or expired
 /// before it was dispatched is never dispatched afterwards. [`Self::cancel`] may be called at
 /// any point, also for tickets that are not valid any more.
+///
+/// # Examples
+///
+/// ```
+/// use oriolering::{CallId, Decision, Fate, Finish, Gate, GateSettings, Incarnation, Millis, Offer};
+///
+/// let settings = GateSettings {
+///     initial: 12,
+///     min: 1,
+///     max: 64,
+///     queue_length: 32,
+///     queue_wait: 200,
+///     ramp: 0,
+///     sessions: 1_000,
+///     window: 4_096,
+/// };
+/// let now = Millis(0);
+/// let mut gate = Gate::new(settings, Incarnation(1), now);
+/// let id = CallId { grant: gate.open(now), seq: 1 };
+/// let offer = Offer { id, ack: 0, customer: 0, deadline: now + 1_000, fingerprint: 0 };
+/// let Decision::Start(ticket) = gate.offer(now, offer) else {
+///     panic!("the backend server is idle");
+/// };
+/// gate.dispatch(now, ticket).expect("nothing has fenced the call");
+/// // The call is sent to the backend server here.
+/// gate.finish(now, ticket, Finish::Done { latency_us: 800 });
+/// assert_eq!(gate.inquire(now, id, true), Fate::Done);
+/// ```
 #[derive(Debug)]
 pub struct Gate {
     settings: GateSettings,
--- a/crates/oriolering/src/lib.rs
+++ b/crates/oriolering/src/lib.rs
@@ -49,5 +49,5 @@
 pub use limit::Limit;
 pub use offer::{Decision, Finish, GateEvent, GateSettings, Offer};
 pub use pause::{Pause, SETTLE_MS, TICK_MAX_MS};
-pub use quarantine::{Crash, Quarantine, QuarantineEntry, QuarantineSettings, Verdict};
+pub use quarantine::{Crash, Quarantine, QuarantineEntry, QuarantineSettings, QuarantineState};
 pub use queue::{Push, Queue};
--- a/crates/oriolering/src/limit.rs
+++ b/crates/oriolering/src/limit.rs
@@ -12,7 +12,7 @@
 /// The inflation of the service time, in percent, from which one window lowers the limit.
 const CONGESTED_PERCENT: u64 = 180;
 /// The most windows that pass before a limit that met a shed call is tried again.
-const PATIENCE_MAX: u32 = 64;
+const BACKOFF_MAX: u32 = 64;
 /// The fewest windows with the limit used up after which the baseline is checked.
 const CHECK_MIN: u32 = 16;
 /// The most windows with the limit used up after which the baseline is checked.
@@ -58,8 +58,8 @@
     unchecked: u32,
     check_after: u32,
     shed_at: u32,
-    patience: u32,
-    calm: u32,
+    backoff: u32,
+    waited: u32,
 }
 
 impl Limit {
@@ -87,8 +87,8 @@
             unchecked: 0,
             check_after: 0,
             shed_at: u32::MAX,
-            patience: 1,
-            calm: 0,
+            backoff: 1,
+            waited: 0,
         }
     }
 
@@ -186,8 +186,8 @@
             return;
         }
         self.shed_at = self.value;
-        self.patience = (self.patience * 2).min(PATIENCE_MAX);
-        self.calm = 0;
+        self.backoff = (self.backoff * 2).min(BACKOFF_MAX);
+        self.waited = 0;
         self.decrease = None;
         let step = (self.value / 10).max(1);
         self.change(self.value - step);
@@ -274,13 +274,13 @@
     fn grow(&mut self) {
         if self.value >= self.shed_at {
             self.shed_at = u32::MAX;
-            self.patience = 1;
+            self.backoff = 1;
         }
-        if self.value.saturating_add(1) == self.shed_at && self.calm < self.patience {
-            self.calm += 1;
+        if self.value.saturating_add(1) == self.shed_at && self.waited < self.backoff {
+            self.waited += 1;
             return;
         }
-        self.calm = 0;
+        self.waited = 0;
         if self.value < self.max {
             self.change(self.value + 1);
         }
--- a/crates/oriolering/src/quarantine.rs
+++ b/crates/oriolering/src/quarantine.rs
@@ -4,8 +4,10 @@
 
 use crate::{Incarnation, Millis};
 
-/// The time in which a finished run proves a request innocent.
-const INNOCENT_MS: u64 = 10_000;
+use QuarantineState::{Quarantined, Suspect};
+
+/// The time in which a finished run keeps a request from being suspected.
+const FINISHED_MS: u64 = 10_000;
 /// The number of finished runs that are remembered.
 const FINISHED: usize = 1_024;
 /// The number of entries that are exported at once.
@@ -33,7 +35,7 @@
 
 /// Whether a request was in flight at one crash, or at two.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Verdict {
+pub enum QuarantineState {
     /// It was in flight at one crash, and is still run.
     Suspect,
     /// It was in flight at two crashes, and is refused.
@@ -48,7 +50,7 @@
     /// The last crash at which the request was in flight.
     pub crash: Crash,
     /// How the request is treated.
-    pub verdict: Verdict,
+    pub state: QuarantineState,
     /// How long the entry is still valid, in milliseconds.
     pub remaining: u32,
 }
@@ -57,7 +59,7 @@
 struct Entry {
     fingerprint: u64,
     crash: Crash,
-    verdict: Verdict,
+    state: QuarantineState,
     until: Millis,
     local: bool,
 }
@@ -106,7 +108,7 @@
         };
         let mut count = 0;
         for fingerprint in suspects {
-            count += usize::from(self.accuse(now, *fingerprint, crash));
+            count += usize::from(self.record(now, *fingerprint, crash));
         }
         count
     }
@@ -118,7 +120,7 @@
         }
         self.finished[slot(fingerprint)] = (fingerprint, now);
         if let Some(index) = self.position(fingerprint)
-            && self.entries[index].verdict == Verdict::Suspect
+            && self.entries[index].state == Suspect
         {
             self.entries.swap_remove(index);
         }
@@ -127,9 +129,9 @@
     /// Returns how long a request is still quarantined, in milliseconds.
     pub fn remaining(&self, now: Millis, fingerprint: u64) -> Option<u64> {
         let entry = self.get(now, fingerprint)?;
-        match entry.verdict {
-            Verdict::Suspect => None,
-            Verdict::Quarantined => Some(entry.until.since(now)),
+        match entry.state {
+            Suspect => None,
+            Quarantined => Some(entry.until.since(now)),
         }
     }
 
@@ -147,11 +149,11 @@
             .map(|entry| QuarantineEntry {
                 fingerprint: entry.fingerprint,
                 crash: entry.crash,
-                verdict: entry.verdict,
+                state: entry.state,
                 remaining: u32::try_from(entry.until.since(now)).unwrap_or(u32::MAX),
             })
             .collect();
-        entries.sort_by_key(|entry| (entry.verdict == Verdict::Suspect, entry.fingerprint));
+        entries.sort_by_key(|entry| (entry.state == Suspect, entry.fingerprint));
         entries.truncate(EXPORT_MAX);
         entries
     }
@@ -178,7 +180,7 @@
     }
 
     /// Adds a crash seen here to a request, and returns whether that quarantines it.
-    fn accuse(&mut self, now: Millis, fingerprint: u64, crash: Crash) -> bool {
+    fn record(&mut self, now: Millis, fingerprint: u64, crash: Crash) -> bool {
         if fingerprint == 0 || self.finished_lately(now, fingerprint) {
             return false;
         }
@@ -186,43 +188,43 @@
         if known.is_some_and(|entry| entry.crash == crash) {
             return false;
         }
-        let (verdict, ms) = match known {
-            None => (Verdict::Suspect, self.settings.suspicion),
-            Some(_) => (Verdict::Quarantined, self.settings.quarantine),
+        let (state, ms) = match known {
+            None => (Suspect, self.settings.suspicion),
+            Some(_) => (Quarantined, self.settings.quarantine),
         };
         let entry = Entry {
             fingerprint,
             crash,
-            verdict,
+            state,
             until: now + ms,
             local: true,
         };
         self.put(now, entry);
-        verdict == Verdict::Quarantined
+        state == Quarantined
     }
 
     /// Takes over the entry of a peer, unless the request is quarantined already.
     fn adopt(&mut self, now: Millis, entry: &QuarantineEntry) {
         let known = self.get(now, entry.fingerprint).copied();
-        let verdict = match known {
-            None => entry.verdict,
-            Some(known) if known.verdict == Verdict::Quarantined => return,
-            Some(known) if known.crash != entry.crash => Verdict::Quarantined,
-            Some(_) => match entry.verdict {
-                Verdict::Suspect => return,
-                Verdict::Quarantined => Verdict::Quarantined,
+        let state = match known {
+            None => entry.state,
+            Some(known) if known.state == Quarantined => return,
+            Some(known) if known.crash != entry.crash => Quarantined,
+            Some(_) => match entry.state {
+                Suspect => return,
+                Quarantined => Quarantined,
             },
         };
         let remaining = u64::from(entry.remaining);
-        let ms = match (entry.verdict, verdict) {
-            (Verdict::Suspect, Verdict::Suspect) => remaining.min(self.settings.suspicion),
-            (Verdict::Suspect, Verdict::Quarantined) => self.settings.quarantine,
-            (Verdict::Quarantined, _) => remaining.min(self.settings.quarantine),
+        let ms = match (entry.state, state) {
+            (Suspect, Suspect) => remaining.min(self.settings.suspicion),
+            (Suspect, Quarantined) => self.settings.quarantine,
+            (Quarantined, _) => remaining.min(self.settings.quarantine),
         };
         let entry = Entry {
             fingerprint: entry.fingerprint,
             crash: entry.crash,
-            verdict,
+            state,
             until: now + ms,
             local: known.is_some_and(|known| known.local),
         };
@@ -248,7 +250,7 @@
     /// Drops the suspect that ends first, or a quarantined request when there is none.
     fn evict(&mut self) {
         let entries = self.entries.iter().enumerate();
-        let first = entries.min_by_key(|(_, e)| (e.verdict == Verdict::Quarantined, e.until));
+        let first = entries.min_by_key(|(_, e)| (e.state == Quarantined, e.until));
         if let Some((index, _)) = first {
             self.entries.swap_remove(index);
         }
@@ -266,7 +268,7 @@
 
     fn finished_lately(&self, now: Millis, fingerprint: u64) -> bool {
         let (last, at) = self.finished[slot(fingerprint)];
-        last == fingerprint && now.since(at) < INNOCENT_MS
+        last == fingerprint && now.since(at) < FINISHED_MS
     }
 }
 
--- a/crates/oriolering/tests/budget.rs
+++ b/crates/oriolering/tests/budget.rs
@@ -114,7 +114,7 @@
 
 /// One node of the fleet, when it runs, pauses and sees the others.
 #[derive(Clone, Debug)]
-struct Life {
+struct Node {
     start: u64,
     end: u64,
     pause: (u64, u64),
@@ -122,7 +122,7 @@
     seed: u64,
 }
 
-impl Life {
+impl Node {
     fn runs(&self, ms: u64) -> bool {
         (self.start..self.end).contains(&ms)
     }
@@ -140,11 +140,11 @@
     cost: u64,
 }
 
-fn life() -> impl Strategy<Value = Life> {
+fn node() -> impl Strategy<Value = Node> {
     let times = (0..12_000u64, 0..30_000u64, 0..30_000u64, 0..12_000u64);
     (times, 50..1_500u64, any::<u64>()).prop_map(|(times, see_every, seed)| {
         let (start, length, pause, paused) = times;
-        Life {
+        Node {
             start,
             end: start + length,
             pause: (pause, pause + paused),
@@ -158,15 +158,15 @@
 const END_MS: u64 = 32_000;
 
 /// Lets a greedy node spend all that it may, with views up to `lag` old.
-fn spend(life: &Life, fleet: &[Life], budgets: (u64, u64)) -> Vec<Act> {
-    let mut rng = SmallRng::seed_from_u64(life.seed);
+fn spend(node: &Node, fleet: &[Node], budgets: (u64, u64)) -> Vec<Act> {
+    let mut rng = SmallRng::seed_from_u64(node.seed);
     let mut budget = Budget::new(SETTINGS);
     let mut acts: Vec<Act> = Vec::new();
     let mut open = Vec::new();
-    let mut next_see = life.start;
+    let mut next_see = node.start;
     for ms in (0..END_MS).step_by(STEP_MS as usize) {
-        if !life.acts(ms) {
-            next_see = ms + rng.random_range(0..life.see_every);
+        if !node.acts(ms) {
+            next_see = ms + rng.random_range(0..node.see_every);
             continue;
         }
         let now = Millis(ms);
@@ -181,7 +181,7 @@
             let seen = ms.saturating_sub(late);
             let nodes = fleet.iter().filter(|other| other.runs(seen)).count();
             budget.see(now, nodes as u32);
-            next_see = ms + life.see_every;
+            next_see = ms + node.see_every;
         }
         let ends = rng.random_bool(0.05);
         if let Some((index, receipt)) =
@@ -223,10 +223,10 @@
 
 #[test]
 fn a_fleet_keeps_the_budget_in_every_second() {
-    let fleets = prop::collection::vec(life(), 1..7);
+    let fleets = prop::collection::vec(node(), 1..7);
     let budgets = (1_000..200_000u64, 1_000..200_000u64);
     let result = runner::runner(128).run(&(fleets, budgets), |(fleet, budgets)| {
-        let spent = |life| spend(life, &fleet, budgets);
+        let spent = |node| spend(node, &fleet, budgets);
         let acts: Vec<Act> = fleet.iter().flat_map(spent).collect();
         let highest = highest_second(&acts);
         prop_assert!(highest <= budgets.0.max(budgets.1), "{highest} spent");
--- a/crates/oriolering/tests/quarantine.rs
+++ b/crates/oriolering/tests/quarantine.rs
@@ -2,7 +2,7 @@
 
 mod runner;
 
-use oriolering::{Incarnation, Millis, Quarantine, QuarantineSettings, Verdict};
+use oriolering::{Incarnation, Millis, Quarantine, QuarantineSettings, QuarantineState};
 use proptest::prelude::*;
 
 const SETTINGS: QuarantineSettings = QuarantineSettings {
@@ -114,7 +114,7 @@
     }
     assert_eq!(table.len(), 8);
     assert!(table.remaining(START, 1).is_some());
-    assert_eq!(table.export(START)[0].verdict, Verdict::Quarantined);
+    assert_eq!(table.export(START)[0].state, QuarantineState::Quarantined);
 }
 
 #[test]
