--- /dev/null
+++ b/crates/node/src/admit.rs
@@ -0,0 +1,129 @@
+//! The gate's listener: the only way to the local backend server.
+
+use std::rc::Rc;
+
+use ntex::http::Payload;
+use ntex::web::{HttpRequest, HttpResponse};
+use oriolering::{CallId, Cause, Fate, Millis, Offer, Refusal};
+
+use crate::forward::{self, Job};
+use crate::headers;
+use crate::permit::Permit;
+use crate::reply::Reply;
+use crate::wire::Wire;
+
+const COLLECT_POLL_MS: u32 = 5;
+
+/// Serves a request of an ingress.
+pub(crate) async fn serve(wire: Rc<Wire>, request: HttpRequest, payload: Payload) -> HttpResponse {
+    let id = headers::text(request.headers(), oriolering::CALL_ID).and_then(CallId::decode);
+    let Some(id) = id else {
+        return open(&wire);
+    };
+    match headers::text(request.headers(), oriolering::STEP) {
+        Some("collect") => collect(&wire, &request, id).await,
+        Some("reserve") => reserve(&wire, &request, id).await,
+        Some(_) => Reply::rejected(Cause::Invalid, 0).response(),
+        None => run(wire, request, payload, id).await,
+    }
+}
+
+/// Opens a session for an ingress that has none, and says so in a refusal.
+fn open(wire: &Wire) -> HttpResponse {
+    let now = wire.node.clock.now();
+    let mut admission = wire.node.admission.lock();
+    let grant = admission.gate.open(now);
+    let load = admission.gate.load(now);
+    let refusal = Refusal {
+        cause: Cause::Session,
+        retry_after: 0,
+    };
+    Reply::not_run(refusal).response_with(Some(load), Some(grant))
+}
+
+/// Admits a call whose body will follow once there is room for it.
+async fn reserve(wire: &Wire, request: &HttpRequest, id: CallId) -> HttpResponse {
+    let offer = offer(wire, request, id);
+    match Permit::enter(&wire.node, offer).await {
+        Err(refusal) => refuse(wire, refusal),
+        Ok(permit) => {
+            let now = wire.node.clock.now();
+            wire.reserved.borrow_mut().hold(now, id, permit);
+            HttpResponse::NoContent().finish()
+        }
+    }
+}
+
+/// Runs a call: admission, dispatch and the answer of the backend server.
+async fn run(wire: Rc<Wire>, request: HttpRequest, payload: Payload, id: CallId) -> HttpResponse {
+    let held = wire.reserved.borrow_mut().take(id);
+    let permit = match held {
+        Some(permit) => permit,
+        None => match Permit::enter(&wire.node, offer(&wire, &request, id)).await {
+            Ok(permit) => permit,
+            Err(refusal) => return refuse(&wire, refusal),
+        },
+    };
+    let job = Job::new(&wire, &request, id);
+    if job.idempotent {
+        return forward::run(wire, job, permit, request, payload).await;
+    }
+    // A request that may not be repeated goes on when the ingress loses its connection, so
+    // that the answer can be collected over a new one.
+    let (sender, receiver) = tokio::sync::oneshot::channel();
+    ntex::rt::spawn(async move {
+        let answer = forward::run(wire, job, permit, request, payload).await;
+        let _ = sender.send(answer);
+    });
+    match receiver.await {
+        Ok(answer) => answer,
+        Err(_) => Reply::unknown(Cause::Unreachable, 0).response(),
+    }
+}
+
+/// Answers a refusal of the gate; a refusal for want of a session carries a new one.
+pub(crate) fn refuse(wire: &Wire, refusal: Refusal) -> HttpResponse {
+    wire.node.metrics.refused(refusal.cause);
+    if refusal.cause == Cause::Session {
+        return open(wire);
+    }
+    let now = wire.node.clock.now();
+    let load = wire.node.admission.lock().gate.load(now);
+    Reply::not_run(refusal).response_with(Some(load), None)
+}
+
+/// Hands out the answer of a call that is running or done.
+async fn collect(wire: &Wire, request: &HttpRequest, id: CallId) -> HttpResponse {
+    let end = deadline(wire, request);
+    loop {
+        if let Some(answer) = wire.answers.borrow().get(id) {
+            return forward::respond(wire, answer);
+        }
+        let now = wire.node.clock.now();
+        let fate = wire.node.admission.lock().gate.inquire(now, id, false);
+        if fate != Fate::Running || now >= end {
+            return Reply::unknown(Cause::Unreachable, 0).response();
+        }
+        ntex::time::sleep(ntex::time::Millis(COLLECT_POLL_MS)).await;
+    }
+}
+
+fn offer(wire: &Wire, request: &HttpRequest, id: CallId) -> Offer {
+    let headers = request.headers();
+    let ack = headers::number(headers, oriolering::ACK).unwrap_or(0);
+    wire.answers.borrow_mut().acknowledge(id.grant, ack);
+    Offer {
+        id,
+        ack,
+        customer: headers::hex(headers, oriolering::CUSTOMER).unwrap_or(0),
+        deadline: deadline(wire, request),
+        fingerprint: headers::hex(headers, oriolering::FINGERPRINT).unwrap_or(0),
+    }
+}
+
+/// Returns when the call ends: the time left in the header, or the service's own limit.
+pub(crate) fn deadline(wire: &Wire, request: &HttpRequest) -> Millis {
+    let most = wire.node.own_service().deadline_ms;
+    let left = headers::number(request.headers(), oriolering::DEADLINE).unwrap_or(most);
+    wire.node.clock.now() + left.min(most)
+}
--- /dev/null
+++ b/crates/node/src/directory.rs
@@ -0,0 +1,234 @@
+//! What an ingress knows of services and backend servers, and how it chooses among them.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use compact_str::CompactString;
+use oriolering::config::{Service, Settings};
+use oriolering::{
+    Attempt, Candidate, ChoiceSettings, Chooser, Explanation, Grant, Hedge, LoadHint, Member,
+    Millis, RetryBudget, ServerKey, ServiceKey, ZoneKey,
+};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::servers::{Address, Servers};
+use crate::sessions::Issued;
+
+/// The state of one service at this ingress.
+pub(crate) struct Route {
+    /// The settings in force.
+    pub(crate) settings: Arc<Service>,
+    /// The choice among the backend servers.
+    pub(crate) chooser: Chooser,
+    /// The budget of retries and hedges.
+    pub(crate) retries: RetryBudget,
+    /// When a second attempt of an idempotent call may start.
+    pub(crate) hedge: Hedge,
+}
+
+/// All services and backend servers that this ingress knows.
+pub(crate) struct Directory {
+    me: Me,
+    routes: Vec<Route>,
+    by_name: HashMap<CompactString, ServiceKey>,
+    servers: Servers,
+    members: Arc<[Member]>,
+    zones: Vec<CompactString>,
+    rng: SmallRng,
+}
+
+/// The place of this node, as far as the choice depends on it.
+#[derive(Clone, Debug)]
+pub(crate) struct Me {
+    /// The id of the instance.
+    pub(crate) id: CompactString,
+    /// The availability zone of the instance.
+    pub(crate) zone: CompactString,
+}
+
+/// A backend server that was picked for one attempt.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Target {
+    /// The key of the backend server.
+    pub(crate) server: ServerKey,
+    /// Where its node listens.
+    pub(crate) address: Address,
+}
+
+impl Directory {
+    /// Returns a directory without services and backend servers.
+    pub(crate) fn new(me: Me, seed: u64) -> Self {
+        Self {
+            me,
+            routes: Vec::new(),
+            by_name: HashMap::new(),
+            servers: Servers::default(),
+            members: Arc::from([]),
+            zones: Vec::new(),
+            rng: SmallRng::seed_from_u64(seed),
+        }
+    }
+
+    /// Takes up the settings of a new revision; what is known of backend servers stays.
+    pub(crate) fn configure(&mut self, now: Millis, settings: &Settings) {
+        let mut old: HashMap<CompactString, Route> = HashMap::new();
+        for route in self.routes.drain(..) {
+            old.insert(route.settings.name.clone(), route);
+        }
+        self.by_name.clear();
+        for service in &settings.services {
+            let key = ServiceKey(self.routes.len() as u32);
+            let known = old.remove(&service.name);
+            let route = self.route(now, service, known);
+            self.by_name.insert(service.name.clone(), key);
+            self.routes.push(route);
+        }
+        self.refresh(now);
+    }
+
+    /// Takes up a new list of members.
+    pub(crate) fn set_members(&mut self, now: Millis, members: Arc<[Member]>) {
+        self.members = members;
+        self.servers.update(&self.members);
+        self.refresh(now);
+    }
+
+    /// Returns the members that the choice works with.
+    pub(crate) fn members(&self) -> &[Member] {
+        &self.members
+    }
+
+    /// Returns the key of a service.
+    pub(crate) fn service(&self, name: &str) -> Option<ServiceKey> {
+        self.by_name.get(name).copied()
+    }
+
+    /// Returns the state of a service, or `None` when a newer revision has removed it.
+    pub(crate) fn route_mut(&mut self, key: ServiceKey) -> Option<&mut Route> {
+        self.routes.get_mut(key.0 as usize)
+    }
+
+    /// Picks a backend server for an attempt and counts it as running.
+    pub(crate) fn pick(
+        &mut self,
+        now: Millis,
+        service: ServiceKey,
+        exclude: &[ServerKey],
+    ) -> Option<Target> {
+        let route = self.routes.get_mut(service.0 as usize)?;
+        let server = route.chooser.pick(now, &mut self.rng, exclude)?;
+        self.servers.get(server).running += 1;
+        Some(Target {
+            server,
+            address: self.servers.address(server),
+        })
+    }
+
+    /// Ends an attempt that [`Self::pick`] began.
+    pub(crate) fn finish(
+        &mut self,
+        now: Millis,
+        service: ServiceKey,
+        server: ServerKey,
+        result: Attempt,
+    ) {
+        let entry = self.servers.get(server);
+        entry.running = entry.running.saturating_sub(1);
+        if let Some(route) = self.routes.get_mut(service.0 as usize) {
+            route.chooser.finish(now, server, result);
+        }
+    }
+
+    /// Notes the load that a gate reported.
+    pub(crate) fn hint(
+        &mut self,
+        now: Millis,
+        service: ServiceKey,
+        server: ServerKey,
+        hint: LoadHint,
+    ) {
+        if let Some(route) = self.routes.get_mut(service.0 as usize) {
+            route.chooser.hint(now, server, hint);
+        }
+    }
+
+    /// Issues the identity of an attempt, or `None` while the gate has given no session.
+    pub(crate) fn issue(&mut self, server: ServerKey) -> Option<Issued> {
+        self.servers.get(server).session.issue()
+    }
+
+    /// Settles the identity of an attempt.
+    pub(crate) fn settle(&mut self, server: ServerKey, issued: Issued) {
+        self.servers.get(server).session.settle(issued.id);
+    }
+
+    /// Takes up the session that a gate has opened.
+    pub(crate) fn adopt(&mut self, server: ServerKey, grant: Grant) {
+        self.servers.get(server).session.adopt(grant);
+    }
+
+    /// Explains how a call of a service would be sent now.
+    pub(crate) fn explain(&self, now: Millis, service: ServiceKey) -> Vec<Explanation> {
+        let route = self.routes.get(service.0 as usize);
+        route.map_or_else(Vec::new, |route| route.chooser.explain(now))
+    }
+
+    /// Returns the id of the backend server at `key`.
+    pub(crate) fn server_id(&mut self, key: ServerKey) -> CompactString {
+        self.servers.get(key).member.id.clone()
+    }
+
+    fn route(&mut self, now: Millis, service: &Service, known: Option<Route>) -> Route {
+        let settings = Arc::new(service.clone());
+        let same = known.filter(|route| route.settings == settings);
+        if let Some(route) = same {
+            return route;
+        }
+        let choice = ChoiceSettings {
+            policy: service.choice.policy,
+            subset: service.choice.subset,
+            ramp: u64::from(service.ramp_ms),
+            zone: self.zone(&self.me.zone.clone()),
+            node: xxh3_64(self.me.id.as_bytes()),
+        };
+        Route {
+            settings,
+            chooser: Chooser::new(choice),
+            retries: RetryBudget::new(service.retry.percent, now),
+            hedge: Hedge::new(service.hedge.after_ms, service.hedge.percent),
+        }
+    }
+
+    /// Tells every chooser which backend servers its service has.
+    fn refresh(&mut self, now: Millis) {
+        let mut lists: Vec<Vec<Candidate>> = self.routes.iter().map(|_| Vec::new()).collect();
+        let zones: Vec<ZoneKey> = self.members.to_vec().iter().map(|m| self.zone(&m.zone)).collect();
+        let by_id: HashMap<&str, ZoneKey> = self.members.iter().map(|m| m.id.as_str()).zip(zones).collect();
+        for (server, member) in self.servers.iter() {
+            let Some(key) = self.by_name.get(&member.service) else {
+                continue;
+            };
+            lists[key.0 as usize].push(Candidate {
+                server,
+                name: xxh3_64(member.id.as_bytes()),
+                zone: by_id[member.id.as_str()],
+                leaving: member.leaving,
+                fresh: false,
+            });
+        }
+        for (route, list) in self.routes.iter_mut().zip(&lists) {
+            route.chooser.update(now, list);
+        }
+    }
+
+    /// Returns the key of an availability zone, which is given at first sight.
+    fn zone(&mut self, name: &str) -> ZoneKey {
+        if let Some(ix) = self.zones.iter().position(|zone| zone == name) {
+            return ZoneKey(ix as u32);
+        }
+        self.zones.push(CompactString::from(name));
+        ZoneKey(self.zones.len() as u32 - 1)
+    }
+}
--- /dev/null
+++ b/crates/node/src/forward.rs
@@ -0,0 +1,306 @@
+//! Forwards an admitted call to the local backend server.
+
+use std::rc::Rc;
+use std::sync::Arc;
+
+use ntex::http::client::error::{ConnectError, SendRequestError};
+use ntex::http::client::{ClientRequest, ClientResponse};
+use ntex::http::header::HeaderMap;
+use ntex::http::{Payload, StatusCode};
+use ntex::time::Millis as Wait;
+use ntex::util::{Bytes, BytesMut};
+use ntex::web::{HttpRequest, HttpResponse};
+use oriolering::config::Service;
+use oriolering::{CallId, Cause, Finish, Millis, Refusal};
+
+use crate::admit;
+use crate::answers::Answer;
+use crate::body::{Ending, Upload, WholeBody};
+use crate::headers;
+use crate::permit::Permit;
+use crate::reply::Reply;
+use crate::running::Running;
+use crate::wire::Wire;
+
+const UNREACHABLE_RETRY_MS: u32 = 200;
+
+/// An admitted call on its way to the backend server.
+pub(crate) struct Job {
+    /// Whether running the request twice is harmless.
+    pub(crate) idempotent: bool,
+    id: CallId,
+    settings: Arc<Service>,
+    deadline: Millis,
+    fingerprint: u64,
+}
+
+/// Why the backend server gave no answer.
+enum Missing {
+    /// The connection was refused; no byte was sent.
+    Unsent,
+    /// The connection ended after bytes were sent.
+    Lost,
+    /// The deadline passed.
+    Late,
+}
+
+impl Job {
+    /// Reads what the gate needs to know from the head of the request.
+    pub(crate) fn new(wire: &Wire, request: &HttpRequest, id: CallId) -> Self {
+        let settings = wire.node.own_service();
+        Self {
+            idempotent: settings.is_idempotent(request.method().as_str()),
+            id,
+            deadline: admit::deadline(wire, request),
+            fingerprint: headers::hex(request.headers(), oriolering::FINGERPRINT).unwrap_or(0),
+            settings,
+        }
+    }
+}
+
+/// Dispatches the call and returns what the ingress is told.
+pub(crate) async fn run(
+    wire: Rc<Wire>,
+    job: Job,
+    mut permit: Permit,
+    request: HttpRequest,
+    payload: Payload,
+) -> HttpResponse {
+    let outgoing = outgoing(&wire, &request);
+    if let Err(refusal) = permit.dispatch() {
+        return admit::refuse(&wire, refusal);
+    }
+    let start = std::time::Instant::now();
+    let running = Running::begin(&wire.node, job.fingerprint);
+    match send(&wire, &job, outgoing, &request, payload).await {
+        Err(missing) => failed(&wire, &job, permit, running, missing),
+        Ok(response) => answer(wire, job, permit, running, request, response, start).await,
+    }
+}
+
+fn outgoing(wire: &Wire, request: &HttpRequest) -> ClientRequest {
+    let target = request.uri().path_and_query().map_or("/", |target| target.as_str());
+    let uri = format!("http://{}{target}", wire.node.card.backend);
+    let mut outgoing = wire.backend.request(request.method().clone(), uri).no_decompress();
+    *outgoing.headers_mut() = headers::end_to_end(request.headers());
+    outgoing
+}
+
+async fn send(
+    wire: &Wire,
+    job: &Job,
+    outgoing: ClientRequest,
+    request: &HttpRequest,
+    payload: Payload,
+) -> Result<ClientResponse, Missing> {
+    let left = job.deadline.since(wire.node.clock.now());
+    let outgoing = outgoing.set_header(oriolering::DEADLINE, left.to_string());
+    let length = headers::number(request.headers(), "content-length");
+    let chunked = request.headers().contains_key("transfer-encoding");
+    if length.unwrap_or(0) == 0 && !chunked {
+        return until(job.deadline, wire, outgoing.send()).await;
+    }
+    let upload = Upload::new(Bytes::new(), payload, length, wire.node.clock.clone());
+    let progress = upload.progress();
+    let mut sending = Box::pin(outgoing.send_body(ntex::http::body::Body::from_message(upload)));
+    loop {
+        // The deadline of an upload counts from its last progress.
+        let end = progress.get() + left;
+        let now = wire.node.clock.now();
+        if now >= end {
+            return Err(Missing::Late);
+        }
+        let wait = Wait(end.since(now) as u32);
+        if let Ok(result) = ntex::time::timeout(wait, &mut sending).await {
+            return result.map_err(missing);
+        }
+    }
+}
+
+async fn until<F>(deadline: Millis, wire: &Wire, sending: F) -> Result<ClientResponse, Missing>
+where
+    F: Future<Output = Result<ClientResponse, SendRequestError>>,
+{
+    let left = deadline.since(wire.node.clock.now()).max(1);
+    match ntex::time::timeout(Wait(left as u32), sending).await {
+        Ok(result) => result.map_err(missing),
+        Err(()) => Err(Missing::Late),
+    }
+}
+
+/// Tells whether bytes may have reached the backend server.
+fn missing(error: SendRequestError) -> Missing {
+    use std::io::ErrorKind;
+    if let SendRequestError::Connect(connect) = &error {
+        let refused = matches!(connect, ConnectError::Disconnected(Some(e)) if e.kind() == ErrorKind::ConnectionRefused);
+        if refused || matches!(connect, ConnectError::Timeout) {
+            return Missing::Unsent;
+        }
+    }
+    Missing::Lost
+}
+
+/// Ends a call that got no answer.
+fn failed(
+    wire: &Wire,
+    job: &Job,
+    permit: Permit,
+    running: Running,
+    missing: Missing,
+) -> HttpResponse {
+    match missing {
+        Missing::Unsent => {
+            permit.finish(Finish::NotSent);
+            wire.node.backend_refused();
+            admit::refuse(
+                wire,
+                Refusal {
+                    cause: Cause::Unreachable,
+                    retry_after: UNREACHABLE_RETRY_MS,
+                },
+            )
+        }
+        Missing::Lost => {
+            running.lost();
+            permit.finish(Finish::Lost);
+            unknown(wire, Cause::Unreachable)
+        }
+        Missing::Late => {
+            permit.finish(Finish::Lost);
+            unknown(wire, late_cause(job))
+        }
+    }
+}
+
+fn late_cause(_job: &Job) -> Cause {
+    Cause::Deadline
+}
+
+fn unknown(wire: &Wire, cause: Cause) -> HttpResponse {
+    let now = wire.node.clock.now();
+    let load = wire.node.admission.lock().gate.load(now);
+    Reply::unknown(cause, UNREACHABLE_RETRY_MS).response_with(Some(load), None)
+}
+
+/// Passes on an answer: a short one is read whole and kept, a longer one is streamed.
+async fn answer(
+    wire: Rc<Wire>,
+    job: Job,
+    permit: Permit,
+    running: Running,
+    request: HttpRequest,
+    mut response: ClientResponse,
+    start: std::time::Instant,
+) -> HttpResponse {
+    let length = headers::number(response.headers(), "content-length");
+    let bodyless = request.method() == ntex::http::Method::HEAD;
+    let short = length.is_some_and(|length| length <= u64::from(job.settings.buffer.answer_bytes));
+    if !short && !bodyless {
+        return stream(&wire, permit, running, &request, response, length, start);
+    }
+    let status = response.status();
+    let headers = headers::end_to_end(response.headers());
+    let left = job.deadline.since(wire.node.clock.now()).max(1);
+    let body = ntex::time::timeout(Wait(left as u32), read(&mut response, length)).await;
+    let Ok(Some(body)) = body else {
+        running.lost();
+        permit.finish(Finish::Lost);
+        return unknown(&wire, Cause::Unreachable);
+    };
+    running.done();
+    let shed = &job.settings.shed;
+    if shed.not_run && status.as_u16() == shed.status {
+        permit.finish(Finish::Shed);
+        let refusal = Refusal {
+            cause: Cause::Unreachable,
+            retry_after: UNREACHABLE_RETRY_MS,
+        };
+        return admit::refuse(&wire, refusal);
+    }
+    permit.finish(finish(status, start));
+    let answer = Answer {
+        status,
+        headers,
+        body,
+    };
+    let built = respond(&wire, &answer);
+    if !job.idempotent {
+        let now = wire.node.clock.now();
+        let most = job.settings.buffer.total_bytes as usize;
+        wire.answers.borrow_mut().keep(now, job.id, answer, most);
+    }
+    built
+}
+
+async fn read(response: &mut ClientResponse, length: Option<u64>) -> Option<Bytes> {
+    use futures_util::StreamExt;
+    let length = length.unwrap_or(0) as usize;
+    let mut body = BytesMut::with_capacity(length);
+    while body.len() < length {
+        match response.next().await {
+            Some(Ok(chunk)) => body.extend_from_slice(&chunk),
+            Some(Err(_)) | None => return None,
+        }
+    }
+    // The end of the stream gives the connection back to the pool.
+    if length > 0 && response.next().await.is_some() {
+        return None;
+    }
+    Some(body.freeze())
+}
+
+fn stream(
+    wire: &Wire,
+    permit: Permit,
+    running: Running,
+    request: &HttpRequest,
+    response: ClientResponse,
+    length: Option<u64>,
+    start: std::time::Instant,
+) -> HttpResponse {
+    let status = response.status();
+    let mut builder = HttpResponse::build(status);
+    copy(&mut builder, &headers::end_to_end(response.headers()));
+    let now = wire.node.clock.now();
+    let load = wire.node.admission.lock().gate.load(now);
+    builder.set_header(oriolering::LOAD, load.encode());
+    let reader = request.io().cloned();
+    let ended = move |ending| match ending {
+        Ending::Whole => {
+            running.done();
+            permit.finish(finish(status, start));
+        }
+        Ending::Cut => {
+            running.lost();
+            permit.finish(Finish::Lost);
+        }
+    };
+    let body = WholeBody::new(response, length, reader, ended);
+    builder.body(ntex::http::body::Body::from_message(body))
+}
+
+fn finish(status: StatusCode, start: std::time::Instant) -> Finish {
+    let latency_us = start.elapsed().as_micros().min(u128::from(u32::MAX)) as u32;
+    match status.is_server_error() {
+        true => Finish::Failed { latency_us },
+        false => Finish::Done { latency_us },
+    }
+}
+
+/// Builds the answer to the ingress from one that was read whole.
+pub(crate) fn respond(wire: &Wire, answer: &Answer) -> HttpResponse {
+    let mut builder = HttpResponse::build(answer.status);
+    copy(&mut builder, &answer.headers);
+    let now = wire.node.clock.now();
+    let load = wire.node.admission.lock().gate.load(now);
+    builder.set_header(oriolering::LOAD, load.encode());
+    builder.body(answer.body.clone())
+}
+
+/// Copies headers into an answer.
+pub(crate) fn copy(builder: &mut ntex::web::HttpResponseBuilder, headers: &HeaderMap) {
+    for (name, value) in headers.iter() {
+        builder.header(name.clone(), value.clone());
+    }
+}
+
--- /dev/null
+++ b/crates/node/src/wire.rs
@@ -0,0 +1,72 @@
+//! The HTTP clients of the data path and what its thread keeps for itself.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use ntex::http::client::{Client, Connector};
+use ntex::time::{Millis, Seconds};
+
+use crate::answers::Answers;
+use crate::reserved::Reserved;
+use crate::state::Node;
+
+const CONNECT_TIMEOUT_MS: u32 = 500;
+const IDLE_TIMEOUT: Seconds = Seconds(20);
+const LIFETIME: Seconds = Seconds(3_600);
+
+/// Everything that the thread of the data path works with.
+pub(crate) struct Wire {
+    /// The state that other threads share.
+    pub(crate) node: Arc<Node>,
+    /// Connections to the local backend server.
+    pub(crate) backend: Client,
+    /// Answers kept until the ingress has acknowledged them.
+    pub(crate) answers: RefCell<Answers>,
+    /// Calls that were admitted before their body was sent.
+    pub(crate) reserved: RefCell<Reserved>,
+    gates: RefCell<HashMap<SocketAddr, Client>>,
+}
+
+impl Wire {
+    /// Builds the clients; this happens once, on the thread of the data path.
+    pub(crate) fn new(node: Arc<Node>) -> Rc<Self> {
+        Rc::new(Self {
+            node,
+            backend: pooled(),
+            answers: RefCell::default(),
+            reserved: RefCell::default(),
+            gates: RefCell::default(),
+        })
+    }
+
+    /// Returns the client whose connections lead to one gate.
+    pub(crate) fn gate(&self, address: SocketAddr) -> Client {
+        let mut gates = self.gates.borrow_mut();
+        gates.entry(address).or_insert_with(pooled).clone()
+    }
+
+    /// Forgets the pooled connections to a gate, because one of them has gone silent.
+    pub(crate) fn renew(&self, address: SocketAddr) {
+        self.gates.borrow_mut().remove(&address);
+    }
+}
+
+/// Returns a client that passes on what it gets: no redirects, no default headers, no limit of
+/// connections and no time limit of its own. The gate's slots and the deadlines bound both.
+fn pooled() -> Client {
+    let connector = Connector::new()
+        .limit(0)
+        .timeout(Millis(CONNECT_TIMEOUT_MS))
+        .keep_alive(IDLE_TIMEOUT)
+        .lifetime(LIFETIME)
+        .finish();
+    Client::build()
+        .connector(connector)
+        .disable_timeout()
+        .disable_redirects()
+        .no_default_headers()
+        .finish()
+}
--- a/crates/oriolering/src/header.rs
+++ b/crates/oriolering/src/header.rs
@@ -24,3 +24,7 @@
 pub const GRANT: &str = "oriolering-grant";
 /// The fingerprint of a request as sixteen hexadecimal digits.
 pub const FINGERPRINT: &str = "oriolering-fingerprint";
+/// Asks a gate for something other than running a call: `open`, `reserve` or `collect`.
+pub const STEP: &str = "oriolering-step";
+/// The number of backend servers that died while they ran this request.
+pub const CRASHES: &str = "oriolering-crashes";
--- a/crates/oriolering/src/lib.rs
+++ b/crates/oriolering/src/lib.rs
@@ -22,8 +22,8 @@
 
 pub use clock::{Clock, Millis};
 pub use header::{
-    ACK, ATTEMPT, CALL_ID, CUSTOMER, DEADLINE, FINGERPRINT, GRANT, LOAD, OUTCOME, REASON,
-    RETRY_AFTER_MS, SERVICE,
+    ACK, ATTEMPT, CALL_ID, CRASHES, CUSTOMER, DEADLINE, FINGERPRINT, GRANT, LOAD, OUTCOME, REASON,
+    RETRY_AFTER_MS, SERVICE, STEP,
 };
 pub use keys::{CallId, Grant, Incarnation, ServerKey, ServiceKey, ZoneKey};
 pub use load::LoadHint;
