Add the first choice, retry and hedge decisions

Cause: the node needs the interface of these decisions before it can be wired. Conclusion: builds; the interface can be used.

--- a/crates/oriolering/src/lib.rs
+++ b/crates/oriolering/src/lib.rs
@@ -14,6 +14,25 @@
 //! assert_eq!(clock.now(), Millis(15));
 //! ```
 
+mod attempt;
+mod choice;
+mod explain;
+mod hedge;
+mod panic_rule;
+mod policy;
+mod pool;
+mod retry;
+mod standing;
+mod subset;
+
+pub use attempt::Attempt;
+pub use choice::Chooser;
+pub use explain::{Class, Explanation};
+pub use hedge::Hedge;
+pub use policy::{ChoiceSettings, Policy};
+pub use pool::Candidate;
+pub use retry::{AttemptState, Failure, RetryBudget, Step, next_step};
+
 mod clock;
 mod header;
 mod keys;
--- /dev/null
+++ b/crates/oriolering/src/pool.rs
@@ -0,0 +1,163 @@
+//! What one ingress knows of each backend server of a service.
+
+use std::collections::VecDeque;
+
+use crate::attempt::Attempt;
+use crate::clock::Millis;
+use crate::keys::{ServerKey, ZoneKey};
+use crate::load::LoadHint;
+use crate::standing::Standing;
+
+/// The weight of one attempt in the running means.
+const SAMPLE_WEIGHT: f64 = 0.1;
+/// The slots assumed for a backend server that has not reported its limit.
+const DEFAULT_LIMIT: u32 = 12;
+/// The shortest time in which a report loses its weight.
+const MIN_DECAY_MS: f64 = 5.0;
+
+/// A backend server that may be chosen, as the list of members tells it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Candidate {
+    /// The backend server.
+    pub server: ServerKey,
+    /// The hash of its instance's id.
+    pub name: u64,
+    /// Its availability zone.
+    pub zone: ZoneKey,
+    /// Whether it takes no new work.
+    pub leaving: bool,
+    /// Whether it is a new incarnation.
+    pub fresh: bool,
+}
+
+/// A report of a gate with the time it came.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Heard {
+    pub(crate) at: Millis,
+    pub(crate) hint: LoadHint,
+    /// The requests there that other ingresses had sent.
+    pub(crate) others: u32,
+}
+
+/// The knowledge of one backend server.
+#[derive(Clone, Debug)]
+pub(crate) struct Server {
+    pub(crate) candidate: Candidate,
+    /// Whether it is in the subset of this ingress.
+    pub(crate) used: bool,
+    /// Whether the list no longer has it while requests are still in flight.
+    pub(crate) gone: bool,
+    pub(crate) heard: Option<Heard>,
+    /// The mean latency of its answers here, in microseconds.
+    pub(crate) latency: Option<f64>,
+    /// The share of its answers here that were failures.
+    pub(crate) failures: f64,
+    pub(crate) standing: Standing,
+    /// The send times of the requests in flight, oldest first.
+    sent: VecDeque<Millis>,
+}
+
+impl Server {
+    pub(crate) fn new(now: Millis, candidate: Candidate) -> Self {
+        Self {
+            candidate,
+            used: true,
+            gone: false,
+            heard: None,
+            latency: None,
+            failures: 0.0,
+            standing: Standing::new(now, candidate.fresh),
+            sent: VecDeque::new(),
+        }
+    }
+
+    /// Takes over what the list of members says now.
+    pub(crate) fn refresh(&mut self, now: Millis, candidate: Candidate) {
+        if candidate.fresh && !self.candidate.fresh {
+            self.heard = None;
+            self.latency = None;
+            self.failures = 0.0;
+            self.standing = Standing::new(now, true);
+        }
+        self.candidate = candidate;
+        self.gone = false;
+    }
+
+    pub(crate) fn inflight(&self) -> u32 {
+        self.sent.len() as u32
+    }
+
+    pub(crate) fn limit(&self) -> u32 {
+        let heard = self.heard.map(|heard| heard.hint.limit);
+        heard.filter(|&limit| limit > 0).unwrap_or(DEFAULT_LIMIT)
+    }
+
+    pub(crate) fn is_leaving(&self) -> bool {
+        let told = self.heard.is_some_and(|heard| heard.hint.leaving);
+        self.candidate.leaving || told
+    }
+
+    pub(crate) fn start(&mut self, now: Millis) {
+        self.sent.push_back(now);
+    }
+
+    pub(crate) fn hear(&mut self, now: Millis, hint: LoadHint) {
+        let total = hint.running.saturating_add(hint.queued);
+        let others = total.saturating_sub(self.inflight());
+        self.heard = Some(Heard {
+            at: now,
+            hint,
+            others,
+        });
+    }
+
+    pub(crate) fn finish(&mut self, now: Millis, result: Attempt) {
+        match result {
+            Attempt::Served { latency_us } => {
+                self.forget_sent(now, latency_us / 1000);
+                self.failures *= 1.0 - SAMPLE_WEIGHT;
+                self.learn_latency(latency_us as f64);
+            }
+            Attempt::Failed { latency_us } => {
+                self.forget_sent(now, latency_us / 1000);
+                self.failures += (1.0 - self.failures) * SAMPLE_WEIGHT;
+            }
+            Attempt::Silent => {
+                self.sent.pop_front();
+                self.failures += (1.0 - self.failures) * SAMPLE_WEIGHT;
+            }
+            Attempt::Refused | Attempt::Cancelled => {
+                self.sent.pop_back();
+            }
+        }
+    }
+
+    /// Returns the estimated requests there, given the mean that others have at each server.
+    ///
+    /// What this ingress sent is known exactly. The report about the others loses its weight
+    /// within about one service time, because by then other requests run there.
+    pub(crate) fn load(&self, now: Millis, mean_others: f64) -> f64 {
+        let own = f64::from(self.inflight());
+        let Some(heard) = self.heard else {
+            return own + mean_others;
+        };
+        let decay = (f64::from(heard.hint.latency_us) / 1000.0).max(MIN_DECAY_MS);
+        let weight = (-(now.since(heard.at) as f64) / decay).exp();
+        own + weight * f64::from(heard.others) + (1.0 - weight) * mean_others
+    }
+
+    fn learn_latency(&mut self, latency: f64) {
+        self.latency = Some(match self.latency {
+            Some(mean) => mean + (latency - mean) * SAMPLE_WEIGHT,
+            None => latency,
+        });
+    }
+
+    /// Drops the send time nearest to `age` milliseconds ago.
+    fn forget_sent(&mut self, now: Millis, age: u64) {
+        let nearest = (0..self.sent.len()).min_by_key(|&i| now.since(self.sent[i]).abs_diff(age));
+        if let Some(i) = nearest {
+            self.sent.remove(i);
+        }
+    }
+}
--- /dev/null
+++ b/crates/oriolering/src/retry.rs
@@ -0,0 +1,190 @@
+//! Whether a failed attempt is repeated, within one budget for retries and hedges.
+
+use crate::clock::Millis;
+use crate::outcome::{Cause, Outcome, Refusal};
+
+/// The length of one bucket of the window, in milliseconds.
+const BUCKET_MS: u64 = 1000;
+/// The number of buckets of the window.
+const BUCKETS: usize = 10;
+/// The retries in one window that are allowed however little traffic there is.
+const FLOOR: u64 = 3;
+
+/// A budget of repeated attempts, as a share of first attempts in a window of ten seconds.
+#[derive(Clone, Debug)]
+pub struct RetryBudget {
+    percent: u64,
+    buckets: [Bucket; BUCKETS],
+    newest: u64,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Bucket {
+    first: u64,
+    repeated: u64,
+}
+
+impl RetryBudget {
+    /// Returns an empty budget that allows `percent` repeated attempts in a hundred.
+    pub fn new(percent: u32, now: Millis) -> Self {
+        Self {
+            percent: u64::from(percent),
+            buckets: [Bucket::default(); BUCKETS],
+            newest: now.0 / BUCKET_MS,
+        }
+    }
+
+    /// Counts a first attempt.
+    pub fn deposit(&mut self, now: Millis) {
+        self.bucket(now).first += 1;
+    }
+
+    /// Counts a repeated attempt if the budget allows it, and returns whether it does.
+    pub fn try_spend(&mut self, now: Millis) -> bool {
+        self.bucket(now);
+        let first: u64 = self.buckets.iter().map(|b| b.first).sum();
+        let repeated: u64 = self.buckets.iter().map(|b| b.repeated).sum();
+        let floor = if self.percent > 0 { FLOOR } else { 0 };
+        let allowed = (first * self.percent / 100).max(floor);
+        if repeated >= allowed {
+            return false;
+        }
+        self.bucket(now).repeated += 1;
+        true
+    }
+
+    /// Returns the bucket of `now` after clearing those that left the window.
+    fn bucket(&mut self, now: Millis) -> &mut Bucket {
+        let current = (now.0 / BUCKET_MS).max(self.newest);
+        let passed = (current - self.newest).min(BUCKETS as u64);
+        for step in 1..=passed {
+            let i = (self.newest + step) % BUCKETS as u64;
+            self.buckets[i as usize] = Bucket::default();
+        }
+        if passed == BUCKETS as u64 {
+            self.buckets = [Bucket::default(); BUCKETS];
+        }
+        self.newest = current;
+        &mut self.buckets[(current % BUCKETS as u64) as usize]
+    }
+}
+
+/// How an attempt failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Failure {
+    /// The gate refused it; it was not run and never will be.
+    Refused(Refusal),
+    /// No byte of it was sent.
+    Unsent,
+    /// It may have run.
+    MayHaveRun,
+    /// The backend server died while it was running there.
+    Crashed,
+}
+
+/// What is known of a request after a failed attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AttemptState {
+    /// Whether the request may run more than once.
+    pub idempotent: bool,
+    /// Whether an earlier attempt may have run.
+    pub uncertain: bool,
+    /// The attempts so far, with the one that failed.
+    pub attempts: u32,
+    /// The most attempts that the service allows.
+    pub limit: u32,
+    /// The backend servers that died running the request, with this one.
+    pub crashes: u32,
+    /// The milliseconds left until the deadline.
+    pub left_ms: u64,
+}
+
+/// What follows a failed attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// The request goes to another backend server.
+    Elsewhere,
+    /// The caller is told the outcome.
+    Answer(Outcome, Refusal),
+}
+
+/// Decides what follows a failed attempt, and spends from `budget` when it is repeated.
+///
+/// A request that may have run is repeated only if it is idempotent, and never after a second
+/// crash. The caller is told *not run* only if no attempt may have run.
+pub fn next_step(
+    failure: Failure,
+    attempt: &AttemptState,
+    budget: &mut RetryBudget,
+    now: Millis,
+) -> Step {
+    let answer = answer_for(failure, attempt);
+    if attempt.attempts >= attempt.limit || attempt.left_ms == 0 || !may_repeat(failure, attempt) {
+        return answer;
+    }
+    if is_free(failure) || budget.try_spend(now) {
+        return Step::Elsewhere;
+    }
+    answer
+}
+
+fn may_repeat(failure: Failure, attempt: &AttemptState) -> bool {
+    match failure {
+        Failure::Unsent => true,
+        Failure::Refused(refusal) => match refusal.cause {
+            Cause::Full
+            | Cause::Leaving
+            | Cause::Fenced
+            | Cause::Session
+            | Cause::Unreachable
+            | Cause::Unready => true,
+            Cause::Share
+            | Cause::Deadline
+            | Cause::Quarantined
+            | Cause::Cancelled
+            | Cause::Invalid => false,
+        },
+        Failure::MayHaveRun => attempt.idempotent,
+        Failure::Crashed => attempt.idempotent && attempt.crashes < 2,
+    }
+}
+
+/// Returns whether a repeat costs no budget, because the refusal came from no lack of slots.
+fn is_free(failure: Failure) -> bool {
+    match failure {
+        Failure::Refused(refusal) => matches!(refusal.cause, Cause::Leaving | Cause::Session),
+        Failure::Unsent | Failure::MayHaveRun | Failure::Crashed => false,
+    }
+}
+
+fn answer_for(failure: Failure, attempt: &AttemptState) -> Step {
+    let unreachable = Refusal {
+        cause: Cause::Unreachable,
+        retry_after: 0,
+    };
+    let (outcome, refusal) = match failure {
+        Failure::Refused(refusal) => (refusal_outcome(refusal.cause), refusal),
+        Failure::Unsent => (Outcome::NotRun, unreachable),
+        Failure::MayHaveRun | Failure::Crashed => (Outcome::Unknown, unreachable),
+    };
+    let uncertain = attempt.uncertain || attempt.crashes > 0;
+    match outcome {
+        Outcome::NotRun if uncertain => Step::Answer(Outcome::Unknown, refusal),
+        Outcome::NotRun | Outcome::Unknown | Outcome::Rejected => Step::Answer(outcome, refusal),
+    }
+}
+
+fn refusal_outcome(cause: Cause) -> Outcome {
+    match cause {
+        Cause::Quarantined | Cause::Invalid => Outcome::Rejected,
+        Cause::Full
+        | Cause::Share
+        | Cause::Deadline
+        | Cause::Leaving
+        | Cause::Fenced
+        | Cause::Session
+        | Cause::Unreachable
+        | Cause::Unready
+        | Cause::Cancelled => Outcome::NotRun,
+    }
+}
