Add the settings of services as one published set

Cause: the node needs the effective settings of its site to be wired. Ruled out: a flat list of settings per site, since an overlay changes only what differs. Change: the types of a service's settings with their defaults, the bundle, and a first merge of base and overlay. Errors do not carry their position yet. Conclusion: the names are final; checks follow.

--- /dev/null
+++ b/crates/oriolering/src/config/limits.rs
@@ -0,0 +1,185 @@
+//! The groups of settings within a service.
+
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+
+use crate::Policy;
+
+/// The concurrency limit of a gate.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(default, deny_unknown_fields)]
+#[schemars(inline)]
+pub struct Slots {
+    /// The limit that a gate starts with.
+    #[schemars(range(min = 1, max = 10_000), extend("x-unit" = "requests"))]
+    pub initial: u32,
+    /// The limit below which a gate never goes.
+    #[schemars(range(min = 1, max = 10_000), extend("x-unit" = "requests"))]
+    pub min: u32,
+    /// The limit above which a gate never goes.
+    #[schemars(range(min = 1, max = 10_000), extend("x-unit" = "requests"))]
+    pub max: u32,
+}
+
+impl Default for Slots {
+    fn default() -> Self {
+        Self {
+            initial: 12,
+            min: 2,
+            max: 12,
+        }
+    }
+}
+
+/// The queue of a gate.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(default, deny_unknown_fields)]
+#[schemars(inline)]
+pub struct Queue {
+    /// The most requests that wait at one gate; one more is refused as not run.
+    #[schemars(range(min = 1, max = 10_000), extend("x-unit" = "requests"))]
+    pub length: u32,
+    /// The longest wait at a gate; a request that waited longer is refused as not run.
+    #[schemars(range(min = 1, max = 600_000), extend("x-unit" = "ms"))]
+    pub wait_ms: u64,
+}
+
+impl Default for Queue {
+    fn default() -> Self {
+        Self {
+            length: 24,
+            wait_ms: 200,
+        }
+    }
+}
+
+/// Sending a failed call to another backend server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(default, deny_unknown_fields)]
+#[schemars(inline)]
+pub struct Retry {
+    /// The retries that an ingress may make for each hundred calls. At 0 none are made.
+    #[schemars(range(max = 100), extend("x-unit" = "percent"))]
+    pub percent: u32,
+    /// The most attempts of one call, the first one included.
+    #[schemars(range(min = 1, max = 10), extend("x-unit" = "attempts"))]
+    pub attempts: u32,
+}
+
+impl Default for Retry {
+    fn default() -> Self {
+        Self {
+            percent: 10,
+            attempts: 3,
+        }
+    }
+}
+
+/// Sending a slow idempotent call to a second backend server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(default, deny_unknown_fields)]
+#[schemars(inline)]
+pub struct Hedge {
+    /// The hedged attempts that an ingress may make for each hundred calls.
+    #[schemars(range(max = 100), extend("x-unit" = "percent"))]
+    pub percent: u32,
+    /// How long an attempt runs before a second one is sent. At 0 calls are not hedged.
+    #[schemars(range(max = 600_000), extend("x-unit" = "ms"))]
+    pub after_ms: u64,
+}
+
+impl Default for Hedge {
+    fn default() -> Self {
+        Self {
+            percent: 5,
+            after_ms: 0,
+        }
+    }
+}
+
+/// The budget for measuring backend servers and load.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(default, deny_unknown_fields)]
+#[schemars(inline)]
+pub struct Measure {
+    /// The work that all nodes of the service together may spend on measuring in each second.
+    /// At 0 nothing is measured but what answers carry.
+    #[schemars(range(max = 10_000), extend("x-unit" = "ms per second"))]
+    pub budget_ms: u64,
+    /// The cost of one probe that is debited before it is sent.
+    #[schemars(range(min = 1, max = 1_000), extend("x-unit" = "ms"))]
+    pub probe_ms: u64,
+    /// The cost of one new connection that is debited before it is opened.
+    #[schemars(range(min = 1, max = 1_000), extend("x-unit" = "ms"))]
+    pub connect_ms: u64,
+    /// The time between two polls of the backend server's load endpoint by its gate.
+    #[schemars(range(min = 10, max = 600_000), extend("x-unit" = "ms"))]
+    pub poll_ms: u64,
+}
+
+impl Default for Measure {
+    fn default() -> Self {
+        Self {
+            budget_ms: 100,
+            probe_ms: 6,
+            connect_ms: 1,
+            poll_ms: 1_000,
+        }
+    }
+}
+
+/// How a backend server says that it sheds load.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(default, deny_unknown_fields)]
+#[schemars(inline)]
+pub struct Shed {
+    /// The status of an answer by which a backend server sheds a request.
+    #[schemars(range(min = 400, max = 599), extend("x-unit" = "HTTP status"))]
+    pub status: u16,
+    /// Whether a shed request is sure not to have run. Only then is a request that is not
+    /// idempotent sent again.
+    pub not_run: bool,
+}
+
+impl Default for Shed {
+    fn default() -> Self {
+        Self {
+            status: 503,
+            not_run: false,
+        }
+    }
+}
+
+/// How an ingress chooses a backend server.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(default, deny_unknown_fields)]
+#[schemars(inline)]
+pub struct Choice {
+    /// The policy.
+    pub policy: Policy,
+    /// The number of backend servers that one ingress connects to. At 0 it connects to all.
+    #[schemars(range(max = 10_000), extend("x-unit" = "backend servers"))]
+    pub subset: u32,
+}
+
+/// The answers that a gate keeps until their ingress has them whole.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(default, deny_unknown_fields)]
+#[schemars(inline)]
+pub struct Buffer {
+    /// The largest answer that is kept; a larger one is only streamed.
+    #[schemars(range(max = 16_777_216), extend("x-unit" = "bytes"))]
+    pub answer_bytes: u64,
+    /// The memory for all kept answers of one gate.
+    #[schemars(range(max = 33_554_432), extend("x-unit" = "bytes"))]
+    pub total_bytes: u64,
+}
+
+impl Default for Buffer {
+    fn default() -> Self {
+        Self {
+            answer_bytes: 262_144,
+            total_bytes: 8_388_608,
+        }
+    }
+}
--- a/crates/oriolering/src/lib.rs
+++ b/crates/oriolering/src/lib.rs
@@ -15,10 +15,13 @@
 //! ```
 
 mod clock;
+#[cfg(feature = "config")]
+pub mod config;
 mod header;
 mod keys;
 mod load;
 mod outcome;
+mod policy;
 
 pub use clock::{Clock, Millis};
 pub use header::{
@@ -27,3 +30,4 @@
 pub use keys::{CallId, Grant, Incarnation, ServerKey, ServiceKey, ZoneKey};
 pub use load::LoadHint;
 pub use outcome::{Cause, Outcome, Refusal};
+pub use policy::Policy;
