--- a/crates/oriolering/src/lib.rs
+++ b/crates/oriolering/src/lib.rs
@@ -34,6 +34,8 @@
 pub use retry::{AttemptState, Failure, RetryBudget, Step, next_step};
 
 mod clock;
+#[cfg(feature = "config")]
+pub mod config;
 mod header;
 mod keys;
 mod load;
--- a/crates/oriolering/src/policy.rs
+++ b/crates/oriolering/src/policy.rs
@@ -6,6 +6,7 @@
 
 /// How an ingress chooses among the backend servers of a service.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[cfg_attr(feature = "config", derive(schemars::JsonSchema))]
 #[serde(rename_all = "kebab-case")]
 pub enum Policy {
     /// Requests in flight first and latency second, from hints and from what was seen here.
