--- /dev/null
+++ b/crates/node/src/attempt.rs
@@ -0,0 +1,397 @@
+//! One attempt of a call at one gate.
+
+use std::cell::Cell;
+use std::rc::Rc;
+
+use ntex::http::body::Body;
+use ntex::http::client::error::{ConnectError, SendRequestError};
+use ntex::http::client::{ClientRequest, ClientResponse};
+use ntex::http::header::{HeaderMap, HeaderName, HeaderValue};
+use ntex::time::{Millis as Wait, sleep};
+use opentelemetry_sdk::trace::Span;
+use oriolering::{
+    Attempt, Cause, Failure, Fate, Grant, LoadHint, Millis, Outcome, Refusal, ServiceKey,
+};
+
+use crate::body::Upload;
+use crate::call::{Call, CallBody};
+use crate::directory::Target;
+use crate::headers;
+use crate::sessions::Issued;
+use crate::traces;
+use crate::wire::Wire;
+
+/// The time beyond the deadline in which the gate's own word may still come.
+const GRACE_MS: u64 = 30;
+const INQUIRY_TIMEOUT_MS: u64 = 150;
+/// Inquiries without an answer after which a gate counts as out of reach.
+const MAX_UNANSWERED: u32 = 2;
+/// The time in which the answer of a finished call may still come over its first connection.
+const DONE_WAIT_MS: u32 = 20;
+
+/// How an attempt ended.
+pub(crate) enum Reached {
+    /// The backend server answered.
+    Answer(ClientResponse),
+    /// There is no answer.
+    Missing(Failure),
+}
+
+/// Counts an attempt as running until it is dropped, whatever happens to the call.
+pub(crate) struct Running<'a> {
+    wire: &'a Wire,
+    service: ServiceKey,
+    target: Target,
+    issued: Option<Issued>,
+    result: Attempt,
+}
+
+impl<'a> Running<'a> {
+    /// Begins to count an attempt at a picked backend server.
+    pub(crate) fn new(wire: &'a Wire, service: ServiceKey, target: Target) -> Self {
+        Self {
+            wire,
+            service,
+            target,
+            issued: None,
+            result: Attempt::Cancelled,
+        }
+    }
+
+    /// Sets what the choice learns from the attempt.
+    pub(crate) fn set_result(&mut self, result: Attempt) {
+        self.result = result;
+    }
+}
+
+impl Drop for Running<'_> {
+    fn drop(&mut self) {
+        let now = self.wire.node.clock.now();
+        let mut directory = self.wire.node.directory.lock();
+        if let Some(issued) = self.issued {
+            directory.settle(self.target.server, issued);
+        }
+        directory.finish(now, self.service, self.target.server, self.result);
+    }
+}
+
+/// Sends a call to the gate of `target` and waits for the answer or a final word.
+pub(crate) async fn run(
+    wire: &Wire,
+    call: &mut Call,
+    target: Target,
+    number: u32,
+    crashes: u32,
+    parent: &Span,
+) -> Reached {
+    let mut running = Running::new(wire, call.service, target);
+    let start = std::time::Instant::now();
+    let reached = exchange(wire, call, &mut running, number, crashes, parent).await;
+    let latency_us = start.elapsed().as_micros() as u64;
+    running.set_result(match &reached {
+        Reached::Answer(response) if response.status().is_server_error() => {
+            Attempt::Failed { latency_us }
+        }
+        Reached::Answer(_) => Attempt::Served { latency_us },
+        Reached::Missing(Failure::Refused(_) | Failure::Unsent) => Attempt::Refused,
+        Reached::Missing(Failure::MayHaveRun) => Attempt::Silent,
+        Reached::Missing(Failure::Crashed) => Attempt::Failed { latency_us },
+    });
+    reached
+}
+
+async fn exchange(
+    wire: &Wire,
+    call: &mut Call,
+    running: &mut Running<'_>,
+    number: u32,
+    crashes: u32,
+    parent: &Span,
+) -> Reached {
+    let target = running.target;
+    // A session can be lost once, when the gate has been replaced or has dropped it.
+    for _ in 0..2 {
+        let Some(issued) = issue(wire, target).await else {
+            return Reached::Missing(Failure::Unsent);
+        };
+        running.issued = Some(issued);
+        let mut headers = outgoing_headers(wire, call, issued, number, crashes);
+        let mut span = wire.node.traces.outgoing("attempt", parent, &mut headers);
+        traces::note(&mut span, "gate", target.address.gate.to_string());
+        let reached = send(wire, call, target, issued, headers).await;
+        let stale = matches!(
+            reached,
+            Reached::Missing(Failure::Refused(Refusal {
+                cause: Cause::Session,
+                ..
+            }))
+        );
+        if !stale || matches!(call.body, CallBody::Taken) {
+            return reached;
+        }
+        settle(wire, target, issued);
+        running.issued = None;
+    }
+    Reached::Missing(Failure::Unsent)
+}
+
+fn settle(wire: &Wire, target: Target, issued: Issued) {
+    wire.node.directory.lock().settle(target.server, issued);
+}
+
+/// Issues an identity, after asking the gate for a session when there is none.
+async fn issue(wire: &Wire, target: Target) -> Option<Issued> {
+    if let Some(issued) = wire.node.directory.lock().issue(target.server) {
+        return Some(issued);
+    }
+    let request = wire.gate(target.address.gate).get(uri(target, "/"));
+    let sending = request.set_header(oriolering::STEP, "open").send();
+    let response = ntex::time::timeout(Wait(INQUIRY_TIMEOUT_MS as u32), sending).await;
+    let response = response.ok()?.ok()?;
+    learn_grant(wire, target, response.headers());
+    wire.node.directory.lock().issue(target.server)
+}
+
+fn learn_grant(wire: &Wire, target: Target, headers: &HeaderMap) {
+    let grant = headers::text(headers, oriolering::GRANT).and_then(Grant::decode);
+    if let Some(grant) = grant {
+        wire.node.directory.lock().adopt(target.server, grant);
+    }
+}
+
+fn uri(target: Target, path: &str) -> String {
+    format!("http://{}{path}", target.address.gate)
+}
+
+fn outgoing_headers(
+    wire: &Wire,
+    call: &Call,
+    issued: Issued,
+    number: u32,
+    crashes: u32,
+) -> HeaderMap {
+    let mut headers = call.headers.clone();
+    let left = call.left(wire.node.clock.now());
+    set(&mut headers, oriolering::CALL_ID, &issued.id.encode());
+    set(&mut headers, oriolering::ACK, &issued.ack.to_string());
+    set(&mut headers, oriolering::ATTEMPT, &number.to_string());
+    set(&mut headers, oriolering::DEADLINE, &left.to_string());
+    set(&mut headers, oriolering::CUSTOMER, &format!("{:x}", call.customer));
+    set(&mut headers, oriolering::FINGERPRINT, &format!("{:x}", call.fingerprint));
+    if crashes > 0 {
+        set(&mut headers, oriolering::CRASHES, &crashes.to_string());
+    }
+    headers
+}
+
+fn set(headers: &mut HeaderMap, name: &'static str, value: &str) {
+    if let Ok(value) = HeaderValue::from_str(value) {
+        headers.insert(HeaderName::from_static(name), value);
+    }
+}
+
+async fn send(
+    wire: &Wire,
+    call: &mut Call,
+    target: Target,
+    issued: Issued,
+    headers: HeaderMap,
+) -> Reached {
+    wire.node.metrics.attempts.add(1, &[]);
+    let client = wire.gate(target.address.gate);
+    let path = call.uri().path_and_query().map_or("/", |path| path.as_str());
+    let mut request = client
+        .request(call.method().clone(), uri(target, path))
+        .no_decompress();
+    *request.headers_mut() = headers;
+    if matches!(call.body, CallBody::Stream(_)) {
+        if let Some(refused) = reserve(wire, call, target, request.headers()).await {
+            return refused;
+        }
+    }
+    match std::mem::replace(&mut call.body, CallBody::Taken) {
+        CallBody::Whole(bytes) => {
+            call.body = CallBody::Whole(bytes.clone());
+            let sending = match bytes.is_empty() {
+                true => request.send(),
+                false => request.send_body(bytes),
+            };
+            wait(wire, call, target, issued, sending, None).await
+        }
+        CallBody::Stream(upload) => {
+            let progress = upload.progress();
+            let sending = request.send_body(Body::from_message(upload));
+            wait(wire, call, target, issued, sending, Some(progress)).await
+        }
+        CallBody::Taken => Reached::Missing(Failure::MayHaveRun),
+    }
+}
+
+/// Asks the gate to admit a call before its long body is sent, so that a refusal leaves the
+/// body unread and the call can go elsewhere.
+async fn reserve(
+    wire: &Wire,
+    call: &Call,
+    target: Target,
+    headers: &HeaderMap,
+) -> Option<Reached> {
+    let client = wire.gate(target.address.gate);
+    let mut request: ClientRequest = client.post(uri(target, "/"));
+    *request.headers_mut() = headers.clone();
+    let sending = request.set_header(oriolering::STEP, "reserve").send();
+    let left = call.left(wire.node.clock.now()).max(1);
+    match ntex::time::timeout(Wait(left as u32), sending).await {
+        Ok(Ok(response)) if response.status().is_success() => None,
+        Ok(Ok(response)) => Some(read_word(wire, call, target, response)),
+        Ok(Err(_)) | Err(()) => Some(Reached::Missing(Failure::Unsent)),
+    }
+}
+
+/// Waits for an answer, and asks over a new connection when the first one is silent.
+async fn wait<F>(
+    wire: &Wire,
+    call: &Call,
+    target: Target,
+    issued: Issued,
+    sending: F,
+    progress: Option<Rc<Cell<Millis>>>,
+) -> Reached
+where
+    F: Future<Output = Result<ClientResponse, SendRequestError>>,
+{
+    let mut sending = std::pin::pin!(sending);
+    let total = call.deadline.since(call.arrived);
+    let mut unanswered = 0;
+    let mut silence = call.settings.silence_ms;
+    loop {
+        let now = wire.node.clock.now();
+        let deadline = match &progress {
+            Some(progress) => call.deadline.max(progress.get() + total),
+            None => call.deadline,
+        };
+        let left = (deadline + GRACE_MS).since(now);
+        if left == 0 {
+            return Reached::Missing(Failure::MayHaveRun);
+        }
+        let asking = async {
+            sleep(Wait(silence.min(left) as u32)).await;
+            inquire(wire, target, issued).await
+        };
+        tokio::select! {
+            biased;
+            result = &mut sending => return classify(wire, call, target, issued, result).await,
+            word = asking => match word {
+                Some(Fate::Fenced) => {
+                    wire.renew(target.address.gate);
+                    return Reached::Missing(Failure::Refused(Refusal { cause: Cause::Fenced, retry_after: 0 }));
+                }
+                Some(Fate::Done) => {
+                    if let Ok(result) = ntex::time::timeout(Wait(DONE_WAIT_MS), &mut sending).await {
+                        return classify(wire, call, target, issued, result).await;
+                    }
+                    wire.renew(target.address.gate);
+                    return collect(wire, call, target, issued).await;
+                }
+                Some(Fate::Running | Fate::Queued) => {
+                    unanswered = 0;
+                    silence *= 2;
+                }
+                Some(Fate::Forgotten) => {
+                    wire.renew(target.address.gate);
+                    return Reached::Missing(Failure::MayHaveRun);
+                }
+                None => {
+                    unanswered += 1;
+                    if unanswered >= MAX_UNANSWERED {
+                        wire.renew(target.address.gate);
+                        return Reached::Missing(Failure::MayHaveRun);
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// Asks the gate's control listener what became of an attempt; one that has not been
+/// dispatched is fenced by the question.
+async fn inquire(wire: &Wire, target: Target, issued: Issued) -> Option<Fate> {
+    wire.node.metrics.inquiries.add(1, &[]);
+    let control = wire.node.control()?;
+    let asked = control.inquire(target.address.control, issued.id, true, INQUIRY_TIMEOUT_MS);
+    asked.await.ok()
+}
+
+async fn classify(
+    wire: &Wire,
+    call: &Call,
+    target: Target,
+    issued: Issued,
+    result: Result<ClientResponse, SendRequestError>,
+) -> Reached {
+    match result {
+        Ok(response) => read_word(wire, call, target, response),
+        Err(error) if is_unsent(&error) => Reached::Missing(Failure::Unsent),
+        // The connection ended; only the gate knows what became of the attempt.
+        Err(_) => match inquire(wire, target, issued).await {
+            Some(Fate::Fenced) => Reached::Missing(Failure::Refused(Refusal {
+                cause: Cause::Fenced,
+                retry_after: 0,
+            })),
+            Some(Fate::Running | Fate::Done) => collect(wire, call, target, issued).await,
+            Some(Fate::Queued | Fate::Forgotten) | None => Reached::Missing(Failure::MayHaveRun),
+        },
+    }
+}
+
+fn is_unsent(error: &SendRequestError) -> bool {
+    use std::io::ErrorKind;
+    match error {
+        SendRequestError::Connect(ConnectError::Timeout) => true,
+        SendRequestError::Connect(ConnectError::Disconnected(Some(error))) => {
+            error.kind() == ErrorKind::ConnectionRefused
+        }
+        _ => false,
+    }
+}
+
+/// Collects the answer of a call that ran, over a new connection.
+async fn collect(wire: &Wire, call: &Call, target: Target, issued: Issued) -> Reached {
+    wire.node.metrics.collected.add(1, &[]);
+    let left = call.left(wire.node.clock.now()).max(1);
+    let request = wire
+        .gate(target.address.gate)
+        .get(uri(target, "/"))
+        .no_decompress()
+        .set_header(oriolering::CALL_ID, issued.id.encode())
+        .set_header(oriolering::STEP, "collect")
+        .set_header(oriolering::DEADLINE, left.to_string());
+    match ntex::time::timeout(Wait(left as u32), request.send()).await {
+        Ok(Ok(response)) => read_word(wire, call, target, response),
+        Ok(Err(_)) | Err(()) => Reached::Missing(Failure::MayHaveRun),
+    }
+}
+
+/// Reads what the gate says in the headers of an answer.
+fn read_word(wire: &Wire, call: &Call, target: Target, response: ClientResponse) -> Reached {
+    let headers = response.headers();
+    let now = wire.node.clock.now();
+    if let Some(hint) = headers::text(headers, oriolering::LOAD).and_then(LoadHint::decode) {
+        let mut directory = wire.node.directory.lock();
+        directory.hint(now, call.service, target.server, hint);
+    }
+    learn_grant(wire, target, headers);
+    let Some(outcome) = headers::text(headers, oriolering::OUTCOME) else {
+        return Reached::Answer(response);
+    };
+    let cause = headers::text(headers, oriolering::REASON).and_then(Cause::parse);
+    let retry_after = headers::number(headers, oriolering::RETRY_AFTER_MS).unwrap_or(0);
+    let refusal = Refusal {
+        cause: cause.unwrap_or(Cause::Invalid),
+        retry_after: retry_after as u32,
+    };
+    Reached::Missing(match (Outcome::parse(outcome), refusal.cause) {
+        (Some(Outcome::NotRun | Outcome::Rejected), _) => Failure::Refused(refusal),
+        (Some(Outcome::Unknown), Cause::Unreachable) => Failure::Crashed,
+        (Some(Outcome::Unknown) | None, _) => Failure::MayHaveRun,
+    })
+}
--- /dev/null
+++ b/crates/node/src/crash.rs
@@ -0,0 +1,18 @@
+//! What a node does about requests that backend servers die of.
+
+use crate::state::Node;
+
+impl Node {
+    /// Notes the death of the local backend server and the requests that were running.
+    pub(crate) fn crashed(&self, suspects: &[u64]) {
+        let now = self.clock.now();
+        self.metrics.backend_deaths.add(1, &[]);
+        log::warn!(suspects = suspects.len(); "backend server refuses connections");
+        self.quarantine.lock().crashed(now, suspects);
+    }
+
+    /// Clears a request that has finished a run.
+    pub(crate) fn cleared(&self, fingerprint: u64) {
+        self.quarantine.lock().cleared(fingerprint);
+    }
+}
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -19,7 +19,7 @@
 use crate::headers;
 use crate::permit::Permit;
 use crate::reply::Reply;
-use crate::running::Running;
+use crate::watch;
 use crate::wire::Wire;
 
 const UNREACHABLE_RETRY_MS: u32 = 200;
@@ -71,10 +71,9 @@
         return admit::refuse(&wire, refusal);
     }
     let start = std::time::Instant::now();
-    let running = Running::begin(&wire.node, job.fingerprint);
     match send(&wire, &job, outgoing, &request, payload).await {
-        Err(missing) => failed(&wire, &job, permit, running, missing),
-        Ok(response) => answer(wire, job, permit, running, request, response, start).await,
+        Err(missing) => failed(&wire, permit, missing),
+        Ok(response) => answer(wire, job, permit, request, response, start).await,
     }
 }
 
@@ -143,15 +142,13 @@
 /// Ends a call that got no answer.
 fn failed(
     wire: &Wire,
-    job: &Job,
     permit: Permit,
-    running: Running,
     missing: Missing,
 ) -> HttpResponse {
     match missing {
         Missing::Unsent => {
             permit.finish(Finish::NotSent);
-            wire.node.backend_refused();
+            watch::lost(&wire.node);
             admit::refuse(
                 wire,
                 Refusal {
@@ -161,21 +158,17 @@
             )
         }
         Missing::Lost => {
-            running.lost();
+            watch::lost(&wire.node);
             permit.finish(Finish::Lost);
             unknown(wire, Cause::Unreachable)
         }
         Missing::Late => {
             permit.finish(Finish::Lost);
-            unknown(wire, late_cause(job))
+            unknown(wire, Cause::Deadline)
         }
     }
 }
 
-fn late_cause(_job: &Job) -> Cause {
-    Cause::Deadline
-}
-
 fn unknown(wire: &Wire, cause: Cause) -> HttpResponse {
     let now = wire.node.clock.now();
     let load = wire.node.admission.lock().gate.load(now);
@@ -187,7 +180,6 @@
     wire: Rc<Wire>,
     job: Job,
     permit: Permit,
-    running: Running,
     request: HttpRequest,
     mut response: ClientResponse,
     start: std::time::Instant,
@@ -196,18 +188,18 @@
     let bodyless = request.method() == ntex::http::Method::HEAD;
     let short = length.is_some_and(|length| length <= u64::from(job.settings.buffer.answer_bytes));
     if !short && !bodyless {
-        return stream(&wire, permit, running, &request, response, length, start);
+        return stream(&wire, &job, permit, &request, response, length, start);
     }
     let status = response.status();
     let headers = headers::end_to_end(response.headers());
     let left = job.deadline.since(wire.node.clock.now()).max(1);
     let body = ntex::time::timeout(Wait(left as u32), read(&mut response, length)).await;
     let Ok(Some(body)) = body else {
-        running.lost();
+        watch::lost(&wire.node);
         permit.finish(Finish::Lost);
         return unknown(&wire, Cause::Unreachable);
     };
-    running.done();
+    wire.node.cleared(job.fingerprint);
     let shed = &job.settings.shed;
     if shed.not_run && status.as_u16() == shed.status {
         permit.finish(Finish::Shed);
@@ -251,8 +243,8 @@
 
 fn stream(
     wire: &Wire,
+    job: &Job,
     permit: Permit,
-    running: Running,
     request: &HttpRequest,
     response: ClientResponse,
     length: Option<u64>,
@@ -265,13 +257,15 @@
     let load = wire.node.admission.lock().gate.load(now);
     builder.set_header(oriolering::LOAD, load.encode());
     let reader = request.io().cloned();
+    let node = Arc::clone(&wire.node);
+    let fingerprint = job.fingerprint;
     let ended = move |ending| match ending {
         Ending::Whole => {
-            running.done();
+            node.cleared(fingerprint);
             permit.finish(finish(status, start));
         }
         Ending::Cut => {
-            running.lost();
+            watch::lost(&node);
             permit.finish(Finish::Lost);
         }
     };
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -1,2 +1,7 @@
-//! placeholder
-fn main() {}
+//! The process that runs beside each backend server.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    oriolering_node::run(std::env::args_os())
+}
--- /dev/null
+++ b/crates/node/src/serve.rs
@@ -0,0 +1,103 @@
+//! Runs the listeners of the data path on one thread.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use ntex::http::KeepAlive;
+use ntex::time::{Millis as Wait, Seconds, sleep};
+use ntex::web::{self, App, HttpRequest, HttpResponse, HttpServer, types};
+
+use crate::admin;
+use crate::admit;
+use crate::ingress;
+use crate::state::Node;
+use crate::wire::Wire;
+
+/// The time between two looks at the queue of the gate.
+const TICK: Wait = Wait(10);
+const KEEP_ALIVE: Seconds = Seconds(60);
+const BACKLOG: i32 = 4_096;
+/// The time in which peers learn that the node is leaving before its listeners close.
+const LEAVE_MS: u64 = 1_000;
+const MAX_CONNECTIONS: usize = 8_192;
+
+/// Serves until the process is told to stop, then drains.
+///
+/// # Errors
+///
+/// Returns the error of a listener that cannot be bound.
+pub(crate) async fn run(node: Arc<Node>) -> std::io::Result<()> {
+    let card = &node.card;
+    let (ingress, gate, admin) = (card.ingress, card.gate, card.admin);
+    let shared = Arc::clone(&node);
+    let server = HttpServer::new(move || {
+        let wire = Wire::new(Arc::clone(&shared));
+        ntex::rt::spawn(tick(Rc::clone(&wire)));
+        App::new().state(wire).default_service(web::to(dispatch))
+    })
+    .workers(1)
+    .backlog(BACKLOG)
+    .maxconn(MAX_CONNECTIONS)
+    .keep_alive(KeepAlive::Timeout(KEEP_ALIVE))
+    .disable_signals()
+    .shutdown_timeout(Seconds((card.drain_ms / 1_000).clamp(1, 600) as u16))
+    .bind(ingress)?
+    .bind(gate)?
+    .bind(admin)?
+    .run();
+    tokio::select! {
+        result = server.clone() => return result,
+        () = stopped() => {}
+    }
+    node.drain();
+    settle(&node).await;
+    server.stop(true).await;
+    Ok(())
+}
+
+/// Waits until peers know that the node is leaving and its calls have ended.
+async fn settle(node: &Node) {
+    let start = node.clock.now();
+    loop {
+        let waited = node.clock.now().since(start);
+        let idle = node.admission.lock().gate.is_idle();
+        if waited >= node.card.drain_ms || (idle && waited >= LEAVE_MS) {
+            return;
+        }
+        sleep(TICK).await;
+    }
+}
+
+/// Waits for SIGTERM or SIGINT.
+async fn stopped() {
+    if let Some(signal) = ntex::server::signal().await.ok() {
+        log::info!(signal:? = signal; "stopping");
+    }
+}
+
+async fn tick(wire: Rc<Wire>) {
+    loop {
+        let now = wire.node.tick();
+        wire.reserved.borrow_mut().expire(now);
+        sleep(TICK).await;
+    }
+}
+
+/// Sends a request to the part that its listener belongs to.
+async fn dispatch(
+    request: HttpRequest,
+    payload: types::Payload,
+    wire: types::State<Rc<Wire>>,
+) -> HttpResponse {
+    let wire = Rc::clone(&wire);
+    let local = request.app_config().local_addr();
+    let card = &wire.node.card;
+    if local == card.gate {
+        admit::serve(wire, request, payload.into_inner()).await
+    } else if local == card.admin {
+        admin::serve(&wire, &request)
+    } else {
+        ingress::serve(wire, request, payload.into_inner()).await
+    }
+}
--- /dev/null
+++ b/crates/node/src/state.rs
@@ -0,0 +1,163 @@
+//! The state of a node that its threads share.
+
+use std::sync::Arc;
+use std::sync::OnceLock;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use oriolering::config::{ProcessSettings, Service, Settings};
+use oriolering::{Clock, Gate, GateSettings, Incarnation, Member, Millis, Quarantine};
+use parking_lot::Mutex;
+
+use crate::admission::Admission;
+use crate::control::Handle;
+use crate::directory::{Directory, Me};
+use crate::metrics::Metrics;
+use crate::traces::Traces;
+use crate::watch::Watch;
+
+/// Sessions that a gate holds at once; more ingresses than this share by age of use.
+const SESSIONS: u32 = 4_096;
+/// Sequence numbers that a gate remembers for each session.
+const WINDOW: u32 = 1_024;
+
+/// The state of a node.
+pub(crate) struct Node {
+    /// The settings of the process.
+    pub(crate) card: ProcessSettings,
+    /// The number of this run of the process.
+    pub(crate) incarnation: Incarnation,
+    /// The clock of the process.
+    pub(crate) clock: Clock,
+    /// The gate and the calls that wait for it.
+    pub(crate) admission: Mutex<Admission>,
+    /// What the ingress knows of services and backend servers.
+    pub(crate) directory: Mutex<Directory>,
+    /// Requests that are refused because backend servers died running them.
+    pub(crate) quarantine: Mutex<Quarantine>,
+    /// Whether the local backend server is up.
+    pub(crate) watch: Mutex<Watch>,
+    /// Counters and gauges.
+    pub(crate) metrics: Metrics,
+    /// Spans of recent calls.
+    pub(crate) traces: Traces,
+    control: OnceLock<Handle>,
+    own: Mutex<Arc<Service>>,
+    revision: Mutex<Option<u64>>,
+    draining: AtomicBool,
+}
+
+impl Node {
+    /// Returns a node without configuration and members.
+    pub(crate) fn new(card: ProcessSettings, incarnation: Incarnation) -> Arc<Self> {
+        let clock = Clock::system();
+        let own = Service::named(&card.service);
+        let gate = Gate::new(gate_settings(&own), incarnation, clock.now());
+        let me = Me {
+            id: card.id.clone(),
+            zone: card.zone.clone(),
+        };
+        Arc::new(Self {
+            incarnation,
+            admission: Mutex::new(Admission::new(gate)),
+            directory: Mutex::new(Directory::new(me, incarnation.0)),
+            quarantine: Mutex::new(Quarantine::new(own.quarantine_ms)),
+            watch: Mutex::new(Watch::default()),
+            metrics: Metrics::new(),
+            traces: Traces::new(&card.id),
+            control: OnceLock::new(),
+            own: Mutex::new(Arc::new(own)),
+            revision: Mutex::new(None),
+            draining: AtomicBool::new(false),
+            clock,
+            card,
+        })
+    }
+
+    /// Keeps the handle of the control thread.
+    pub(crate) fn attach(&self, control: Handle) {
+        // A node attaches its control thread once, before it serves.
+        let _ = self.control.set(control);
+    }
+
+    /// Returns the handle of the control thread.
+    pub(crate) fn control(&self) -> Option<&Handle> {
+        self.control.get()
+    }
+
+    /// Puts the settings of a new revision in force.
+    pub(crate) fn configure(&self, revision: u64, settings: &Settings) {
+        let now = self.clock.now();
+        if let Some(own) = settings.services.iter().find(|s| s.name == self.card.service) {
+            self.admission.lock().gate.update(gate_settings(own));
+            self.quarantine.lock().set_duration(own.quarantine_ms);
+            *self.own.lock() = Arc::new(own.clone());
+        }
+        self.directory.lock().configure(now, settings);
+        *self.revision.lock() = Some(revision);
+        log::info!(revision = revision; "configuration in force");
+    }
+
+    /// Takes up a new list of members.
+    pub(crate) fn set_members(&self, members: Arc<[Member]>) {
+        let now = self.clock.now();
+        self.directory.lock().set_members(now, members);
+    }
+
+    /// Returns the settings of the local backend server's service.
+    pub(crate) fn own_service(&self) -> Arc<Service> {
+        Arc::clone(&self.own.lock())
+    }
+
+    /// Returns the revision of the configuration in force.
+    pub(crate) fn revision(&self) -> Option<u64> {
+        *self.revision.lock()
+    }
+
+    /// Returns whether the node can serve calls.
+    pub(crate) fn is_ready(&self) -> bool {
+        self.revision().is_some() && !self.is_draining()
+    }
+
+    /// Returns whether the node is leaving.
+    pub(crate) fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::Relaxed)
+    }
+
+    /// Stops taking new work for the local backend server and tells the peers.
+    pub(crate) fn drain(&self) {
+        if self.draining.swap(true, Ordering::Relaxed) {
+            return;
+        }
+        let now = self.clock.now();
+        let mut admission = self.admission.lock();
+        admission.gate.drain(now);
+        admission.pump(now);
+        drop(admission);
+        if let Some(control) = self.control() {
+            control.leave();
+        }
+        log::info!("draining: no new work for the local backend server");
+    }
+
+    /// Lets the gate expire what waits too long and notice a pause of the process.
+    pub(crate) fn tick(&self) -> Millis {
+        let now = self.clock.now();
+        let mut admission = self.admission.lock();
+        admission.gate.tick(now);
+        admission.pump(now);
+        now
+    }
+}
+
+fn gate_settings(service: &Service) -> GateSettings {
+    GateSettings {
+        initial: service.slots.initial,
+        min: service.slots.min,
+        max: service.slots.max,
+        queue_length: service.queue.length,
+        queue_wait: service.queue.wait_ms,
+        ramp: service.ramp_ms,
+        sessions: SESSIONS,
+        window: WINDOW,
+    }
+}
--- /dev/null
+++ b/crates/node/src/status.rs
@@ -0,0 +1,109 @@
+//! What a node says about itself.
+
+use compact_str::CompactString;
+use oriolering::{Explanation, LoadHint, Member};
+use serde::Serialize;
+
+use crate::control::ControlStatus;
+use crate::state::Node;
+
+/// The status of a node.
+#[derive(Debug, Serialize)]
+pub(crate) struct Status {
+    id: CompactString,
+    service: CompactString,
+    zone: CompactString,
+    region: CompactString,
+    ready: bool,
+    draining: bool,
+    revision: Option<u64>,
+    gate: LoadHint,
+    control: Option<ControlStatus>,
+    members: Vec<MemberStatus>,
+    quarantines: Vec<Quarantined>,
+}
+
+/// One member as the status lists it.
+#[derive(Debug, Serialize)]
+struct MemberStatus {
+    id: CompactString,
+    service: CompactString,
+    zone: CompactString,
+    state: &'static str,
+}
+
+/// One quarantined request.
+#[derive(Debug, Serialize)]
+struct Quarantined {
+    fingerprint: CompactString,
+    left_ms: u32,
+}
+
+/// How a call of a service would be sent.
+#[derive(Debug, Serialize)]
+pub(crate) struct Explained {
+    service: CompactString,
+    candidates: Vec<ExplainedServer>,
+}
+
+#[derive(Debug, Serialize)]
+struct ExplainedServer {
+    id: CompactString,
+    #[serde(flatten)]
+    explanation: Explanation,
+}
+
+/// Collects the status of a node.
+pub(crate) fn collect(node: &Node) -> Status {
+    let now = node.clock.now();
+    let members = node.directory.lock().members().iter().map(member).collect();
+    let quarantines = node.quarantine.lock().entries(now).map(quarantined).collect();
+    Status {
+        id: node.card.id.clone(),
+        service: node.card.service.clone(),
+        zone: node.card.zone.clone(),
+        region: node.card.region.clone(),
+        ready: node.is_ready(),
+        draining: node.is_draining(),
+        revision: node.revision(),
+        gate: node.admission.lock().gate.load(now),
+        control: node.control().map(|control| control.status()),
+        members,
+        quarantines,
+    }
+}
+
+fn member(member: &Member) -> MemberStatus {
+    MemberStatus {
+        id: member.id.clone(),
+        service: member.service.clone(),
+        zone: member.zone.clone(),
+        state: if member.leaving { "leaving" } else { "live" },
+    }
+}
+
+fn quarantined(entry: oriolering::QuarantineEntry) -> Quarantined {
+    Quarantined {
+        fingerprint: format!("{:016x}", entry.fingerprint).into(),
+        left_ms: entry.left_ms,
+    }
+}
+
+/// Explains how a call of `service` would be sent now; `None` for an unknown service.
+pub(crate) fn explain(node: &Node, service: &str) -> Option<Explained> {
+    let now = node.clock.now();
+    let mut directory = node.directory.lock();
+    let key = directory.service(service)?;
+    let explanations = directory.explain(now, key);
+    let candidates = explanations
+        .into_iter()
+        .map(|explanation| ExplainedServer {
+            id: directory.server_id(explanation.server),
+            explanation,
+        })
+        .collect();
+    Some(Explained {
+        service: service.into(),
+        candidates,
+    })
+}
--- /dev/null
+++ b/crates/node/src/watch.rs
@@ -0,0 +1,66 @@
+//! Watches whether the local backend server is up, by what its connections show.
+
+use std::io::ErrorKind;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::net::TcpStream;
+use tokio::time::{sleep, timeout};
+
+use crate::state::Node;
+
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
+const RETRY_INTERVAL: Duration = Duration::from_millis(100);
+
+/// What is known of the local backend server.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) enum Watch {
+    /// It accepts connections, as far as is known.
+    #[default]
+    Up,
+    /// A connection was lost; a new one is being tried.
+    Probing,
+    /// It refuses connections.
+    Down,
+}
+
+/// Notes that a connection to the backend server was lost or refused, and finds out whether
+/// the backend server has died.
+///
+/// The requests that were running then are the suspects of that death.
+pub(crate) fn lost(node: &Arc<Node>) {
+    {
+        let mut watch = node.watch.lock();
+        if *watch != Watch::Up {
+            return;
+        }
+        *watch = Watch::Probing;
+    }
+    let suspects = node.admission.lock().gate.suspects();
+    ntex::rt::spawn(probe(Arc::clone(node), suspects));
+}
+
+async fn probe(node: Arc<Node>, suspects: Vec<u64>) {
+    if accepts(node.card.backend).await {
+        *node.watch.lock() = Watch::Up;
+        return;
+    }
+    *node.watch.lock() = Watch::Down;
+    node.crashed(&suspects);
+    while !accepts(node.card.backend).await {
+        sleep(RETRY_INTERVAL).await;
+    }
+    let now = node.clock.now();
+    node.admission.lock().gate.restart(now);
+    *node.watch.lock() = Watch::Up;
+    log::info!("backend server accepts connections again; the limit ramps up");
+}
+
+/// Returns whether the address accepts a connection; only a refusal counts as a death.
+async fn accepts(address: SocketAddr) -> bool {
+    match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
+        Ok(Err(error)) => error.kind() != ErrorKind::ConnectionRefused,
+        Ok(Ok(_)) | Err(_) => true,
+    }
+}
