Add the caller, open-loop load, history check, relay and one-queue bound

Proofs and experiments need callers whose latency counts from the intended send time, a comparison of what callers were told with what ran, and a bound for the same arrivals. A closed loop was ruled out, as it hides waiting. The signals of the harness need one call of the C library, as the standard library sends no other signal than SIGKILL.

--- a/crates/bench/src/backend.rs
+++ b/crates/bench/src/backend.rs
@@ -8,6 +8,7 @@
 
 use futures_util::stream;
 use ntex::http::body::{Body, SizedStream};
+use ntex::http::error::PayloadError;
 use ntex::io::IoRef;
 use ntex::time::Seconds;
 use ntex::util::Bytes;
@@ -18,7 +19,7 @@
 
 use crate::backend_fault::Fault;
 use crate::backend_state::{BackendSettings, State};
-use crate::echo::{CHECK, Check, Echo, NONCE};
+use crate::echo::{CHECK, Check, Echo, NONCE, SPENT};
 
 const CRASH_STATUS: i32 = 86;
 const SHUTDOWN_S: u16 = 30;
@@ -140,25 +141,29 @@
         state.record(nonce);
         return HttpResponse::InternalServerError().finish();
     }
-    let start = Instant::now();
-    let check = match run(state, req, body, nonce).await {
-        Ok(check) => check,
-        Err(_) => return HttpResponse::BadRequest().finish(),
-    };
-    let held = start.elapsed().as_micros().to_string();
-    reply(state, req, nonce, &check, &held)
+    match run(state, req, body, nonce).await {
+        Ok(done) => reply(state, req, nonce, &done),
+        Err(_) => HttpResponse::BadRequest().finish(),
+    }
 }
 
-/// Waits for a slot, runs the request and returns its check.
+/// A finished run.
+struct Done {
+    check: String,
+    spent: Duration,
+}
+
+/// Waits for a slot and runs the request.
 async fn run(
     state: &State,
     req: &HttpRequest,
     mut body: Payload,
     nonce: &str,
-) -> Result<String, ntex::http::error::PayloadError> {
+) -> Result<Done, PayloadError> {
     let queued = Held::new(&state.queued);
     let _permit = state.permits.acquire().await;
     drop(queued);
+    let start = Instant::now();
     let _running = Held::new(&state.running);
     state.record(nonce);
     let target = req.uri().path_and_query().map_or("/", |path| path.as_str());
@@ -170,18 +175,21 @@
     if header(req, "x-crash").is_some() {
         std::process::exit(CRASH_STATUS);
     }
-    Ok(check.finish())
+    Ok(Done {
+        check: check.finish(),
+        spent: start.elapsed(),
+    })
 }
 
-fn reply(state: &State, req: &HttpRequest, nonce: &str, check: &str, held: &str) -> HttpResponse {
+fn reply(state: &State, req: &HttpRequest, nonce: &str, done: &Done) -> HttpResponse {
     let size = scan_query(req, "bytes")
         .or_else(|| scan_number(req, "x-size"))
         .unwrap_or(0);
-    let echo = Echo::new(nonce, check, size);
+    let echo = Echo::new(nonce, &done.check, size);
     let cut = scan_number(req, "x-cut").or(state.fault().cut_bytes);
     let mut res = HttpResponse::Ok();
-    res.header(CHECK, check);
-    res.header("x-spent-us", held);
+    res.header(CHECK, done.check.as_str());
+    res.header(SPENT, done.spent.as_micros().to_string());
     let chunked = header(req, "x-chunked").is_some();
     let size = echo.remaining();
     match (cut, chunked) {
--- a/crates/bench/src/echo.rs
+++ b/crates/bench/src/echo.rs
@@ -6,6 +6,8 @@
 pub const CHECK: &str = "x-check";
 /// The header that carries the nonce of a request.
 pub const NONCE: &str = "x-nonce";
+/// The header that tells for how many microseconds a run held its slot.
+pub const SPENT: &str = "x-spent-us";
 
 const BLOCK_REPEATS: usize = 1024;
 
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -3,9 +3,27 @@
 mod backend;
 mod backend_fault;
 mod backend_state;
+mod bound;
+mod call;
+mod caller;
 mod echo;
+mod history;
+mod load;
+mod process;
+mod relay;
+mod report;
+mod signal;
 
 pub use backend::serve_backend;
 pub use backend_fault::Fault;
 pub use backend_state::{BackendSettings, Load, Runs};
-pub use echo::{CHECK, Check, Echo, EchoReader, NONCE};
+pub use bound::one_queue;
+pub use call::{Call, Request, Told, Upload};
+pub use caller::Caller;
+pub use echo::{CHECK, Check, Echo, EchoReader, NONCE, SPENT};
+pub use history::{Breach, Violation, check_history, merge_runs};
+pub use load::{Arrival, draw_exponential, poisson_times, run_load};
+pub use process::{Process, free_address, program, wait_for_listener};
+pub use relay::Relay;
+pub use report::{Report, histogram, label};
+pub use signal::Signal;
--- /dev/null
+++ b/crates/bench/src/signal.rs
@@ -0,0 +1,38 @@
+//! Signals to processes that the harness started.
+
+/// A signal that the harness sends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Signal {
+    /// Ends the process at once.
+    Kill,
+    /// Asks the process to shut down gracefully.
+    Terminate,
+    /// Stops the process until it is continued.
+    Stop,
+    /// Continues a stopped process.
+    Continue,
+}
+
+impl Signal {
+    fn number(self) -> libc::c_int {
+        match self {
+            Self::Kill => libc::SIGKILL,
+            Self::Terminate => libc::SIGTERM,
+            Self::Stop => libc::SIGSTOP,
+            Self::Continue => libc::SIGCONT,
+        }
+    }
+}
+
+/// Sends a signal to a child that has not been waited for; returns whether it was sent.
+#[expect(
+    unsafe_code,
+    reason = "the standard library sends no signal but SIGKILL"
+)]
+pub(crate) fn send_signal(child: u32, signal: Signal) -> bool {
+    let Ok(pid) = libc::pid_t::try_from(child) else {
+        return false;
+    };
+    // SAFETY: the call takes two integers; an unwaited child's number is not used again.
+    unsafe { libc::kill(pid, signal.number()) == 0 }
+}
