Add the fleet harness of separate processes

Proofs need nodes, backend servers and the platform as processes that can be killed and stopped one by one, and a relay before any of them.

--- /dev/null
+++ b/crates/bench/src/fleet.rs
@@ -0,0 +1,198 @@
+//! A fleet of separate processes on loopback addresses.
+
+use std::fs;
+use std::io;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use compact_str::{CompactString, format_compact};
+use serde_json::{Value, json};
+use tempfile::TempDir;
+
+use crate::backend_state::Runs;
+use crate::history::merge_runs;
+use crate::http::http_get;
+use crate::member::{Member, MemberPlan};
+use crate::process::{Process, free_address, program, wait_for_listener};
+
+const READY_LIMIT: Duration = Duration::from_secs(20);
+const POLL: Duration = Duration::from_millis(20);
+
+/// What a fleet is made of.
+#[derive(Clone, Debug)]
+pub struct FleetPlan {
+    /// The services and the number of their backend servers.
+    pub services: Vec<(CompactString, usize)>,
+    /// The availability zones, which the members of a service take in turn.
+    pub zones: Vec<CompactString>,
+    /// The settings of all services, as the base file names them.
+    pub settings: Value,
+    /// Further arguments of each backend server.
+    pub backend_args: Vec<String>,
+    /// Whether a relay stands before each gate.
+    pub relay_gates: bool,
+    /// Whether a relay stands between each node and its backend server.
+    pub relay_backends: bool,
+}
+
+impl FleetPlan {
+    /// Returns a plan of one service in one availability zone.
+    pub fn new(service: &str, count: usize) -> Self {
+        Self {
+            services: vec![(service.into(), count)],
+            zones: vec!["huaraz".into()],
+            settings: json!({}),
+            backend_args: Vec::new(),
+            relay_gates: false,
+            relay_backends: false,
+        }
+    }
+
+    /// Replaces the settings that every service has.
+    #[must_use]
+    pub fn settings(mut self, settings: Value) -> Self {
+        self.settings = settings;
+        self
+    }
+
+    /// Replaces the further arguments of each backend server.
+    #[must_use]
+    pub fn backend_args(mut self, args: &[&str]) -> Self {
+        self.backend_args = args.iter().map(ToString::to_string).collect();
+        self
+    }
+
+    /// Returns the published value: a base file of all services.
+    pub fn bundle(&self) -> Value {
+        let entry = |(name, _): &(CompactString, usize)| (name.to_string(), self.settings.clone());
+        let services: serde_json::Map<String, Value> = self.services.iter().map(entry).collect();
+        let base = json!({ "services": services }).to_string();
+        json!({ "base": base, "overlays": {} })
+    }
+}
+
+/// A running fleet; its processes end when it is dropped.
+#[derive(Debug)]
+pub struct Fleet {
+    /// The members, service by service.
+    pub members: Vec<Member>,
+    /// The stand-in of the platform.
+    pub platform: Process,
+    /// The address of the platform.
+    pub address: SocketAddr,
+    dir: TempDir,
+}
+
+impl Fleet {
+    /// Starts all processes and waits until every node is ready.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of a start, or the logs of a node that did not get ready.
+    pub async fn start(plan: &FleetPlan) -> io::Result<Self> {
+        let dir = tempfile::tempdir()?;
+        let address = free_address();
+        let mut members = Vec::new();
+        for (service, count) in &plan.services {
+            for number in 0..*count {
+                let zone = plan.zones[number % plan.zones.len()].clone();
+                let plan = MemberPlan {
+                    id: format_compact!("{service}-{number}"),
+                    service: service.clone(),
+                    zone,
+                    platform: address,
+                    backend_args: plan.backend_args.clone(),
+                    relay_gate: plan.relay_gates,
+                    relay_backend: plan.relay_backends,
+                };
+                members.push(Member::start(dir.path(), plan)?);
+            }
+        }
+        let platform = start_platform(&dir, address, plan, &members)?;
+        let mut fleet = Self {
+            members,
+            platform,
+            address,
+            dir,
+        };
+        fleet.wait_ready().await?;
+        Ok(fleet)
+    }
+
+    /// Waits until every node that runs says that it is ready.
+    ///
+    /// # Errors
+    ///
+    /// Returns the log of a node that ends or takes too long.
+    pub async fn wait_ready(&mut self) -> io::Result<()> {
+        let end = Instant::now() + READY_LIMIT;
+        for member in &mut self.members {
+            wait_for_listener(member.backend, READY_LIMIT).await;
+            while !is_ready(member.admin).await {
+                if Instant::now() > end || !member.node.is_running() {
+                    let log = fs::read_to_string(&member.node.log)?;
+                    return Err(io::Error::other(format!(
+                        "{} is not ready:\n{log}",
+                        member.id
+                    )));
+                }
+                tokio::time::sleep(POLL).await;
+            }
+        }
+        Ok(())
+    }
+
+    /// Returns the addresses at which callers enter.
+    pub fn ingresses(&self) -> Vec<SocketAddr> {
+        self.members.iter().map(|member| member.ingress).collect()
+    }
+
+    /// Returns the runs of all backend servers, also of those that were killed.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of a file.
+    pub fn runs(&self) -> io::Result<Runs> {
+        let mut all = Runs::default();
+        for member in &self.members {
+            merge_runs(&mut all, &member.runs()?);
+        }
+        Ok(all)
+    }
+
+    /// Returns the directory of settings, logs and records.
+    pub fn dir(&self) -> &std::path::Path {
+        self.dir.path()
+    }
+}
+
+async fn is_ready(admin: SocketAddr) -> bool {
+    let answer = http_get(admin, "/ready").await;
+    answer.is_some_and(|(status, _)| status == 200)
+}
+
+fn start_platform(
+    dir: &TempDir,
+    address: SocketAddr,
+    plan: &FleetPlan,
+    members: &[Member],
+) -> io::Result<Process> {
+    let bundle = dir.path().join("bundle.json");
+    fs::write(&bundle, plan.bundle().to_string())?;
+    let instances = dir.path().join("instances.json");
+    let entries: Vec<Value> = members.iter().map(|member| member.entry("live")).collect();
+    fs::write(&instances, json!({ "instances": entries }).to_string())?;
+    let args = [
+        "--listen".to_owned(),
+        address.to_string(),
+        "--bundle".to_owned(),
+        bundle.display().to_string(),
+        "--instances".to_owned(),
+        instances.display().to_string(),
+    ];
+    Process::start(
+        &program("platform"),
+        &args,
+        &dir.path().join("platform.log"),
+    )
+}
