--- /dev/null
+++ b/crates/node/src/args.rs
@@ -0,0 +1,67 @@
+//! The command line of the node.
+
+use std::ffi::OsString;
+use std::path::PathBuf;
+
+use clap::{Arg, ArgMatches, Command, value_parser};
+use oriolering::config::ProcessSettings;
+
+use crate::error::{self, NodeError};
+use snafu::ResultExt;
+
+const ABOUT: &str = "The process that runs beside each backend server";
+const EXAMPLE: &str = "\
+The settings are a file of JSON with comments; a flag goes before the same field of the file.
+
+Example:
+  oriolering-node --settings node.jsonc --log debug";
+
+/// Builds the command line: the file, and a flag for each of its fields.
+pub(crate) fn command() -> Command {
+    let file = Arg::new("settings")
+        .long("settings")
+        .value_name("FILE")
+        .value_parser(value_parser!(PathBuf))
+        .help("The file with the settings of this process");
+    let mut command = Command::new("oriolering-node")
+        .about(ABOUT)
+        .version(env!("CARGO_PKG_VERSION"))
+        .after_help(EXAMPLE)
+        .arg(file);
+    for field in ProcessSettings::fields() {
+        let name = field.path.to_string();
+        let long = name.replace('_', "-");
+        let help = field.effect.clone();
+        command = command.arg(Arg::new(name).long(long).value_name("VALUE").help(help));
+    }
+    command
+}
+
+/// Reads the settings from the arguments and the file that they name.
+///
+/// # Errors
+///
+/// Returns an error when the arguments, the file or its content are not usable.
+pub(crate) fn settings(
+    args: impl IntoIterator<Item = OsString>,
+) -> Result<ProcessSettings, NodeError> {
+    let matches = command().try_get_matches_from(args).context(error::ArgumentsSnafu)?;
+    let file = matches.get_one::<PathBuf>("settings");
+    let text = match file {
+        Some(path) => std::fs::read_to_string(path).context(error::FileSnafu { path })?,
+        None => "{}".to_owned(),
+    };
+    let name = file.map_or_else(|| "--settings".to_owned(), |path| path.display().to_string());
+    let fields = ProcessSettings::fields();
+    let flags: Vec<(&str, &str)> = fields
+        .iter()
+        .filter_map(|field| flag(&matches, &field.path))
+        .collect();
+    ProcessSettings::parse_with(&name, &text, &flags)
+        .map_err(|problems| NodeError::Settings { problems })
+}
+
+fn flag<'a>(matches: &'a ArgMatches, name: &'a str) -> Option<(&'a str, &'a str)> {
+    let value = matches.get_one::<String>(name)?;
+    Some((name, value))
+}
--- a/crates/node/src/crash.rs
+++ b/crates/node/src/crash.rs
@@ -1,5 +1,7 @@
 //! What a node does about requests that backend servers die of.
 
+use oriolering::QuarantineEntry;
+
 use crate::state::Node;
 
 impl Node {
@@ -15,4 +17,10 @@
     pub(crate) fn cleared(&self, fingerprint: u64) {
         self.quarantine.lock().cleared(fingerprint);
     }
+
+    /// Takes up quarantines that peers have spread.
+    pub(crate) fn adopt(&self, entries: &[QuarantineEntry]) {
+        let now = self.clock.now();
+        self.quarantine.lock().adopt(now, entries);
+    }
 }
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -5,13 +5,14 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use oriolering::config::{ProcessSettings, Service, Settings};
-use oriolering::{Clock, Gate, GateSettings, Incarnation, Member, Millis, Quarantine};
+use oriolering::{Clock, Gate, GateSettings, Incarnation, Member, Millis};
 use parking_lot::Mutex;
 
 use crate::admission::Admission;
 use crate::control::Handle;
 use crate::directory::{Directory, Me};
 use crate::metrics::Metrics;
+use crate::quarantine::Quarantine;
 use crate::traces::Traces;
 use crate::watch::Watch;
 
