--- a/crates/oriolering/src/lib.rs
+++ b/crates/oriolering/src/lib.rs
@@ -30,6 +30,7 @@
 mod limit;
 mod load;
 mod member;
+mod offer;
 mod outcome;
 mod panic_rule;
 mod pause;
@@ -42,6 +43,8 @@
 mod revision;
 mod roster;
 mod section;
+mod server;
+mod slots;
 mod spread;
 mod standing;
 mod subset;
@@ -57,10 +60,7 @@
 pub use explain::{Class, Explanation};
 pub use fate::Fate;
 pub use gate::{Decision, Finish, Gate, GateEvent, GateSettings, Offer};
-pub use header::{
-    ACK, ATTEMPT, CALL_ID, CRASHES, CUSTOMER, DEADLINE, FINGERPRINT, GRANT, LOAD, OUTCOME, REASON,
-    RETRY_AFTER_MS, SERVICE, STEP,
-};
+pub use header::{ACK, ATTEMPT, CALL_ID, CRASHES, CUSTOMER, DEADLINE, FINGERPRINT, GRANT, LOAD, OUTCOME, REASON, RETRY_AFTER_MS, SERVICE, STEP};
 pub use hedge::Hedge;
 pub use keys::{CallId, Grant, Incarnation, ServerKey, ServiceKey, ZoneKey};
 pub use latency::Latency;
@@ -68,6 +68,7 @@
 pub use limit::Limit;
 pub use load::LoadHint;
 pub use member::Member;
+pub use offer::{Decision, Finish, GateEvent, GateSettings, Offer};
 pub use outcome::{Cause, Outcome, Refusal};
 pub use pause::{Pause, SETTLE_MS, TICK_MAX_MS};
 pub use policy::{ChoiceSettings, Policy};
@@ -78,8 +79,5 @@
 pub use retry::{AttemptState, Failure, RetryBudget, Step, next_step};
 pub use revision::{Head, Ignored, Published, Standing};
 pub use roster::{MEMBERS_MAX, MemberNote, NOTE_AGE_MAX_MS, Roster};
-pub use section::{
-    Digest, SECTION_MAX_BYTES, SECTION_MIN_BYTES, SECTIONS_MAX, Section, VALUE_BYTES, pack, split,
-    unpack,
-};
-pub use spread::{QUARANTINE_MAX_MS, QUARANTINES_MAX, QuarantineEntry, Spread};
+pub use section::{Digest, SECTIONS_MAX, SECTION_MAX_BYTES, SECTION_MIN_BYTES, Section, VALUE_BYTES, pack, split, unpack};
+pub use spread::{QUARANTINES_MAX, QUARANTINE_MAX_MS, QuarantineEntry, Spread};
