Check settings against the schema of their types and report every problem at once

Cause: a set must be accepted or refused alike at every node, with remedies an operator can act on. Ruled out: hand-written readers for each type, which would state every limit twice, and errors of the deserializer, which stop at the first and lose the place of merged values. Change: a tree that keeps places, a checker driven by the schema of the types, rules between fields, the process settings with flags, and differences by effect.

--- /dev/null
+++ b/crates/oriolering/src/config/change.rs
@@ -0,0 +1,277 @@
+//! The differences between two sets by their effect.
+
+use std::collections::BTreeSet;
+use std::fmt;
+
+use compact_str::CompactString;
+use serde_json::Value;
+use smallvec::SmallVec;
+
+use crate::config::shape::{Kind, Shape};
+use crate::config::{Service, Set, Settings};
+
+/// One difference of the effective settings of a service.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Change {
+    /// Where the difference is in force.
+    pub scope: Scope,
+    /// The service.
+    pub service: CompactString,
+    /// The path of the field; empty when the service as a whole came or went.
+    pub path: CompactString,
+    /// What changes.
+    pub effect: Effect,
+}
+
+/// Where a difference is in force.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Scope {
+    /// At every site.
+    Everywhere,
+    /// At the sites without an overlay.
+    Elsewhere,
+    /// At these sites.
+    Sites(SmallVec<[CompactString; 4]>),
+}
+
+/// What changes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Effect {
+    /// The service is new.
+    Added,
+    /// The service is gone.
+    Removed,
+    /// A field has another value.
+    Field {
+        /// The name of the field in a sentence.
+        title: String,
+        /// The unit of the values, or nothing.
+        unit: CompactString,
+        /// The value before.
+        old: Value,
+        /// The value after.
+        new: Value,
+    },
+}
+
+impl fmt::Display for Change {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let service = &self.service;
+        match &self.effect {
+            Effect::Added => write!(f, "{}, {service} is a new service", self.scope),
+            Effect::Removed => write!(f, "{}, {service} is no longer a service", self.scope),
+            Effect::Field {
+                title,
+                unit,
+                old,
+                new,
+            } => {
+                let verb = verb(old, new);
+                let unit = suffix(unit);
+                let [old, new] = [plain(old), plain(new)];
+                let scope = &self.scope;
+                write!(
+                    f,
+                    "{scope}, {service}'s {title} {verb} from {old}{unit} to {new}{unit}"
+                )
+            }
+        }
+    }
+}
+
+impl fmt::Display for Scope {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Everywhere => write!(f, "everywhere"),
+            Self::Elsewhere => write!(f, "at sites without an overlay"),
+            Self::Sites(sites) => {
+                let names: Vec<String> = sites.iter().map(|s| capitalized(s)).collect();
+                match names.split_last() {
+                    Some((last, [])) => write!(f, "in {last}"),
+                    Some((last, rest)) => write!(f, "in {} and {last}", rest.join(", ")),
+                    None => write!(f, "nowhere"),
+                }
+            }
+        }
+    }
+}
+
+/// Returns how the effective settings differ at each site, in the order of services and
+/// fields. Texts that differ without an effect give no change.
+pub fn diff(old: &Set, new: &Set) -> Vec<Change> {
+    let shape = Shape::of::<Service>();
+    let sites: BTreeSet<&str> = old.sites().chain(new.sites()).collect();
+    let elsewhere = changes(old.base(), new.base(), &shape);
+    let mut grouped: Vec<Group> = Vec::new();
+    for site in &sites {
+        for step in changes(&old.site(site), &new.site(site), &shape) {
+            add(&mut grouped, step, Some((*site).into()));
+        }
+    }
+    for step in elsewhere {
+        add(&mut grouped, step, None);
+    }
+    grouped.sort_by(|a, b| a.step.rank().cmp(&b.step.rank()));
+    let finish = |group: Group| group.into_changes(sites.len());
+    grouped.into_iter().flat_map(finish).collect()
+}
+
+/// A difference before it is known at which sites it is in force.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Step {
+    service: CompactString,
+    path: CompactString,
+    effect: Effect,
+}
+
+impl Step {
+    fn rank(&self) -> (&str, &str) {
+        (&self.service, &self.path)
+    }
+}
+
+/// A difference with all places where it is in force.
+struct Group {
+    step: Step,
+    sites: SmallVec<[CompactString; 4]>,
+    elsewhere: bool,
+}
+
+impl Group {
+    fn into_changes(self, all: usize) -> Vec<Change> {
+        let mut scopes = Vec::new();
+        if self.elsewhere && self.sites.len() == all {
+            scopes.push(Scope::Everywhere);
+        } else {
+            if !self.sites.is_empty() {
+                scopes.push(Scope::Sites(self.sites));
+            }
+            if self.elsewhere {
+                scopes.push(Scope::Elsewhere);
+            }
+        }
+        let step = self.step;
+        let change = |scope| Change {
+            scope,
+            service: step.service.clone(),
+            path: step.path.clone(),
+            effect: step.effect.clone(),
+        };
+        scopes.into_iter().map(change).collect()
+    }
+}
+
+/// Adds a difference of one site, or of the sites without an overlay.
+fn add(groups: &mut Vec<Group>, step: Step, site: Option<CompactString>) {
+    let index = groups.iter().position(|g| g.step == step);
+    let index = index.unwrap_or_else(|| {
+        groups.push(Group {
+            step,
+            sites: SmallVec::new(),
+            elsewhere: false,
+        });
+        groups.len() - 1
+    });
+    match site {
+        Some(site) => groups[index].sites.push(site),
+        None => groups[index].elsewhere = true,
+    }
+}
+
+/// Returns the differences at one site.
+fn changes(old: &Settings, new: &Settings, shape: &Shape) -> Vec<Step> {
+    let mut steps = Vec::new();
+    for before in &old.services {
+        match new.services.iter().find(|s| s.name == before.name) {
+            Some(after) if after == before => {}
+            Some(after) => compare(before, after, shape, &mut steps),
+            None => steps.push(whole(before, Effect::Removed)),
+        }
+    }
+    let is_new = |s: &&Service| old.key(&s.name).is_none();
+    let added = new.services.iter().filter(is_new);
+    steps.extend(added.map(|s| whole(s, Effect::Added)));
+    steps
+}
+
+fn whole(service: &Service, effect: Effect) -> Step {
+    Step {
+        service: service.name.clone(),
+        path: CompactString::default(),
+        effect,
+    }
+}
+
+fn compare(old: &Service, new: &Service, shape: &Shape, steps: &mut Vec<Step>) {
+    let [before, after] = [old, new].map(|s| serde_json::json!(s));
+    let mut found = Vec::new();
+    walk(&before, &after, shape, "", &mut found);
+    steps.extend(found.into_iter().map(|(path, effect)| Step {
+        service: old.name.clone(),
+        path,
+        effect,
+    }));
+}
+
+fn walk(
+    old: &Value,
+    new: &Value,
+    shape: &Shape,
+    path: &str,
+    found: &mut Vec<(CompactString, Effect)>,
+) {
+    if old == new {
+        return;
+    }
+    let Kind::Group(fields) = &shape.kind else {
+        let effect = Effect::Field {
+            title: shape.title.clone().unwrap_or_else(|| path.to_owned()),
+            unit: shape.unit.clone().unwrap_or_default(),
+            old: old.clone(),
+            new: new.clone(),
+        };
+        found.push((path.into(), effect));
+        return;
+    };
+    for (key, field) in fields {
+        let key = key.as_str();
+        let path = super::reader::join(path, key);
+        walk(&old[key], &new[key], field, &path, found);
+    }
+}
+
+fn verb(old: &Value, new: &Value) -> &'static str {
+    match (old.as_u64(), new.as_u64()) {
+        (Some(old), Some(new)) if new < old => "falls",
+        (Some(_), Some(_)) => "rises",
+        _ => "changes",
+    }
+}
+
+/// Returns the unit as it follows a number; things that are counted need none.
+fn suffix(unit: &str) -> String {
+    match unit {
+        "ms" | "ms per second" | "bytes" | "percent" => format!(" {unit}"),
+        _ => String::new(),
+    }
+}
+
+/// Returns a value without quotes and brackets.
+fn plain(value: &Value) -> String {
+    match value {
+        Value::Null => "none".to_owned(),
+        Value::Bool(value) => value.to_string(),
+        Value::Number(value) => value.to_string(),
+        Value::String(text) => text.clone(),
+        Value::Array(items) if items.is_empty() => "none".to_owned(),
+        Value::Array(items) => items.iter().map(plain).collect::<Vec<_>>().join(", "),
+        Value::Object(_) => value.to_string(),
+    }
+}
+
+/// Returns a name whose first letter is upper case.
+fn capitalized(name: &str) -> String {
+    let mut chars = name.chars();
+    let first = chars.next().map(|c| c.to_uppercase().to_string());
+    first.unwrap_or_default() + chars.as_str()
+}
--- /dev/null
+++ b/crates/oriolering/src/config/fault.rs
@@ -0,0 +1,167 @@
+//! The kinds of faults in settings, each with its remedy.
+
+use compact_str::CompactString;
+use snafu::Snafu;
+
+/// What is wrong with a field, and what to do about it.
+///
+/// A message continues the path of the field: "services.caja.queue.length" "is 0; …".
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+#[snafu(visibility(pub(crate)))]
+pub enum Fault {
+    /// The text is no JSON with comments.
+    #[snafu(display("cannot be read ({detail}); correct the text at this place"))]
+    Syntax {
+        /// What the parser found.
+        detail: String,
+    },
+    /// The bundle or a file is too large.
+    #[snafu(display("has {bytes} bytes; shorten it to at most {limit}"))]
+    Size {
+        /// The size.
+        bytes: usize,
+        /// The largest size that is accepted.
+        limit: usize,
+    },
+    /// Values are nested too deeply.
+    #[snafu(display("is nested deeper than {limit} levels; remove the extra levels"))]
+    Depth {
+        /// The deepest level that is accepted.
+        limit: usize,
+    },
+    /// A key stands twice in one object.
+    #[snafu(display("is set twice; remove it here or on line {line}"))]
+    Duplicate {
+        /// The line of the first one.
+        line: u32,
+    },
+    /// No field has this name.
+    #[snafu(display("is not a field; {}", suggest("write", near, "remove it")))]
+    Unknown {
+        /// The field whose name is the nearest.
+        near: Option<CompactString>,
+    },
+    /// An overlay names a service that the base lacks.
+    #[snafu(display(
+        "is not a service of the base; {}",
+        suggest("write", near, "add it to the base file or remove it here")
+    ))]
+    Service {
+        /// The service whose name is the nearest.
+        near: Option<CompactString>,
+    },
+    /// A value is null where that resets nothing.
+    #[snafu(display("is null; {remedy}"))]
+    Null {
+        /// What to do instead.
+        remedy: &'static str,
+    },
+    /// A value has the wrong type.
+    #[snafu(display("is {found}; write {wanted}"))]
+    Type {
+        /// The value found.
+        found: String,
+        /// The kind of value that belongs here.
+        wanted: String,
+    },
+    /// A number is written as text, mostly with a unit.
+    #[snafu(display(
+        "is \"{found}\"; write {number}, the number of {unit} without quotes or unit"
+    ))]
+    Unit {
+        /// The text found.
+        found: String,
+        /// The same quantity in the unit of the field.
+        number: u64,
+        /// The unit of the field.
+        unit: CompactString,
+    },
+    /// A number is too small.
+    #[snafu(display("is {found}; set it to at least {least}"))]
+    Low {
+        /// The number found.
+        found: CompactString,
+        /// The least number that is accepted.
+        least: u64,
+    },
+    /// A number is too large.
+    #[snafu(display("is {found}; set it to at most {most}"))]
+    High {
+        /// The number found.
+        found: CompactString,
+        /// The largest number that is accepted.
+        most: u64,
+    },
+    /// A text is none of those that are allowed.
+    #[snafu(display(
+        "is \"{found}\"; {}",
+        suggest("write", near, &format!("write one of {}", allowed.join(", ")))
+    ))]
+    Choice {
+        /// The text found.
+        found: String,
+        /// The allowed text that is the nearest.
+        near: Option<CompactString>,
+        /// All that is allowed.
+        allowed: Vec<CompactString>,
+    },
+    /// A text has the wrong form.
+    #[snafu(display("is \"{found}\"; write {wanted}"))]
+    Form {
+        /// The text found.
+        found: String,
+        /// The form that is accepted.
+        wanted: &'static str,
+    },
+    /// A field without a default is missing.
+    #[snafu(display("is missing; add it{}", or_flag(flag)))]
+    Missing {
+        /// The flag that sets the same field.
+        flag: Option<String>,
+    },
+    /// A number is above the bound that another field sets.
+    #[snafu(display("is {found}, above {bound}, which is {limit}; lower it or raise {bound}"))]
+    Above {
+        /// The number found.
+        found: u64,
+        /// The field that sets the bound.
+        bound: CompactString,
+        /// The value of that field.
+        limit: u64,
+    },
+    /// A number is below the bound that another field sets.
+    #[snafu(display("is {found}, below {bound}, which is {limit}; raise it or lower {bound}"))]
+    Below {
+        /// The number found.
+        found: u64,
+        /// The field that sets the bound.
+        bound: CompactString,
+        /// The value of that field.
+        limit: u64,
+    },
+    /// Two fields contradict each other.
+    #[snafu(display("is {found}, but {other}; {remedy}"))]
+    Conflict {
+        /// The value found.
+        found: String,
+        /// What stands against it.
+        other: String,
+        /// What to do about it.
+        remedy: &'static str,
+    },
+}
+
+/// Returns "`verb` `near`", or `otherwise` when nothing is near.
+fn suggest(verb: &str, near: &Option<CompactString>, otherwise: &str) -> String {
+    match near {
+        Some(near) => format!("{verb} {near}, or {otherwise}"),
+        None => otherwise.to_owned(),
+    }
+}
+
+fn or_flag(flag: &Option<String>) -> String {
+    match flag {
+        Some(flag) => format!(" to the file or give {flag}"),
+        None => String::new(),
+    }
+}
--- a/crates/oriolering/src/config/limits.rs
+++ b/crates/oriolering/src/config/limits.rs
@@ -8,16 +8,15 @@
 /// The concurrency limit of a gate.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(default, deny_unknown_fields)]
-#[schemars(inline)]
 pub struct Slots {
     /// The limit that a gate starts with.
-    #[schemars(range(min = 1, max = 10_000), extend("x-unit" = "requests"))]
+    #[schemars(range(min = 1, max = 10_000), extend("x-unit" = "requests", "x-title" = "initial limit"))]
     pub initial: u32,
     /// The limit below which a gate never goes.
-    #[schemars(range(min = 1, max = 10_000), extend("x-unit" = "requests"))]
+    #[schemars(range(min = 1, max = 10_000), extend("x-unit" = "requests", "x-title" = "lowest limit"))]
     pub min: u32,
     /// The limit above which a gate never goes.
-    #[schemars(range(min = 1, max = 10_000), extend("x-unit" = "requests"))]
+    #[schemars(range(min = 1, max = 10_000), extend("x-unit" = "requests", "x-title" = "highest limit"))]
     pub max: u32,
 }
 
@@ -34,13 +33,12 @@
 /// The queue of a gate.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(default, deny_unknown_fields)]
-#[schemars(inline)]
 pub struct Queue {
     /// The most requests that wait at one gate; one more is refused as not run.
-    #[schemars(range(min = 1, max = 10_000), extend("x-unit" = "requests"))]
+    #[schemars(range(min = 1, max = 10_000), extend("x-unit" = "requests", "x-title" = "queue"))]
     pub length: u32,
     /// The longest wait at a gate; a request that waited longer is refused as not run.
-    #[schemars(range(min = 1, max = 600_000), extend("x-unit" = "ms"))]
+    #[schemars(range(min = 1, max = 600_000), extend("x-unit" = "ms", "x-title" = "longest wait"))]
     pub wait_ms: u64,
 }
 
@@ -56,13 +54,12 @@
 /// Sending a failed call to another backend server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(default, deny_unknown_fields)]
-#[schemars(inline)]
 pub struct Retry {
     /// The retries that an ingress may make for each hundred calls. At 0 none are made.
-    #[schemars(range(max = 100), extend("x-unit" = "percent"))]
+    #[schemars(range(max = 100), extend("x-unit" = "percent", "x-title" = "retry budget"))]
     pub percent: u32,
     /// The most attempts of one call, the first one included.
-    #[schemars(range(min = 1, max = 10), extend("x-unit" = "attempts"))]
+    #[schemars(range(min = 1, max = 10), extend("x-unit" = "attempts", "x-title" = "attempts"))]
     pub attempts: u32,
 }
 
@@ -78,13 +75,12 @@
 /// Sending a slow idempotent call to a second backend server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(default, deny_unknown_fields)]
-#[schemars(inline)]
 pub struct Hedge {
     /// The hedged attempts that an ingress may make for each hundred calls.
-    #[schemars(range(max = 100), extend("x-unit" = "percent"))]
+    #[schemars(range(max = 100), extend("x-unit" = "percent", "x-title" = "hedge budget"))]
     pub percent: u32,
     /// How long an attempt runs before a second one is sent. At 0 calls are not hedged.
-    #[schemars(range(max = 600_000), extend("x-unit" = "ms"))]
+    #[schemars(range(max = 600_000), extend("x-unit" = "ms", "x-title" = "hedge delay"))]
     pub after_ms: u64,
 }
 
@@ -100,20 +96,19 @@
 /// The budget for measuring backend servers and load.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(default, deny_unknown_fields)]
-#[schemars(inline)]
 pub struct Measure {
     /// The work that all nodes of the service together may spend on measuring in each second.
     /// At 0 nothing is measured but what answers carry.
-    #[schemars(range(max = 10_000), extend("x-unit" = "ms per second"))]
+    #[schemars(range(max = 10_000), extend("x-unit" = "ms per second", "x-title" = "measuring budget"))]
     pub budget_ms: u64,
     /// The cost of one probe that is debited before it is sent.
-    #[schemars(range(min = 1, max = 1_000), extend("x-unit" = "ms"))]
+    #[schemars(range(min = 1, max = 1_000), extend("x-unit" = "ms", "x-title" = "cost of a probe"))]
     pub probe_ms: u64,
     /// The cost of one new connection that is debited before it is opened.
-    #[schemars(range(min = 1, max = 1_000), extend("x-unit" = "ms"))]
+    #[schemars(range(min = 1, max = 1_000), extend("x-unit" = "ms", "x-title" = "cost of a connection"))]
     pub connect_ms: u64,
     /// The time between two polls of the backend server's load endpoint by its gate.
-    #[schemars(range(min = 10, max = 600_000), extend("x-unit" = "ms"))]
+    #[schemars(range(min = 10, max = 600_000), extend("x-unit" = "ms", "x-title" = "poll interval"))]
     pub poll_ms: u64,
 }
 
@@ -131,13 +126,13 @@
 /// How a backend server says that it sheds load.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(default, deny_unknown_fields)]
-#[schemars(inline)]
 pub struct Shed {
     /// The status of an answer by which a backend server sheds a request.
-    #[schemars(range(min = 400, max = 599), extend("x-unit" = "HTTP status"))]
+    #[schemars(range(min = 400, max = 599), extend("x-unit" = "HTTP status", "x-title" = "shed status"))]
     pub status: u16,
     /// Whether a shed request is sure not to have run. Only then is a request that is not
     /// idempotent sent again.
+    #[schemars(extend("x-title" = "promise that a shed request did not run"))]
     pub not_run: bool,
 }
 
@@ -153,25 +148,24 @@
 /// How an ingress chooses a backend server.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(default, deny_unknown_fields)]
-#[schemars(inline)]
 pub struct Choice {
     /// The policy.
+    #[schemars(extend("x-title" = "choice policy"))]
     pub policy: Policy,
     /// The number of backend servers that one ingress connects to. At 0 it connects to all.
-    #[schemars(range(max = 10_000), extend("x-unit" = "backend servers"))]
+    #[schemars(range(max = 10_000), extend("x-unit" = "backend servers", "x-title" = "subset"))]
     pub subset: u32,
 }
 
 /// The answers that a gate keeps until their ingress has them whole.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(default, deny_unknown_fields)]
-#[schemars(inline)]
 pub struct Buffer {
     /// The largest answer that is kept; a larger one is only streamed.
-    #[schemars(range(max = 16_777_216), extend("x-unit" = "bytes"))]
+    #[schemars(range(max = 16_777_216), extend("x-unit" = "bytes", "x-title" = "largest kept answer"))]
     pub answer_bytes: u64,
     /// The memory for all kept answers of one gate.
-    #[schemars(range(max = 33_554_432), extend("x-unit" = "bytes"))]
+    #[schemars(range(max = 33_554_432), extend("x-unit" = "bytes", "x-title" = "memory for kept answers"))]
     pub total_bytes: u64,
 }
 
--- a/crates/oriolering/src/config/method.rs
+++ b/crates/oriolering/src/config/method.rs
@@ -6,7 +6,6 @@
 /// A method of an HTTP request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(rename_all = "UPPERCASE")]
-#[schemars(inline)]
 pub enum Method {
     /// Reads a resource.
     Get,
--- a/crates/oriolering/src/config/problem.rs
+++ b/crates/oriolering/src/config/problem.rs
@@ -1,23 +1,116 @@
-//! What is wrong with a configuration.
+//! What is wrong with settings, and where.
 
 use std::error::Error;
 use std::fmt;
 
-/// One problem.
+use compact_str::CompactString;
+
+use crate::config::{Fault, Place};
+
+/// The most problems that are reported at once.
+const MAX_PROBLEMS: usize = 1_000;
+
+/// One problem of the settings.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Problem {
-    /// What is wrong.
-    pub text: String,
+    /// Where it stands.
+    pub place: Place,
+    /// The path of the field, such as `services.caja.queue.length`; empty for a whole file.
+    pub path: CompactString,
+    /// What is wrong, and the remedy.
+    pub fault: Fault,
 }
 
-/// All problems of a configuration.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Problems(pub Vec<Problem>);
+impl fmt::Display for Problem {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let path = match self.path.as_str() {
+            "" => "the file",
+            path => path,
+        };
+        write!(f, "{}: {path} {}", self.place, self.fault)
+    }
+}
+
+/// All problems of the settings, in the order of files and lines.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Problems(Vec<Problem>);
+
+impl Problems {
+    /// Returns the problems.
+    pub fn iter(&self) -> impl Iterator<Item = &Problem> {
+        self.0.iter()
+    }
+
+    /// Returns the number of problems.
+    pub fn len(&self) -> usize {
+        self.0.len()
+    }
+
+    /// Returns whether there is no problem.
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
+    pub(crate) fn push(&mut self, place: &Place, path: &str, fault: Fault) {
+        if self.is_full() {
+            return;
+        }
+        self.0.push(Problem {
+            place: place.clone(),
+            path: path.into(),
+            fault,
+        });
+    }
+
+    /// Returns the one problem of a value that its types refuse.
+    pub(crate) fn unreadable(file: &str, e: &serde_json::Error) -> Self {
+        let mut problems = Self::default();
+        let detail = e.to_string();
+        problems.push(&Place::whole(file), "", Fault::Syntax { detail });
+        problems
+    }
+
+    /// Returns whether so many problems are known that looking for more is of no use.
+    pub(crate) fn is_full(&self) -> bool {
+        self.0.len() >= MAX_PROBLEMS
+    }
+
+    /// Returns whether a problem of `file` concerns the field at `path`.
+    pub(crate) fn touches(&self, file: &str, path: &str) -> bool {
+        self.0
+            .iter()
+            .filter(|p| p.place.file == file)
+            .any(|p| is_within(&p.path, path) || is_within(path, &p.path))
+    }
+
+    /// Returns `value` when there is no problem.
+    pub(crate) fn into_result<T>(mut self, value: T) -> Result<T, Self> {
+        if self.is_empty() {
+            return Ok(value);
+        }
+        self.0
+            .sort_by_cached_key(|p| (p.place.clone(), p.to_string()));
+        self.0.dedup();
+        Err(self)
+    }
+}
+
+/// Returns whether `path` is `outer` or lies below it; the empty path is the whole file.
+fn is_within(path: &str, outer: &str) -> bool {
+    if outer.is_empty() {
+        return true;
+    }
+    let rest = path.strip_prefix(outer);
+    rest.is_some_and(|rest| rest.is_empty() || rest.starts_with(['.', '[']))
+}
 
 impl fmt::Display for Problems {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        for problem in &self.0 {
-            writeln!(f, "{}", problem.text)?;
+        for (i, problem) in self.0.iter().enumerate() {
+            if i > 0 {
+                writeln!(f)?;
+            }
+            write!(f, "{problem}")?;
         }
         Ok(())
     }
--- a/crates/oriolering/src/config/set.rs
+++ b/crates/oriolering/src/config/set.rs
@@ -3,9 +3,22 @@
 use std::collections::BTreeMap;
 
 use compact_str::CompactString;
-use serde_json::Value;
 
-use crate::config::{Bundle, Problem, Problems, Settings};
+use crate::config::bundle::check_size;
+use crate::config::check::{Check, Role, check_required};
+use crate::config::fault::Fault;
+use crate::config::nearest::nearest;
+use crate::config::node::{Entry, Node};
+use crate::config::reader::{self, join};
+use crate::config::rules::Rules;
+use crate::config::shape::{Form, Shape};
+use crate::config::{Bundle, Place, Problems, Service, Settings, base::Base};
+
+/// The name of the base file in problems.
+const BASE_FILE: &str = "base.jsonc";
+
+/// The most services of a set.
+const MAX_SERVICES: u64 = 1_000;
 
 /// A valid set of base and overlays.
 #[derive(Clone, Debug, PartialEq)]
@@ -15,23 +28,38 @@
 }
 
 impl Set {
-    /// Reads and checks the base and every overlay.
+    /// Reads and checks the base and every overlay. The verdict depends on the bundle alone,
+    /// so it is the same at every node.
     ///
     /// # Errors
     ///
-    /// Returns all problems of all files.
+    /// Returns the problems of all files when there are any.
     pub fn parse(bundle: &Bundle) -> Result<Self, Problems> {
-        let base = read(&bundle.base)?;
-        let mut sites = BTreeMap::new();
+        let mut problems = Problems::default();
+        check_size(bundle.render().len(), &mut problems);
+        if !problems.is_empty() {
+            return Err(problems);
+        }
+        let shape = Shape::of::<Base>();
+        let base = read_base(&bundle.base, &shape, &mut problems);
+        let mut overlays = Vec::new();
         for (site, text) in &bundle.overlays {
+            let overlay = read_overlay(site, text, &shape, base.as_ref(), &mut problems);
+            overlays.extend(overlay.map(|node| (site.clone(), node)));
+        }
+        let Some(base) = base else {
+            return problems.into_result(Self::empty());
+        };
+        let mut sites = BTreeMap::new();
+        for (site, overlay) in overlays {
             let mut merged = base.clone();
-            merge(&mut merged, read(text)?);
-            sites.insert(site.clone(), settings(merged)?);
+            if !problems.is_full() {
+                merged.merge(&overlay);
+            }
+            sites.insert(site, effective(&merged, &overlay.place.file, &mut problems));
         }
-        Ok(Self {
-            base: settings(base)?,
-            sites,
-        })
+        let base = effective(&base, BASE_FILE, &mut problems);
+        problems.into_result(Self { base, sites })
     }
 
     /// Returns the effective settings of a site; a site without an overlay has the base's.
@@ -39,42 +67,145 @@
         self.sites.get(site).unwrap_or(&self.base).clone()
     }
 
-    /// Returns the sites that have an overlay.
+    /// Returns the settings of every site without an overlay.
+    pub fn base(&self) -> &Settings {
+        &self.base
+    }
+
+    /// Returns the sites that have an overlay, in the order of their names.
     pub fn sites(&self) -> impl Iterator<Item = &str> {
         self.sites.keys().map(CompactString::as_str)
     }
+
+    fn empty() -> Self {
+        Self {
+            base: Settings::default(),
+            sites: BTreeMap::new(),
+        }
+    }
+}
+
+/// Returns the name of a site's overlay in problems.
+fn overlay_file(site: &str) -> String {
+    format!("overlays/{site}.jsonc")
+}
+
+fn read_base(text: &str, shape: &Shape, problems: &mut Problems) -> Option<Node> {
+    let node = reader::read(BASE_FILE, text, problems)?;
+    let mut check = Check {
+        role: Role::Base,
+        problems,
+    };
+    check.value(&node, shape, "");
+    check_required(&node, shape, false, problems);
+    if let Some(services) = node.get("services") {
+        check_count(services, problems);
+    }
+    Some(node)
 }
 
-fn problem(e: impl ToString) -> Problems {
-    Problems(vec![Problem {
-        text: e.to_string(),
-    }])
+fn check_count(services: &Node, problems: &mut Problems) {
+    let count = services.entries().len() as u64;
+    let found = compact_str::format_compact!("a list of {count} services");
+    let fault = match count {
+        0 => Fault::Low { found, least: 1 },
+        1..=MAX_SERVICES => return,
+        _ => Fault::High {
+            found,
+            most: MAX_SERVICES,
+        },
+    };
+    problems.push(&services.place, "services", fault);
 }
 
-fn read(text: &str) -> Result<Value, Problems> {
-    jsonc_parser::parse_to_serde_value(text, &jsonc_parser::ParseOptions::default())
-        .map_err(problem)
+fn read_overlay(
+    site: &str,
+    text: &str,
+    shape: &Shape,
+    base: Option<&Node>,
+    problems: &mut Problems,
+) -> Option<Node> {
+    let file = overlay_file(site);
+    if !Form::Name.accepts(site) {
+        let fault = Fault::Form {
+            found: site.to_owned(),
+            wanted: Form::Name.wanted(),
+        };
+        problems.push(&Place::whole(&file), "", fault);
+    }
+    let node = reader::read(&file, text, problems)?;
+    let mut check = Check {
+        role: Role::Overlay,
+        problems,
+    };
+    check.value(&node, shape, "");
+    if let Some(services) = base.and_then(|base| base.get("services")) {
+        check_services(&node, services, problems);
+    }
+    Some(node)
 }
 
-fn merge(base: &mut Value, over: Value) {
-    match (base, over) {
-        (Value::Object(base), Value::Object(over)) => {
-            for (key, value) in over {
-                merge(base.entry(key).or_insert(Value::Null), value);
-            }
+/// Reports the services of an overlay that the base lacks.
+fn check_services(overlay: &Node, services: &Node, problems: &mut Problems) {
+    let entries = overlay.get("services").map_or(&[][..], Node::entries);
+    for entry in entries {
+        if problems.is_full() {
+            return;
         }
-        (base, over) => *base = over,
+        if services.get(&entry.key).is_none() {
+            let names = services.entries().iter().map(|e| e.key.as_str());
+            let near = nearest(&entry.key, names);
+            let path = join("services", &entry.key);
+            problems.push(&entry.place, &path, Fault::Service { near });
+        }
+    }
+}
+
+/// Returns the effective settings of a site, and checks the rules between fields.
+fn effective(merged: &Node, file: &str, problems: &mut Problems) -> Settings {
+    let entries = merged.get("services").map_or(&[][..], Node::entries);
+    let services = entries
+        .iter()
+        .filter_map(|entry| effective_service(merged, entry, file, problems));
+    Settings {
+        services: services.collect(),
     }
 }
 
-fn settings(merged: Value) -> Result<Settings, Problems> {
-    let mut services = Vec::new();
-    let entries = merged.get("services").and_then(Value::as_object);
-    for (name, value) in entries.into_iter().flatten() {
-        let mut service: crate::config::Service =
-            serde_json::from_value(value.clone()).map_err(problem)?;
-        service.name = name.into();
-        services.push(service);
+/// Returns the settings of one service; `None` when its fields already have problems.
+fn effective_service(
+    merged: &Node,
+    entry: &Entry,
+    file: &str,
+    problems: &mut Problems,
+) -> Option<Service> {
+    let path = join("services", &entry.key);
+    let files = [BASE_FILE, file];
+    let is_faulty = |path| files.iter().any(|file| problems.touches(file, path));
+    if problems.is_full() || is_faulty(&path) || is_faulty("defaults") {
+        return None;
+    }
+    let mut node = Node::empty(entry.place.clone());
+    if let Some(defaults) = merged.get("defaults") {
+        node.merge(defaults);
     }
-    Ok(Settings { services })
+    node.merge(&entry.value);
+    let mut service: Service = match serde_json::from_value(node.to_json()) {
+        Ok(service) => service,
+        Err(e) => {
+            let detail = e.to_string();
+            problems.push(&entry.place, &path, Fault::Syntax { detail });
+            return None;
+        }
+    };
+    service.name = entry.key.clone();
+    let mut rules = Rules {
+        service: &service,
+        node: &node,
+        path: &path,
+        base: BASE_FILE,
+        problems,
+    };
+    rules.check();
+    Some(service)
 }
--- /dev/null
+++ b/crates/oriolering/src/config/shape.rs
@@ -0,0 +1,165 @@
+//! The shape that settings must have, taken from the schema of their types.
+
+use compact_str::CompactString;
+use schemars::generate::SchemaSettings;
+use schemars::{JsonSchema, Schema};
+use serde_json::Value;
+
+/// What a value of the settings may be, and what it means.
+#[derive(Clone, Debug)]
+pub(crate) struct Shape {
+    pub(crate) kind: Kind,
+    /// What the field does, in one or two sentences.
+    pub(crate) effect: String,
+    /// The name of the field in a sentence, such as "queue wait".
+    pub(crate) title: Option<String>,
+    pub(crate) unit: Option<CompactString>,
+    pub(crate) default: Option<Value>,
+    pub(crate) required: bool,
+}
+
+/// The kinds of values.
+#[derive(Clone, Debug)]
+pub(crate) enum Kind {
+    Group(Vec<(CompactString, Shape)>),
+    Map(Box<Shape>),
+    List(Box<Shape>),
+    Whole { min: u64, max: u64 },
+    Bool,
+    Choice(Vec<CompactString>),
+    Text(Form),
+}
+
+/// The forms of texts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Form {
+    /// A name of a service, site, zone, region or instance.
+    Name,
+    /// A lower-case name of a header.
+    Header,
+    /// An IP number with a port.
+    Address,
+    /// Any text.
+    Any,
+}
+
+/// Returns the JSON schema of a type with all parts in place.
+pub(crate) fn schema<T: JsonSchema>() -> Schema {
+    let settings = SchemaSettings::draft2020_12().with(|s| s.inline_subschemas = true);
+    settings.into_generator().into_root_schema_for::<T>()
+}
+
+impl Shape {
+    /// Returns the shape of a type.
+    pub(crate) fn of<T: JsonSchema>() -> Self {
+        Self::read(schema::<T>().as_value(), false)
+    }
+
+    fn read(schema: &Value, required: bool) -> Self {
+        let text = |key: &str| schema.get(key).and_then(Value::as_str);
+        Self {
+            kind: Kind::read(schema),
+            effect: text("description").unwrap_or_default().replace('\n', " "),
+            title: text("x-title").map(str::to_owned),
+            unit: text("x-unit").map(CompactString::from),
+            default: schema.get("default").cloned(),
+            required,
+        }
+    }
+
+    /// Returns the field of a group.
+    pub(crate) fn field(&self, key: &str) -> Option<&Self> {
+        let Kind::Group(fields) = &self.kind else {
+            return None;
+        };
+        fields.iter().find(|(k, _)| k == key).map(|(_, s)| s)
+    }
+}
+
+impl Kind {
+    fn read(schema: &Value) -> Self {
+        if let Some(names) = scan_choices(schema) {
+            return Self::Choice(names);
+        }
+        match scan_type(schema) {
+            Some("object") => Self::read_object(schema),
+            Some("array") => Self::List(Box::new(Shape::read(&schema["items"], false))),
+            Some("integer") => Self::Whole {
+                min: schema["minimum"].as_u64().unwrap_or(0),
+                max: schema["maximum"].as_u64().unwrap_or(u64::MAX),
+            },
+            Some("boolean") => Self::Bool,
+            Some(_) | None => Self::Text(Form::read(schema)),
+        }
+    }
+
+    fn read_object(schema: &Value) -> Self {
+        let Some(properties) = schema["properties"].as_object() else {
+            return Self::Map(Box::new(Shape::read(
+                &schema["additionalProperties"],
+                false,
+            )));
+        };
+        let required = |key: &str| {
+            let names = schema["required"].as_array();
+            names.is_some_and(|names| names.iter().any(|n| n == key))
+        };
+        let fields = properties.iter();
+        Self::Group(
+            fields
+                .map(|(key, field)| (key.into(), Shape::read(field, required(key))))
+                .collect(),
+        )
+    }
+}
+
+impl Form {
+    fn read(schema: &Value) -> Self {
+        match schema["x-form"].as_str() {
+            Some("name") => Self::Name,
+            Some("header") => Self::Header,
+            Some("ip-port") => Self::Address,
+            Some(_) | None => Self::Any,
+        }
+    }
+
+    /// Returns the words for what is accepted.
+    pub(crate) fn wanted(self) -> &'static str {
+        match self {
+            Self::Name => "1 to 63 lower-case letters, digits and hyphens, such as caja",
+            Self::Header => "a lower-case header name, such as x-customer",
+            Self::Address => "an IP number with a port, such as 127.0.0.1:8080 or [::1]:8080",
+            Self::Any => "a text",
+        }
+    }
+
+    /// Returns whether a text has this form.
+    pub(crate) fn accepts(self, text: &str) -> bool {
+        let lower = |c: u8| c.is_ascii_lowercase() || c.is_ascii_digit() || c == b'-';
+        match self {
+            Self::Name => (1..=63).contains(&text.len()) && text.bytes().all(lower),
+            Self::Header => (1..=64).contains(&text.len()) && text.bytes().all(lower),
+            Self::Address => text.parse::<std::net::SocketAddr>().is_ok(),
+            Self::Any => true,
+        }
+    }
+}
+
+/// Returns the type of a schema; of an optional value the type that is not null.
+fn scan_type(schema: &Value) -> Option<&str> {
+    match &schema["type"] {
+        Value::String(name) => Some(name),
+        Value::Array(names) => names
+            .iter()
+            .filter_map(Value::as_str)
+            .find(|n| *n != "null"),
+        Value::Null | Value::Bool(_) | Value::Number(_) | Value::Object(_) => None,
+    }
+}
+
+/// Returns the texts among which a value is chosen.
+fn scan_choices(schema: &Value) -> Option<Vec<CompactString>> {
+    let described = schema["oneOf"].as_array();
+    let names = described.map(|all| all.iter().filter_map(|one| one["const"].as_str()));
+    names.map(|names| names.map(CompactString::from).collect())
+}
