Run the control part on its own thread with tarpc between peers

Cause: a node must hear of configurations, members and quarantines without every node reading the platform's service. Ruled out: a connection kept open to each peer, which may be silent without either end knowing; each exchange opens its own. Ruled out as well: the node's data thread, where validating a value of 1 MB would hold up calls. Change: readers, pulls, exchanges with random peers, pushed news, checks of each message and a budget that is debited each second.

--- /dev/null
+++ b/crates/node/src/control/gossip.rs
@@ -0,0 +1,122 @@
+//! Exchanges with random peers, and news pushed to a few of them.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use oriolering::Work;
+use rand::Rng;
+use rand::seq::IndexedRandom;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+use super::client;
+use super::message::{Beat, NOTES_MAX};
+use super::state::Shared;
+
+/// How long news is collected before it is pushed.
+const COLLECT_MS: u64 = 20;
+/// The peers that a node asks as soon as it knows some.
+const FIRST_PEERS: usize = 3;
+/// How often a node without peers looks for them.
+const LONELY_MS: u64 = 100;
+/// The mean time between exchanges when the budget is low, as a multiple.
+const SHED_FACTOR: u64 = 4;
+
+/// Exchanges beats with a random peer time and again.
+pub(crate) async fn run_sync(shared: Arc<Shared>) {
+    while !first(&shared).await {
+        sleep(Duration::from_millis(LONELY_MS)).await;
+    }
+    loop {
+        let mean = shared.settings.sync_ms;
+        let ms = rand::rng().random_range(mean / 2..=mean + mean / 2);
+        sleep(Duration::from_millis(ms)).await;
+        if !allowed(&shared, Work::Sync) && !rand::rng().random_ratio(1, SHED_FACTOR as u32) {
+            shared.state().counts.shed_sync += 1;
+            continue;
+        }
+        let peers = shared.state().roster.peers(1, &mut rand::rng());
+        for peer in peers {
+            sync(&shared, peer).await;
+        }
+    }
+}
+
+/// Asks several peers at once; returns whether the list of instances named any.
+async fn first(shared: &Arc<Shared>) -> bool {
+    let peers = shared.state().roster.peers(FIRST_PEERS, &mut rand::rng());
+    if peers.is_empty() {
+        let seed = shared.settings.seeds.choose(&mut rand::rng()).copied();
+        if let Some(seed) = seed {
+            sync(shared, seed).await;
+        }
+        return false;
+    }
+    for peer in peers {
+        let shared = Arc::clone(shared);
+        spawn_local(async move { sync(&shared, peer).await });
+    }
+    true
+}
+
+async fn sync(shared: &Shared, peer: SocketAddr) {
+    match client::sync(shared, peer, shared.beat()).await {
+        Ok(beat) if beat.is_valid() => shared.take_in(beat, peer),
+        Ok(_) => shared.state().counts.invalid += 1,
+        Err(_) => shared.state().counts.peer_errors += 1,
+    }
+}
+
+/// Pushes news to a few random peers whenever there is some.
+pub(crate) async fn run_push(shared: Arc<Shared>) {
+    let mut pushed = shared.state().heads();
+    loop {
+        shared.flush.notified().await;
+        sleep(Duration::from_millis(COLLECT_MS)).await;
+        let beat = news(&shared);
+        let gossip = std::mem::take(&mut shared.state().fresh);
+        let urgent = beat.heads != pushed || beat.notes.len() > 1;
+        if !urgent && !gossip {
+            continue;
+        }
+        if !urgent && !allowed(&shared, Work::Gossip) {
+            shared.state().counts.shed_gossip += 1;
+            continue;
+        }
+        pushed = beat.heads;
+        push(&shared, &beat);
+    }
+}
+
+fn push(shared: &Arc<Shared>, beat: &Beat) {
+    let fanout = shared.settings.fanout;
+    let peers = shared.state().roster.peers(fanout, &mut rand::rng());
+    for peer in peers {
+        let shared = Arc::clone(shared);
+        let beat = beat.clone();
+        spawn_local(async move {
+            if client::push(&shared, peer, beat).await.is_err() {
+                shared.state().counts.peer_errors += 1;
+            }
+        });
+    }
+}
+
+/// Returns a beat with the notes that wait to be passed on in place of random ones.
+fn news(shared: &Shared) -> Beat {
+    let mut beat = shared.beat();
+    beat.notes.truncate(1);
+    let mut state = shared.state();
+    let count = state.news.len().min(NOTES_MAX - 1);
+    beat.notes.extend(state.news.drain(..count));
+    if !state.news.is_empty() {
+        shared.flush.notify_one();
+    }
+    beat
+}
+
+fn allowed(shared: &Shared, work: Work) -> bool {
+    let now = shared.clock.now();
+    shared.state().budget.allows(now, work)
+}
--- a/crates/node/src/control/settings.rs
+++ b/crates/node/src/control/settings.rs
@@ -68,23 +68,34 @@
     }
 }
 
+/// Takes an accepted configuration.
+pub type Configured = Box<dyn Fn(Arc<Published>) + Send + Sync>;
+/// Checks a configuration; the error names the remedy.
+pub type Validate = Box<dyn Fn(&str) -> Result<(), String> + Send + Sync>;
+/// Takes the members.
+pub type Members = Box<dyn Fn(Arc<[Member]>) + Send + Sync>;
+/// Returns what became of an attempt, fencing it when asked to.
+pub type Inquire = Box<dyn Fn(CallId, bool) -> Fate + Send + Sync>;
+/// Takes quarantines.
+pub type Quarantined = Box<dyn Fn(&[QuarantineEntry]) + Send + Sync>;
+
 /// What the control part calls in the rest of the node.
 ///
-/// Each hook runs on the control part's thread, but for `validate`, which runs on a thread of
-/// its own for large values.
+/// Hooks run on the control part's thread and must not block; `validate` runs on another thread
+/// for large values.
 pub struct Hooks {
     /// Puts an accepted configuration in force.
-    pub configured: Box<dyn Fn(Arc<Published>) + Send + Sync>,
+    pub configured: Configured,
     /// Checks a configuration; the error names the remedy.
-    pub validate: Box<dyn Fn(&str) -> Result<(), String> + Send + Sync>,
+    pub validate: Validate,
     /// Takes the members after each change.
-    pub members: Box<dyn Fn(Arc<[Member]>) + Send + Sync>,
+    pub members: Members,
     /// Returns what became of an attempt at this gate, fencing it when asked to.
-    pub inquire: Box<dyn Fn(CallId, bool) -> Fate + Send + Sync>,
+    pub inquire: Inquire,
     /// Opens a session with this gate.
     pub open: Box<dyn Fn() -> Grant + Send + Sync>,
     /// Returns whether this node is leaving.
     pub leaving: Box<dyn Fn() -> bool + Send + Sync>,
     /// Takes quarantines that were not known before.
-    pub quarantined: Box<dyn Fn(&[QuarantineEntry]) + Send + Sync>,
+    pub quarantined: Quarantined,
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,1 +1,3 @@
-//! placeholder
+//! The process that runs beside each backend server.
+
+pub mod control;
--- a/crates/oriolering/src/roster.rs
+++ b/crates/oriolering/src/roster.rs
@@ -220,11 +220,12 @@
         self.get(id).filter(|member| member.control.ip() == ip)
     }
 
-    /// Returns the number of members that were heard within `age_ms`.
-    pub fn heard(&self, now: Millis, age_ms: u64) -> usize {
+    /// Walks the members with whether each was heard within `age_ms`.
+    pub fn recent(&self, now: Millis, age_ms: u64) -> impl Iterator<Item = (&Member, bool)> {
         let after = (now.0 as i64).saturating_sub_unsigned(age_ms);
-        let recent = self.entries.iter().filter(|entry| entry.heard >= after);
-        recent.count()
+        self.entries
+            .iter()
+            .map(move |entry| (&entry.member, entry.heard >= after))
     }
 
     /// Returns up to `count` random peers, most of them in the node's availability zone.
