Wire the node: ingress, gate, control and admin in one process

Cause: the thin whole path needs one process that serves callers, guards the local backend server and hears from its peers. Ruled out: two processes for ingress and gate, as a slot holds one; tarpc on the data path, as a body could not stream through it. Change: filters, attempts with inquiries over new connections, admission, forwarding, answers kept for collection, admin listener, traces, metrics. Result: builds; the whole path is not yet tested.

--- a/crates/node/src/admin.rs
+++ b/crates/node/src/admin.rs
@@ -23,7 +23,10 @@
         "/explain" => explain(wire, request),
         "/trace" => match parameter(request, "id") {
             Some(id) => json(&node.traces.find(id)),
-            None => problem(StatusCode::BAD_REQUEST, "give the trace: /trace?id=32 hex digits"),
+            None => problem(
+                StatusCode::BAD_REQUEST,
+                "give the trace: /trace?id=32 hex digits",
+            ),
         },
         _ => problem(
             StatusCode::NOT_FOUND,
@@ -34,11 +37,17 @@
 
 fn explain(wire: &Wire, request: &HttpRequest) -> HttpResponse {
     let Some(name) = parameter(request, "service") else {
-        return problem(StatusCode::BAD_REQUEST, "give the service: /explain?service=NAME");
+        return problem(
+            StatusCode::BAD_REQUEST,
+            "give the service: /explain?service=NAME",
+        );
     };
     match status::explain(&wire.node, name) {
         Some(explanation) => json(&explanation),
-        None => problem(StatusCode::NOT_FOUND, "no such service in the configuration in force"),
+        None => problem(
+            StatusCode::NOT_FOUND,
+            "no such service in the configuration in force",
+        ),
     }
 }
 
@@ -51,7 +60,9 @@
 
 fn json(value: &impl Serialize) -> HttpResponse {
     match serde_json::to_vec(value) {
-        Ok(text) => HttpResponse::Ok().content_type("application/json").body(text),
+        Ok(text) => HttpResponse::Ok()
+            .content_type("application/json")
+            .body(text),
         Err(error) => problem(StatusCode::INTERNAL_SERVER_ERROR, &error.to_string()),
     }
 }
--- a/crates/node/src/answers.rs
+++ b/crates/node/src/answers.rs
@@ -60,7 +60,10 @@
 
     fn trim(&mut self, now: Millis, max_bytes: usize) {
         while let Some(id) = self.order.front().copied() {
-            let old = self.kept.get(&id).is_none_or(|kept| now.since(kept.at) > MAX_AGE_MS);
+            let old = self
+                .kept
+                .get(&id)
+                .is_none_or(|kept| now.since(kept.at) > MAX_AGE_MS);
             if !old && self.bytes <= max_bytes {
                 return;
             }
--- a/crates/node/src/args.rs
+++ b/crates/node/src/args.rs
@@ -45,13 +45,18 @@
 pub(crate) fn settings(
     args: impl IntoIterator<Item = OsString>,
 ) -> Result<ProcessSettings, NodeError> {
-    let matches = command().try_get_matches_from(args).context(error::ArgumentsSnafu)?;
+    let matches = command()
+        .try_get_matches_from(args)
+        .context(error::ArgumentsSnafu)?;
     let file = matches.get_one::<PathBuf>("settings");
     let text = match file {
         Some(path) => std::fs::read_to_string(path).context(error::FileSnafu { path })?,
         None => "{}".to_owned(),
     };
-    let name = file.map_or_else(|| "--settings".to_owned(), |path| path.display().to_string());
+    let name = file.map_or_else(
+        || "--settings".to_owned(),
+        |path| path.display().to_string(),
+    );
     let fields = ProcessSettings::fields();
     let flags: Vec<(&str, &str)> = fields
         .iter()
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -13,7 +13,6 @@
     Attempt, Cause, Failure, Fate, Grant, LoadHint, Millis, Outcome, Refusal, ServiceKey,
 };
 
-use crate::body::Upload;
 use crate::call::{Call, CallBody};
 use crate::directory::Target;
 use crate::headers;
@@ -176,8 +175,16 @@
     set(&mut headers, oriolering::ACK, &issued.ack.to_string());
     set(&mut headers, oriolering::ATTEMPT, &number.to_string());
     set(&mut headers, oriolering::DEADLINE, &left.to_string());
-    set(&mut headers, oriolering::CUSTOMER, &format!("{:x}", call.customer));
-    set(&mut headers, oriolering::FINGERPRINT, &format!("{:x}", call.fingerprint));
+    set(
+        &mut headers,
+        oriolering::CUSTOMER,
+        &format!("{:x}", call.customer),
+    );
+    set(
+        &mut headers,
+        oriolering::FINGERPRINT,
+        &format!("{:x}", call.fingerprint),
+    );
     if crashes > 0 {
         set(&mut headers, oriolering::CRASHES, &crashes.to_string());
     }
@@ -199,7 +206,10 @@
 ) -> Reached {
     wire.node.metrics.attempts.add(1, &[]);
     let client = wire.gate(target.address.gate);
-    let path = call.uri().path_and_query().map_or("/", |path| path.as_str());
+    let path = call
+        .uri()
+        .path_and_query()
+        .map_or("/", |path| path.as_str());
     let mut request = client
         .request(call.method().clone(), uri(target, path))
         .no_decompress();
@@ -229,12 +239,7 @@
 
 /// Asks the gate to admit a call before its long body is sent, so that a refusal leaves the
 /// body unread and the call can go elsewhere.
-async fn reserve(
-    wire: &Wire,
-    call: &Call,
-    target: Target,
-    headers: &HeaderMap,
-) -> Option<Reached> {
+async fn reserve(wire: &Wire, call: &Call, target: Target, headers: &HeaderMap) -> Option<Reached> {
     let client = wire.gate(target.address.gate);
     let mut request: ClientRequest = client.post(uri(target, "/"));
     *request.headers_mut() = headers.clone();
--- a/crates/node/src/body.rs
+++ b/crates/node/src/body.rs
@@ -59,7 +59,9 @@
             return Poll::Ready(Some(Ok(head)));
         }
         let next = Pin::new(&mut self.rest).poll_next(cx);
-        next.map(|chunk| chunk.map(|result| result.map_err(|error| Rc::new(error) as Rc<dyn Error>)))
+        next.map(|chunk| {
+            chunk.map(|result| result.map_err(|error| Rc::new(error) as Rc<dyn Error>))
+        })
     }
 }
 
--- a/crates/node/src/directory.rs
+++ b/crates/node/src/directory.rs
@@ -189,7 +189,7 @@
         let choice = ChoiceSettings {
             policy: service.choice.policy,
             subset: service.choice.subset,
-            ramp: u64::from(service.ramp_ms),
+            ramp: service.ramp_ms,
             zone: self.zone(&self.me.zone.clone()),
             node: xxh3_64(self.me.id.as_bytes()),
         };
@@ -197,15 +197,25 @@
             settings,
             chooser: Chooser::new(choice),
             retries: RetryBudget::new(service.retry.percent, now),
-            hedge: Hedge::new(service.hedge.after_ms, service.hedge.percent),
+            hedge: Hedge::new(service.hedge.percent, service.hedge.after_ms),
         }
     }
 
     /// Tells every chooser which backend servers its service has.
     fn refresh(&mut self, now: Millis) {
         let mut lists: Vec<Vec<Candidate>> = self.routes.iter().map(|_| Vec::new()).collect();
-        let zones: Vec<ZoneKey> = self.members.to_vec().iter().map(|m| self.zone(&m.zone)).collect();
-        let by_id: HashMap<&str, ZoneKey> = self.members.iter().map(|m| m.id.as_str()).zip(zones).collect();
+        let zones: Vec<ZoneKey> = self
+            .members
+            .to_vec()
+            .iter()
+            .map(|m| self.zone(&m.zone))
+            .collect();
+        let by_id: HashMap<&str, ZoneKey> = self
+            .members
+            .iter()
+            .map(|m| m.id.as_str())
+            .zip(zones)
+            .collect();
         for (server, member) in self.servers.iter() {
             let Some(key) = self.by_name.get(&member.service) else {
                 continue;
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -78,9 +78,15 @@
 }
 
 fn outgoing(wire: &Wire, request: &HttpRequest) -> ClientRequest {
-    let target = request.uri().path_and_query().map_or("/", |target| target.as_str());
+    let target = request
+        .uri()
+        .path_and_query()
+        .map_or("/", |target| target.as_str());
     let uri = format!("http://{}{target}", wire.node.card.backend);
-    let mut outgoing = wire.backend.request(request.method().clone(), uri).no_decompress();
+    let mut outgoing = wire
+        .backend
+        .request(request.method().clone(), uri)
+        .no_decompress();
     *outgoing.headers_mut() = headers::end_to_end(request.headers());
     outgoing
 }
@@ -140,11 +146,7 @@
 }
 
 /// Ends a call that got no answer.
-fn failed(
-    wire: &Wire,
-    permit: Permit,
-    missing: Missing,
-) -> HttpResponse {
+fn failed(wire: &Wire, permit: Permit, missing: Missing) -> HttpResponse {
     match missing {
         Missing::Unsent => {
             permit.finish(Finish::NotSent);
@@ -297,4 +299,3 @@
         builder.header(name.clone(), value.clone());
     }
 }
-
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -37,7 +37,9 @@
         Ok(call) => attempts(&wire, call, &mut span).await,
         Err(reply) => Err(reply),
     };
-    metrics.call_ms.record(start.elapsed().as_secs_f64() * 1_000.0, &[]);
+    metrics
+        .call_ms
+        .record(start.elapsed().as_secs_f64() * 1_000.0, &[]);
     match answer {
         Ok(response) => response,
         Err(reply) => {
@@ -70,7 +72,9 @@
             None => unready(),
         });
     };
-    let settings = directory.route_mut(service).map(|route| route.settings.clone());
+    let settings = directory
+        .route_mut(service)
+        .map(|route| route.settings.clone());
     drop(directory);
     let settings = settings.ok_or_else(unready)?;
     let arrived = wire.node.clock.now();
@@ -112,7 +116,12 @@
         }
     }
     let clock = wire.node.clock.clone();
-    Ok(CallBody::Stream(Upload::new(held.freeze(), payload, length, clock)))
+    Ok(CallBody::Stream(Upload::new(
+        held.freeze(),
+        payload,
+        length,
+        clock,
+    )))
 }
 
 /// Sends the call to one backend server after the other until there is a final word.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,3 +1,65 @@
-//! The process that runs beside each backend server.
+//! The node of oriolering: ingress, gate and control beside one backend server.
+//!
+//! The ingress takes calls of callers and picks a backend server; the gate is the only way to
+//! the local backend server and decides finally whether a call runs; the control part
+//! exchanges configuration, membership and quarantines with peers.
 
+mod admin;
+mod admission;
+mod admit;
+mod answers;
+mod args;
+mod attempt;
+mod body;
+mod call;
 pub mod control;
+mod crash;
+mod directory;
+mod error;
+mod filters;
+mod forward;
+mod headers;
+mod ingress;
+mod logging;
+mod metrics;
+mod permit;
+mod quarantine;
+mod reply;
+mod reserved;
+mod serve;
+mod servers;
+mod sessions;
+mod startup;
+mod state;
+mod status;
+mod traces;
+mod watch;
+mod wire;
+
+use std::ffi::OsString;
+use std::process::ExitCode;
+
+use snafu::ResultExt;
+
+pub use error::NodeError;
+
+/// The exit code of a process that got wrong arguments or settings.
+const USAGE: u8 = 2;
+
+/// Runs a node with the arguments of a command line until it is told to stop.
+pub fn run(args: impl IntoIterator<Item = OsString>) -> ExitCode {
+    match start(args) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(NodeError::Arguments { source }) => source.exit(),
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::from(USAGE)
+        }
+    }
+}
+
+fn start(args: impl IntoIterator<Item = OsString>) -> Result<(), NodeError> {
+    let card = args::settings(args)?;
+    let _logger = logging::start(card.log.as_str()).context(error::LogSnafu)?;
+    startup::run(card)
+}
--- a/crates/node/src/logging.rs
+++ b/crates/node/src/logging.rs
@@ -11,10 +11,12 @@
 ///
 /// Returns an error when the level is not understood or a logger is running already.
 pub(crate) fn start(level: &str) -> Result<LoggerHandle, flexi_logger::FlexiLoggerError> {
-    Logger::try_with_str(format!("{level}, ntex=warn, tarpc=warn, opentelemetry=warn"))?
-        .format(line)
-        .log_to_stderr()
-        .start()
+    Logger::try_with_str(format!(
+        "{level}, ntex=warn, tarpc=warn, opentelemetry=warn"
+    ))?
+    .format(line)
+    .log_to_stderr()
+    .start()
 }
 
 /// Writes one line: time, level, event and the fields of the event.
@@ -25,8 +27,12 @@
 ) -> std::io::Result<()> {
     let mut fields = Fields(Map::new());
     fields.0.insert("time".into(), now.format_rfc3339().into());
-    fields.0.insert("level".into(), record.level().as_str().into());
-    fields.0.insert("event".into(), record.args().to_string().into());
+    fields
+        .0
+        .insert("level".into(), record.level().as_str().into());
+    fields
+        .0
+        .insert("event".into(), record.args().to_string().into());
     // The visitor below never fails.
     let _ = record.key_values().visit(&mut fields);
     write!(out, "{}", Json::Object(fields.0))
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -46,7 +46,6 @@
         let registry = Registry::new();
         let exporter = opentelemetry_prometheus::exporter()
             .with_registry(registry.clone())
-            .without_scope_info()
             .without_target_info()
             .build()
             .expect("a fresh registry takes the exporter");
@@ -60,7 +59,10 @@
             attempts: count("attempts", "Attempts sent to gates"),
             retries: count("retries", "Attempts after the first of a call"),
             hedges: count("hedges", "Second attempts of slow calls"),
-            inquiries: count("inquiries", "Inquiries about attempts on silent connections"),
+            inquiries: count(
+                "inquiries",
+                "Inquiries about attempts on silent connections",
+            ),
             collected: count("collected", "Answers collected over a new connection"),
             cuts: count("cuts", "Answers that ended early"),
             backend_deaths: count("backend_deaths", "Deaths of the local backend server"),
@@ -70,7 +72,8 @@
                 .f64_histogram("call_ms")
                 .with_description("Time to the head of the answer, in milliseconds")
                 .with_boundaries(vec![
-                    0.25, 0.5, 1.0, 2.0, 5.0, 10.0, 20.0, 50.0, 100.0, 200.0, 500.0, 1_000.0, 2_000.0,
+                    0.25, 0.5, 1.0, 2.0, 5.0, 10.0, 20.0, 50.0, 100.0, 200.0, 500.0, 1_000.0,
+                    2_000.0,
                 ])
                 .build(),
             _provider: provider,
@@ -89,7 +92,8 @@
 
     /// Counts a refusal of this gate.
     pub(crate) fn refused(&self, cause: Cause) {
-        self.refusals.add(1, &[KeyValue::new("reason", cause.as_str())]);
+        self.refusals
+            .add(1, &[KeyValue::new("reason", cause.as_str())]);
     }
 
     /// Returns all instruments in the Prometheus text format.
--- a/crates/node/src/reply.rs
+++ b/crates/node/src/reply.rs
@@ -58,7 +58,11 @@
     }
 
     /// Builds the HTTP answer of a gate, with its load and a session for the ingress.
-    pub(crate) fn response_with(self, load: Option<LoadHint>, grant: Option<Grant>) -> HttpResponse {
+    pub(crate) fn response_with(
+        self,
+        load: Option<LoadHint>,
+        grant: Option<Grant>,
+    ) -> HttpResponse {
         let Refusal { cause, retry_after } = self.refusal;
         let mut builder = HttpResponse::build(self.status());
         builder.set_header(oriolering::OUTCOME, self.outcome.as_str());
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -2,7 +2,6 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
 
 use ntex::http::KeepAlive;
 use ntex::time::{Millis as Wait, Seconds, sleep};
--- a/crates/node/src/servers.rs
+++ b/crates/node/src/servers.rs
@@ -83,11 +83,17 @@
 
     /// Finds the slot of `member`: its own, a free one, or a new one.
     fn place(&mut self, member: &Member) -> ServerKey {
-        let own = self.list.iter().position(|server| server.member.id == member.id);
+        let own = self
+            .list
+            .iter()
+            .position(|server| server.member.id == member.id);
         if let Some(ix) = own {
             return self.renew(ix, member);
         }
-        let free = self.list.iter().position(|server| server.gone && server.running == 0);
+        let free = self
+            .list
+            .iter()
+            .position(|server| server.gone && server.running == 0);
         let server = Server {
             member: member.clone(),
             session: Session::default(),
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -1,10 +1,11 @@
 //! The state of a node that its threads share.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::OnceLock;
 use std::sync::atomic::{AtomicBool, Ordering};
 
-use oriolering::config::{ProcessSettings, Service, Settings};
+use oriolering::config::{Bundle, ProcessSettings, Service, Set, Settings};
 use oriolering::{Clock, Gate, GateSettings, Incarnation, Member, Millis};
 use parking_lot::Mutex;
 
@@ -51,7 +52,7 @@
     /// Returns a node without configuration and members.
     pub(crate) fn new(card: ProcessSettings, incarnation: Incarnation) -> Arc<Self> {
         let clock = Clock::system();
-        let own = Service::named(&card.service);
+        let own = default_settings(&card.service);
         let gate = Gate::new(gate_settings(&own), incarnation, clock.now());
         let me = Me {
             id: card.id.clone(),
@@ -88,7 +89,11 @@
     /// Puts the settings of a new revision in force.
     pub(crate) fn configure(&self, revision: u64, settings: &Settings) {
         let now = self.clock.now();
-        if let Some(own) = settings.services.iter().find(|s| s.name == self.card.service) {
+        if let Some(own) = settings
+            .services
+            .iter()
+            .find(|s| s.name == self.card.service)
+        {
             self.admission.lock().gate.update(gate_settings(own));
             self.quarantine.lock().set_duration(own.quarantine_ms);
             *self.own.lock() = Arc::new(own.clone());
@@ -150,6 +155,17 @@
     }
 }
 
+/// Returns the settings of a service before any configuration is known.
+fn default_settings(name: &str) -> Service {
+    let base = format!("{{\"services\": {{\"{name}\": {{}}}}}}");
+    let bundle = Bundle {
+        base,
+        overlays: BTreeMap::new(),
+    };
+    let set = Set::parse(&bundle).expect("a service without fields has defaults");
+    set.site("").services.remove(0)
+}
+
 fn gate_settings(service: &Service) -> GateSettings {
     GateSettings {
         initial: service.slots.initial,
--- a/crates/node/src/status.rs
+++ b/crates/node/src/status.rs
@@ -57,7 +57,12 @@
 pub(crate) fn collect(node: &Node) -> Status {
     let now = node.clock.now();
     let members = node.directory.lock().members().iter().map(member).collect();
-    let quarantines = node.quarantine.lock().entries(now).map(quarantined).collect();
+    let quarantines = node
+        .quarantine
+        .lock()
+        .entries(now)
+        .map(quarantined)
+        .collect();
     Status {
         id: node.card.id.clone(),
         service: node.card.service.clone(),
--- a/crates/node/src/traces.rs
+++ b/crates/node/src/traces.rs
@@ -59,7 +59,9 @@
             node: CompactString::from(id),
             spans: Arc::clone(&ring),
         };
-        let provider = SdkTracerProvider::builder().with_simple_exporter(exporter).build();
+        let provider = SdkTracerProvider::builder()
+            .with_simple_exporter(exporter)
+            .build();
         Self {
             tracer: provider.tracer("oriolering"),
             propagator: TraceContextPropagator::new(),
@@ -84,14 +86,18 @@
         let parent = Context::new().with_remote_span_context(parent.span_context().clone());
         let span = self.start(name, SpanKind::Client, &parent);
         let context = Context::new().with_remote_span_context(span.span_context().clone());
-        self.propagator.inject_context(&context, &mut Outgoing(headers));
+        self.propagator
+            .inject_context(&context, &mut Outgoing(headers));
         span
     }
 
     /// Returns the kept spans of a trace, oldest first.
     pub(crate) fn find(&self, trace: &str) -> Vec<SpanRecord> {
         let ring = self.ring.lock();
-        ring.iter().filter(|span| span.trace == trace).cloned().collect()
+        ring.iter()
+            .filter(|span| span.trace == trace)
+            .cloned()
+            .collect()
     }
 
     fn start(&self, name: &'static str, kind: SpanKind, parent: &Context) -> Span {
@@ -115,7 +121,10 @@
     fn record(&self, data: &SpanData) -> SpanRecord {
         let epoch = SystemTime::UNIX_EPOCH;
         let start = data.start_time.duration_since(epoch).unwrap_or_default();
-        let took = data.end_time.duration_since(data.start_time).unwrap_or(Duration::ZERO);
+        let took = data
+            .end_time
+            .duration_since(data.start_time)
+            .unwrap_or(Duration::ZERO);
         let notes = data.attributes.iter();
         SpanRecord {
             trace: trace_text(data.span_context.trace_id()),
@@ -125,7 +134,9 @@
             name: data.name.clone(),
             start_us: start.as_micros() as u64,
             took_us: took.as_micros() as u64,
-            notes: notes.map(|kv| format!("{}={}", kv.key, kv.value).into()).collect(),
+            notes: notes
+                .map(|kv| format!("{}={}", kv.key, kv.value).into())
+                .collect(),
         }
     }
 }
--- a/crates/oriolering/src/lib.rs
+++ b/crates/oriolering/src/lib.rs
@@ -59,8 +59,11 @@
 pub use control_budget::{Bucket, ControlBudget, Work};
 pub use explain::{Class, Explanation};
 pub use fate::Fate;
-pub use gate::{Decision, Finish, Gate, GateEvent, GateSettings, Offer};
-pub use header::{ACK, ATTEMPT, CALL_ID, CRASHES, CUSTOMER, DEADLINE, FINGERPRINT, GRANT, LOAD, OUTCOME, REASON, RETRY_AFTER_MS, SERVICE, STEP};
+pub use gate::Gate;
+pub use header::{
+    ACK, ATTEMPT, CALL_ID, CRASHES, CUSTOMER, DEADLINE, FINGERPRINT, GRANT, LOAD, OUTCOME, REASON,
+    RETRY_AFTER_MS, SERVICE, STEP,
+};
 pub use hedge::Hedge;
 pub use keys::{CallId, Grant, Incarnation, ServerKey, ServiceKey, ZoneKey};
 pub use latency::Latency;
@@ -79,5 +82,8 @@
 pub use retry::{AttemptState, Failure, RetryBudget, Step, next_step};
 pub use revision::{Head, Ignored, Published, Standing};
 pub use roster::{MEMBERS_MAX, MemberNote, NOTE_AGE_MAX_MS, Roster};
-pub use section::{Digest, SECTIONS_MAX, SECTION_MAX_BYTES, SECTION_MIN_BYTES, Section, VALUE_BYTES, pack, split, unpack};
-pub use spread::{QUARANTINES_MAX, QUARANTINE_MAX_MS, QuarantineEntry, Spread};
+pub use section::{
+    Digest, SECTION_MAX_BYTES, SECTION_MIN_BYTES, SECTIONS_MAX, Section, VALUE_BYTES, pack, split,
+    unpack,
+};
+pub use spread::{QUARANTINE_MAX_MS, QUARANTINES_MAX, QuarantineEntry, Spread};
