Do not overflow on the age of a member that was never heard

Cause: a member with an incarnation that was never heard has the earliest possible time; subtracting it overflowed and ended the control thread, seen as a panic in the first trial of three nodes. Change: the subtraction saturates.

--- a/crates/oriolering/src/roster.rs
+++ b/crates/oriolering/src/roster.rs
@@ -105,7 +105,7 @@
     }
 
     fn note(&self, now: Millis) -> Option<MemberNote> {
-        let age = now.0 as i64 - self.heard;
+        let age = (now.0 as i64).saturating_sub(self.heard);
         let incarnation = self.member.incarnation?;
         if age > i64::from(NOTE_AGE_MAX_MS) {
             return None;
