Add the stand-in for the platform's service

Cause: tests and measurements need a service that can only be read and watched, counts each read, and can be down, stale or flapping. Ruled out: a fake inside the node, which would leave the HTTP client untested.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,1 +1,3 @@
-//! placeholder
+//! Stand-ins, load generation and whole-path tests.
+
+pub mod platform;
