Hedge slow idempotent calls and serve the thin path

Cause: a slow backend server held an idempotent call although another was free. Ruled out: a second attempt without the retry budget, which would multiply load. Change: a second attempt after the delay that the latencies give, in the same budget; the slower one is dropped, which cancels it at its gate.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -12,6 +12,7 @@
 mod http;
 mod load;
 mod member;
+pub mod platform;
 mod process;
 mod relay;
 mod report;
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -31,11 +31,22 @@
 /// How an attempt ended.
 pub(crate) enum Reached {
     /// The backend server answered.
-    Answer(ClientResponse),
+    Answer(Box<ClientResponse>),
     /// There is no answer.
     Missing(Failure),
 }
 
+/// Where an attempt goes and what came before it.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Plan {
+    /// The picked backend server.
+    pub(crate) target: Target,
+    /// The number of the attempt, counted from one.
+    pub(crate) number: u32,
+    /// The backend servers that died running the call.
+    pub(crate) crashes: u32,
+}
+
 /// Counts an attempt as running until it is dropped, whatever happens to the call.
 pub(crate) struct Running<'a> {
     wire: &'a Wire,
@@ -75,17 +86,10 @@
 }
 
 /// Sends a call to the gate of `target` and waits for the answer or a final word.
-pub(crate) async fn run(
-    wire: &Wire,
-    call: &mut Call,
-    target: Target,
-    number: u32,
-    crashes: u32,
-    parent: &Span,
-) -> Reached {
-    let mut running = Running::new(wire, call.service, target);
+pub(crate) async fn run(wire: &Wire, call: &Call, plan: Plan, parent: &Span) -> Reached {
+    let mut running = Running::new(wire, call.service, plan.target);
     let start = std::time::Instant::now();
-    let reached = exchange(wire, call, &mut running, number, crashes, parent).await;
+    let reached = exchange(wire, call, &mut running, plan, parent).await;
     let latency_us = start.elapsed().as_micros() as u64;
     running.set_result(match &reached {
         Reached::Answer(response) if response.status().is_server_error() => {
@@ -101,20 +105,19 @@
 
 async fn exchange(
     wire: &Wire,
-    call: &mut Call,
+    call: &Call,
     running: &mut Running<'_>,
-    number: u32,
-    crashes: u32,
+    plan: Plan,
     parent: &Span,
 ) -> Reached {
-    let target = running.target;
+    let target = plan.target;
     // A session can be lost once, when the gate has been replaced or has dropped it.
     for _ in 0..2 {
         let Some(issued) = issue(wire, target).await else {
             return Reached::Missing(Failure::Unsent);
         };
         running.issued = Some(issued);
-        let mut headers = outgoing_headers(wire, call, issued, number, crashes);
+        let mut headers = outgoing_headers(wire, call, issued, plan);
         let mut span = wire.node.traces.outgoing("attempt", parent, &mut headers);
         traces::note(&mut span, "gate", target.address.gate.to_string());
         let reached = send(wire, call, target, issued, headers).await;
@@ -125,7 +128,7 @@
                 ..
             }))
         );
-        if !stale || matches!(call.body, CallBody::Taken) {
+        if !stale || call.is_taken() {
             return reached;
         }
         settle(wire, target, issued);
@@ -162,18 +165,12 @@
     format!("http://{}{path}", target.address.gate)
 }
 
-fn outgoing_headers(
-    wire: &Wire,
-    call: &Call,
-    issued: Issued,
-    number: u32,
-    crashes: u32,
-) -> HeaderMap {
+fn outgoing_headers(wire: &Wire, call: &Call, issued: Issued, plan: Plan) -> HeaderMap {
     let mut headers = call.headers.clone();
     let left = call.left(wire.node.clock.now());
     set(&mut headers, oriolering::CALL_ID, &issued.id.encode());
     set(&mut headers, oriolering::ACK, &issued.ack.to_string());
-    set(&mut headers, oriolering::ATTEMPT, &number.to_string());
+    set(&mut headers, oriolering::ATTEMPT, &plan.number.to_string());
     set(&mut headers, oriolering::DEADLINE, &left.to_string());
     set(
         &mut headers,
@@ -185,8 +182,8 @@
         oriolering::FINGERPRINT,
         &format!("{:x}", call.fingerprint),
     );
-    if crashes > 0 {
-        set(&mut headers, oriolering::CRASHES, &crashes.to_string());
+    if plan.crashes > 0 {
+        set(&mut headers, oriolering::CRASHES, &plan.crashes.to_string());
     }
     headers
 }
@@ -199,7 +196,7 @@
 
 async fn send(
     wire: &Wire,
-    call: &mut Call,
+    call: &Call,
     target: Target,
     issued: Issued,
     headers: HeaderMap,
@@ -214,14 +211,15 @@
         .request(call.method().clone(), uri(target, path))
         .no_decompress();
     *request.headers_mut() = headers;
-    if matches!(call.body, CallBody::Stream(_)) {
-        if let Some(refused) = reserve(wire, call, target, request.headers()).await {
-            return refused;
-        }
+    if !call.is_whole()
+        && let Some(refused) = reserve(wire, call, target, request.headers()).await
+    {
+        return refused;
     }
-    match std::mem::replace(&mut call.body, CallBody::Taken) {
+    let body = call.body.replace(CallBody::Taken);
+    match body {
         CallBody::Whole(bytes) => {
-            call.body = CallBody::Whole(bytes.clone());
+            call.body.replace(CallBody::Whole(bytes.clone()));
             let sending = match bytes.is_empty() {
                 true => request.send(),
                 false => request.send_body(bytes),
@@ -348,14 +346,20 @@
     }
 }
 
-fn is_unsent(error: &SendRequestError) -> bool {
+/// Returns whether an error shows that no byte of the request was sent.
+pub(crate) fn is_unsent(error: &SendRequestError) -> bool {
     use std::io::ErrorKind;
+    let SendRequestError::Connect(error) = error else {
+        return false;
+    };
     match error {
-        SendRequestError::Connect(ConnectError::Timeout) => true,
-        SendRequestError::Connect(ConnectError::Disconnected(Some(error))) => {
-            error.kind() == ErrorKind::ConnectionRefused
-        }
-        _ => false,
+        ConnectError::Timeout => true,
+        ConnectError::Disconnected(Some(error)) => error.kind() == ErrorKind::ConnectionRefused,
+        ConnectError::Disconnected(None)
+        | ConnectError::SslIsNotSupported
+        | ConnectError::Resolver(_)
+        | ConnectError::NoRecords
+        | ConnectError::Unresolved => false,
     }
 }
 
@@ -386,7 +390,7 @@
     }
     learn_grant(wire, target, headers);
     let Some(outcome) = headers::text(headers, oriolering::OUTCOME) else {
-        return Reached::Answer(response);
+        return Reached::Answer(Box::new(response));
     };
     let cause = headers::text(headers, oriolering::REASON).and_then(Cause::parse);
     let retry_after = headers::number(headers, oriolering::RETRY_AFTER_MS).unwrap_or(0);
--- a/crates/node/src/directory.rs
+++ b/crates/node/src/directory.rs
@@ -137,6 +137,9 @@
         let entry = self.servers.get(server);
         entry.running = entry.running.saturating_sub(1);
         if let Some(route) = self.routes.get_mut(service.0 as usize) {
+            if let Attempt::Served { latency_us } = result {
+                route.hedge.observe(latency_us);
+            }
             route.chooser.finish(now, server, result);
         }
     }
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use ntex::http::client::error::{ConnectError, SendRequestError};
+use ntex::http::client::error::SendRequestError;
 use ntex::http::client::{ClientRequest, ClientResponse};
 use ntex::http::header::HeaderMap;
 use ntex::http::{Payload, StatusCode};
@@ -15,6 +15,7 @@
 
 use crate::admit;
 use crate::answers::Answer;
+use crate::attempt::is_unsent;
 use crate::body::{Ending, Upload, WholeBody};
 use crate::headers;
 use crate::permit::Permit;
@@ -135,14 +136,10 @@
 
 /// Tells whether bytes may have reached the backend server.
 fn missing(error: SendRequestError) -> Missing {
-    use std::io::ErrorKind;
-    if let SendRequestError::Connect(connect) = &error {
-        let refused = matches!(connect, ConnectError::Disconnected(Some(e)) if e.kind() == ErrorKind::ConnectionRefused);
-        if refused || matches!(connect, ConnectError::Timeout) {
-            return Missing::Unsent;
-        }
+    match is_unsent(&error) {
+        true => Missing::Unsent,
+        false => Missing::Lost,
     }
-    Missing::Lost
 }
 
 /// Ends a call that got no answer.
@@ -188,7 +185,7 @@
 ) -> HttpResponse {
     let length = headers::number(response.headers(), "content-length");
     let bodyless = request.method() == ntex::http::Method::HEAD;
-    let short = length.is_some_and(|length| length <= u64::from(job.settings.buffer.answer_bytes));
+    let short = length.is_some_and(|length| length <= job.settings.buffer.answer_bytes);
     if !short && !bodyless {
         return stream(&wire, &job, permit, &request, response, length, start);
     }
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -70,7 +70,7 @@
 
 /// Waits for SIGTERM or SIGINT.
 async fn stopped() {
-    if let Some(signal) = ntex::server::signal().await.ok() {
+    if let Ok(signal) = ntex::server::signal().await {
         log::info!(signal:? = signal; "stopping");
     }
 }
