Add trials: a fleet under mixed load and the verdict on it

Each proof starts a fleet, sends seeded load, does harm and compares the callers outcomes with the record of runs; standing in one place, a proof is the harm and its claim only.

--- /dev/null
+++ b/crates/bench/examples/load.rs
@@ -0,0 +1,80 @@
+//! Sends open-loop load and prints latencies and outcomes.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use compact_str::format_compact;
+use oriolering_bench::{Arrival, Caller, Report, Request, poisson_times, run_load};
+
+fn command() -> Command {
+    let number = |name: &'static str, default: &'static str| {
+        Arg::new(name)
+            .long(name)
+            .default_value(default)
+            .value_parser(value_parser!(u64))
+    };
+    Command::new("load")
+        .about("Sends open-loop load and prints latencies and outcomes")
+        .arg(
+            Arg::new("target")
+                .long("target")
+                .required(true)
+                .action(ArgAction::Append)
+                .help("An address to send to; several are taken in turn")
+                .value_parser(value_parser!(SocketAddr)),
+        )
+        .arg(Arg::new("service").long("service").default_value("rack"))
+        .arg(
+            Arg::new("method")
+                .long("method")
+                .default_value("GET")
+                .value_parser(["GET", "POST"]),
+        )
+        .arg(number("rate", "100").help("Calls a second"))
+        .arg(number("seconds", "5"))
+        .arg(number("seed", "1"))
+        .arg(number("bytes", "0").help("The size of each answer"))
+}
+
+fn arrivals(args: &ArgMatches) -> Vec<Arrival> {
+    let number = |name: &str| args.get_one::<u64>(name).copied().unwrap_or_default();
+    let targets: Vec<SocketAddr> = args
+        .get_many("target")
+        .into_iter()
+        .flatten()
+        .copied()
+        .collect();
+    let service = args.get_one::<String>("service").map_or("", String::as_str);
+    let method = match args.get_one::<String>("method").map(String::as_str) {
+        Some("POST") => "POST",
+        Some(_) | None => "GET",
+    };
+    let seed = number("seed");
+    let times = poisson_times(
+        seed,
+        number("rate") as f64,
+        Duration::from_secs(number("seconds")),
+    );
+    let arrival = |(index, at): (usize, Duration)| {
+        let target = targets[index % targets.len()];
+        let nonce = format_compact!("load-{seed}-{index}");
+        let mut request = Request::new(target, service, method, &nonce);
+        request.answer_bytes = number("bytes");
+        Arrival {
+            at,
+            label: 0,
+            request,
+        }
+    };
+    times.into_iter().enumerate().map(arrival).collect()
+}
+
+#[ntex::main]
+async fn main() {
+    let args = command().get_matches();
+    let arrivals = arrivals(&args);
+    let start = Instant::now();
+    let calls = run_load(&Caller::new(start), start, arrivals).await;
+    println!("{} calls: {}", calls.len(), Report::new(&calls));
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -16,6 +16,7 @@
 mod relay;
 mod report;
 mod signal;
+mod trial;
 
 pub use backend::serve_backend;
 pub use backend_fault::Fault;
@@ -33,3 +34,4 @@
 pub use relay::Relay;
 pub use report::{Report, histogram, label};
 pub use signal::Signal;
+pub use trial::{Mix, Trial, Verdict, seed_or};
