--- /dev/null
+++ b/crates/bench/examples/added.rs
@@ -0,0 +1,84 @@
+//! Measures the time that the two hops add to a call, next to direct calls in the same run.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use clap::{Arg, Command, value_parser};
+use compact_str::format_compact;
+use oriolering_bench::{
+    Arrival, Caller, Fleet, FleetPlan, Report, Request, poisson_times, run_load,
+};
+
+const DIRECT: u8 = 0;
+const WARM_UP: Duration = Duration::from_secs(2);
+const SERVICE: &str = "rack";
+
+fn command() -> Command {
+    let number = |name: &'static str, default: &'static str| {
+        Arg::new(name)
+            .long(name)
+            .default_value(default)
+            .value_parser(value_parser!(u64))
+    };
+    Command::new("added")
+        .about("Measures the time that the two hops add to a call")
+        .arg(number("rate", "1000").help("Calls a second, half of them direct"))
+        .arg(number("seconds", "44"))
+        .arg(number("seed", "1"))
+}
+
+/// Returns calls that go directly and through the nodes in turn.
+fn arrivals(seed: u64, rate: f64, time: Duration, to: [SocketAddr; 2]) -> Vec<Arrival> {
+    let times = poisson_times(seed, rate, time);
+    let arrival = |(index, at): (usize, Duration)| {
+        let label = (index % 2) as u8;
+        let nonce = format_compact!("added-{index}");
+        Arrival {
+            at,
+            label,
+            request: Request::new(to[usize::from(label)], SERVICE, "GET", &nonce),
+        }
+    };
+    times.into_iter().enumerate().map(arrival).collect()
+}
+
+#[ntex::main]
+async fn main() -> io::Result<()> {
+    let args = command().get_matches();
+    let number = |name: &str| args.get_one::<u64>(name).copied().unwrap_or_default();
+    let mut plan = FleetPlan::new(SERVICE, 1).backend_args(&["--service-us", "0"]);
+    plan.services.push(("caja".into(), 1));
+    let fleet = Fleet::start(&plan).await?;
+    // The second member's node is the ingress, the first one's the gate: two hops.
+    let to = [fleet.members[0].backend, fleet.members[1].ingress];
+    let time = WARM_UP + Duration::from_secs(number("seconds"));
+    let arrivals = arrivals(number("seed"), number("rate") as f64, time, to);
+    let start = Instant::now();
+    let mut calls = run_load(&Caller::new(start), start, arrivals).await;
+    calls.retain(|call| call.intended_us > WARM_UP.as_micros() as u64);
+    let direct = Report::new(calls.iter().filter(|call| call.label == DIRECT));
+    let hops = Report::new(calls.iter().filter(|call| call.label != DIRECT));
+    println!("| | calls | p50 ms | p99 ms | p99.9 ms |");
+    println!("|---|---|---|---|---|");
+    print_row("direct", &direct);
+    print_row("two hops", &hops);
+    let added = |quantile| hops.quantile_ms(quantile) - direct.quantile_ms(quantile);
+    println!(
+        "| added | | {:.3} | {:.3} | {:.3} |",
+        added(0.5),
+        added(0.99),
+        added(0.999)
+    );
+    println!("\ndirect: {direct}\ntwo hops: {hops}");
+    Ok(())
+}
+
+fn print_row(name: &str, report: &Report) {
+    let quantile = |q| report.quantile_ms(q);
+    let (p50, p99, p999) = (quantile(0.5), quantile(0.99), quantile(0.999));
+    println!(
+        "| {name} | {} | {p50:.3} | {p99:.3} | {p999:.3} |",
+        report.answers()
+    );
+}
--- a/crates/bench/src/backend.rs
+++ b/crates/bench/src/backend.rs
@@ -20,6 +20,7 @@
 use crate::backend_fault::Fault;
 use crate::backend_state::{BackendSettings, State};
 use crate::echo::{CHECK, Check, Echo, NONCE, SPENT};
+use crate::timer::sleep_precisely;
 
 const CRASH_STATUS: i32 = 86;
 const SHUTDOWN_S: u16 = 30;
@@ -171,7 +172,7 @@
     while let Some(part) = body.recv().await {
         check.update(&part?);
     }
-    sleep(state.service_time(scan_number(req, "x-service-us"))).await;
+    sleep_precisely(state.service_time(scan_number(req, "x-service-us"))).await;
     if header(req, "x-crash").is_some() {
         std::process::exit(CRASH_STATUS);
     }
