--- /dev/null
+++ b/crates/oriolering/src/gate.rs
@@ -0,0 +1,363 @@
+//! The only way to a backend server: admits, queues, refuses and fences calls.
+
+use std::collections::VecDeque;
+
+use crate::calls::{Call, Calls, Phase};
+use crate::ledger::Ledger;
+use crate::pause::{Pause, SETTLE_MS};
+use crate::queue::{Push, Queue};
+use crate::server::Server;
+use crate::{
+    CallId, Cause, Decision, Fate, Finish, GateEvent, GateSettings, Grant, Incarnation, LoadHint,
+    Millis, Offer, Refusal, Ticket,
+};
+
+/// The longest time to wait before sending again that a refusal names.
+const RETRY_MAX_MS: u64 = 10_000;
+
+/// The controller of the calls to one backend server.
+///
+/// A call is dispatched at most once. A call that was refused, fenced, cancelled or expired
+/// before it was dispatched is never dispatched afterwards. [`Self::cancel`] may be called at
+/// any point, also for tickets that are not valid any more.
+#[derive(Debug)]
+pub struct Gate {
+    settings: GateSettings,
+    ledger: Ledger,
+    calls: Calls,
+    queue: Queue,
+    server: Server,
+    pause: Pause,
+    refused: VecDeque<Ticket>,
+    leaving: bool,
+    now: Millis,
+}
+
+impl Gate {
+    /// Returns a gate without sessions.
+    ///
+    /// Its limit rises from the lowest to the initial one within the ramp time, since a
+    /// backend server mostly starts together with its node.
+    pub fn new(settings: GateSettings, incarnation: Incarnation, now: Millis) -> Self {
+        Self {
+            settings,
+            ledger: Ledger::new(incarnation, settings.sessions, settings.window),
+            calls: Calls::default(),
+            queue: Queue::new(settings.queue_length),
+            server: Server::new(settings, now),
+            pause: Pause::default(),
+            refused: VecDeque::new(),
+            leaving: false,
+            now,
+        }
+    }
+
+    /// Opens a session for an ingress; the session used least recently may be evicted.
+    pub fn open(&mut self, now: Millis) -> Grant {
+        self.observe(now);
+        self.ledger.open()
+    }
+
+    /// Decides about a call.
+    ///
+    /// After [`Decision::Start`] the call holds a slot until [`Self::finish`] or
+    /// [`Self::cancel`], and nothing may be sent before [`Self::dispatch`].
+    pub fn offer(&mut self, now: Millis, offer: Offer) -> Decision {
+        self.observe(now);
+        if let Err(cause) = self.ledger.admit(offer.id, offer.ack) {
+            return Decision::Refuse(self.refusal(now, cause));
+        }
+        let decision = self.place(now, offer);
+        if let Decision::Refuse(_) = decision {
+            self.ledger.refuse(offer.id);
+        }
+        decision
+    }
+
+    /// Sets the mark that a call is dispatched; the first byte may be sent after it.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal when the call was fenced, its deadline passed, the process was
+    /// paused or the ticket holds no slot. The ticket is not valid any more then.
+    pub fn dispatch(&mut self, now: Millis, ticket: Ticket) -> Result<(), Refusal> {
+        self.observe(now);
+        let Some(call) = self.calls.get(ticket).copied() else {
+            return Err(self.refusal(now, Cause::Fenced));
+        };
+        if call.phase != Phase::Reserved {
+            return Err(self.refusal(now, Cause::Fenced));
+        }
+        if let Err(cause) = self.mark(now, &call) {
+            self.cancel(now, ticket);
+            return Err(self.refusal(now, cause));
+        }
+        let run = self.server.start(now);
+        if let Some(call) = self.calls.get_mut(ticket) {
+            call.phase = Phase::Running(run);
+        }
+        Ok(())
+    }
+
+    /// Records how the run of a call ended, and frees its slot.
+    ///
+    /// A call that was not dispatched is cancelled.
+    pub fn finish(&mut self, now: Millis, ticket: Ticket, finish: Finish) {
+        let Some(call) = self.calls.get(ticket).copied() else {
+            return;
+        };
+        let run = match call.phase {
+            Phase::Running(run) => run,
+            Phase::Waiting | Phase::Refused(_) | Phase::Reserved => {
+                return self.cancel(now, ticket);
+            }
+        };
+        self.observe(now);
+        match finish {
+            Finish::NotSent => self.ledger.take_back(call.id),
+            Finish::Done { .. } | Finish::Failed { .. } | Finish::Shed | Finish::Lost => {
+                self.ledger.finish(call.id);
+            }
+        }
+        self.release(ticket);
+        self.server.finish(now, run, finish);
+    }
+
+    /// Drops a call whose caller is gone, and frees its slot.
+    ///
+    /// A call that was not dispatched never will be; a dispatched one stays recorded as run.
+    /// A ticket that is not valid any more is ignored.
+    pub fn cancel(&mut self, now: Millis, ticket: Ticket) {
+        self.observe(now);
+        let Some(call) = self.calls.get(ticket).copied() else {
+            return;
+        };
+        match call.phase {
+            Phase::Waiting => {
+                self.queue.remove(ticket);
+                self.ledger.refuse(call.id);
+                self.calls.remove(ticket);
+            }
+            Phase::Refused(_) => {
+                self.calls.remove(ticket);
+            }
+            Phase::Reserved => {
+                self.ledger.refuse(call.id);
+                self.release(ticket);
+            }
+            Phase::Running(run) => {
+                self.server.cut(now, run);
+                self.ledger.finish(call.id);
+                self.release(ticket);
+            }
+        }
+    }
+
+    /// Returns the next change of a waiting call.
+    ///
+    /// It is called until it returns `None` after each other change and at [`Self::next_wake`].
+    pub fn next_event(&mut self, now: Millis) -> Option<GateEvent> {
+        self.observe(now);
+        if let Some(ticket) = self.queue.expire(now) {
+            self.expire(now, ticket);
+        }
+        while let Some(ticket) = self.refused.pop_front() {
+            let phase = self.calls.get(ticket).map(|call| call.phase);
+            if let Some(Phase::Refused(refusal)) = phase {
+                self.calls.remove(ticket);
+                return Some(GateEvent::Refuse(ticket, refusal));
+            }
+        }
+        self.server.prune(now);
+        if !self.has_slot(now) {
+            return None;
+        }
+        let ticket = self.queue.pop(|customer| self.server.running(customer))?;
+        self.reserve(ticket);
+        Some(GateEvent::Start(ticket))
+    }
+
+    /// Returns what became of a call; with `fence` a call not yet dispatched never will be.
+    pub fn inquire(&mut self, now: Millis, id: CallId, fence: bool) -> Fate {
+        self.observe(now);
+        let fate = self.ledger.inquire(id, fence);
+        if fence && fate == Fate::Fenced {
+            let refusal = self.refusal(now, Cause::Fenced);
+            if let Some(ticket) = self.calls.waiting(id) {
+                self.queue.remove(ticket);
+                self.refuse(ticket, refusal);
+            }
+        }
+        fate
+    }
+
+    /// Returns the load of the backend server.
+    pub fn load(&self, now: Millis) -> LoadHint {
+        self.server.load(now, self.queue.len(), self.leaving)
+    }
+
+    /// Returns the fingerprints of the calls that the backend server runs now.
+    pub fn suspects(&self) -> Vec<u64> {
+        self.calls.fingerprints()
+    }
+
+    /// Stops taking new calls; the calls that wait or run are still served.
+    pub fn drain(&mut self, now: Millis) {
+        self.observe(now);
+        self.leaving = true;
+    }
+
+    /// Returns whether no call waits, holds a slot or has an event to come.
+    pub fn is_idle(&self) -> bool {
+        self.calls.len() == 0
+    }
+
+    /// Starts over with the lowest limit, since the backend server is a new incarnation.
+    pub fn restart(&mut self, now: Millis) {
+        self.observe(now);
+        self.server.restart(now, self.settings.ramp);
+    }
+
+    /// Changes the settings; calls over a lowered bound stay until they leave.
+    pub fn update(&mut self, settings: GateSettings) {
+        self.settings = settings;
+        self.ledger.resize(settings.sessions, settings.window);
+        self.queue.resize(settings.queue_length);
+        self.server.update(settings);
+    }
+
+    /// Returns when [`Self::next_event`] is to be called if nothing changes before.
+    pub fn next_wake(&self) -> Option<Millis> {
+        if !self.refused.is_empty() {
+            return Some(self.now);
+        }
+        let expiry = self.queue.earliest()?;
+        let settled = self.pause.settles(self.now);
+        let slot = settled.or(self.server.next_slot(self.now));
+        Some(slot.map_or(expiry, |at| at.min(expiry)))
+    }
+
+    /// Records that the process runs; a jump between two ticks shows that it was paused.
+    pub fn tick(&mut self, now: Millis) {
+        self.observe(now);
+        self.pause.tick(now);
+    }
+
+    /// Finds a slot or a place in the queue for an admitted call.
+    fn place(&mut self, now: Millis, offer: Offer) -> Decision {
+        if self.leaving {
+            return Decision::Refuse(self.refusal(now, Cause::Leaving));
+        }
+        if offer.deadline <= now {
+            return Decision::Refuse(self.refusal(now, Cause::Deadline));
+        }
+        let call = Call::new(offer);
+        if self.queue.is_empty() && self.has_slot(now) {
+            let ticket = self.calls.insert(call);
+            self.reserve(ticket);
+            return Decision::Start(ticket);
+        }
+        if self.refused.len() >= self.settings.queue_length as usize {
+            return Decision::Refuse(self.refusal(now, Cause::Full));
+        }
+        self.enqueue(now, call)
+    }
+
+    fn enqueue(&mut self, now: Millis, call: Call) -> Decision {
+        let latest = Millis(call.deadline.0.saturating_sub(self.server.service_ms()));
+        let start = now + self.server.drain_ms(now, self.queue.ahead(call.customer));
+        if start >= latest {
+            return Decision::Refuse(self.refusal(now, Cause::Deadline));
+        }
+        let expires = latest.min(now + self.settings.queue_wait);
+        if start > expires {
+            return Decision::Refuse(self.refusal(now, Cause::Full));
+        }
+        let ticket = self.calls.insert(call);
+        let cause = match self.queue.push(ticket, call.customer, expires) {
+            Push::Queued => return Decision::Wait(ticket),
+            Push::Evicted(victim) => {
+                self.refuse(victim, self.refusal(now, Cause::Share));
+                return Decision::Wait(ticket);
+            }
+            Push::Full => Cause::Full,
+            Push::Share => Cause::Share,
+        };
+        self.calls.remove(ticket);
+        Decision::Refuse(self.refusal(now, cause))
+    }
+
+    /// Checks a call for the last time before its mark is set.
+    fn mark(&mut self, now: Millis, call: &Call) -> Result<(), Cause> {
+        if call.deadline <= now {
+            return Err(Cause::Deadline);
+        }
+        if self.pause.settles(now).is_some() {
+            return Err(Cause::Unready);
+        }
+        self.ledger.dispatch(call.id)
+    }
+
+    fn expire(&mut self, now: Millis, ticket: Ticket) {
+        let finish = now + self.server.service_ms();
+        let call = self.calls.get(ticket);
+        let late = call.is_some_and(|call| call.deadline <= finish);
+        let cause = match late {
+            true => Cause::Deadline,
+            false => Cause::Full,
+        };
+        self.refuse(ticket, self.refusal(now, cause));
+    }
+
+    /// Refuses a call that left the queue; its event follows.
+    fn refuse(&mut self, ticket: Ticket, refusal: Refusal) {
+        if let Some(call) = self.calls.get_mut(ticket) {
+            call.phase = Phase::Refused(refusal);
+            self.ledger.refuse(call.id);
+            self.refused.push_back(ticket);
+        }
+    }
+
+    fn has_slot(&self, now: Millis) -> bool {
+        self.server.has_slot(now) && self.pause.settles(now).is_none()
+    }
+
+    fn reserve(&mut self, ticket: Ticket) {
+        if let Some(call) = self.calls.get_mut(ticket) {
+            call.phase = Phase::Reserved;
+            self.server.take(call.customer);
+        }
+    }
+
+    /// Ends a call that holds a slot.
+    fn release(&mut self, ticket: Ticket) {
+        if let Some(call) = self.calls.remove(ticket) {
+            self.server.free(call.customer);
+        }
+    }
+
+    fn observe(&mut self, now: Millis) {
+        self.now = now;
+        self.pause.observe(now);
+    }
+
+    fn refusal(&self, now: Millis, cause: Cause) -> Refusal {
+        let ms = match cause {
+            Cause::Full | Cause::Share | Cause::Deadline => {
+                self.server.drain_ms(now, self.queue.len() + 1).max(1)
+            }
+            Cause::Unready => SETTLE_MS,
+            Cause::Leaving
+            | Cause::Fenced
+            | Cause::Session
+            | Cause::Unreachable
+            | Cause::Quarantined
+            | Cause::Cancelled
+            | Cause::Invalid => 0,
+        };
+        Refusal {
+            cause,
+            retry_after: ms.min(RETRY_MAX_MS) as u32,
+        }
+    }
+}
