--- a/crates/node/src/hedge.rs
+++ b/crates/node/src/hedge.rs
@@ -25,7 +25,7 @@
         true => delay(wire, call),
         false => None,
     };
-    let attempt = std::pin::pin!(attempt::run(wire, call, first, span));
+    let attempt = Box::pin(attempt::run(wire, call, first, span));
     let Some(delay) = delay else {
         return attempt.await;
     };
@@ -43,7 +43,7 @@
         number: first.number + 1,
         crashes: first.crashes,
     };
-    let second = std::pin::pin!(attempt::run(wire, call, plan, span));
+    let second = Box::pin(attempt::run(wire, call, plan, span));
     match select(attempt, second).await {
         Either::Left((Reached::Missing(_), second)) => second.await,
         Either::Right((Reached::Missing(_), attempt)) => attempt.await,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -4,6 +4,9 @@
 //! the local backend server and decides finally whether a call runs; the control part
 //! exchanges configuration, membership and quarantines with peers.
 
+// The HTTP client's connector is a chain of generic services, too deep for the default limit.
+#![recursion_limit = "256"]
+
 mod admin;
 mod admission;
 mod admit;
