Wait with the runtime's timers instead of the HTTP library's

Cause: nodes whose platform had gone spun at half a core each; a trace of one showed the timer wheel of the HTTP library waking at zero delay without end. Its steps are 16 ms too, so a wait of 10 ms took up to 32. Ruled out: a loop of our own in the control part (no message was sent). Change: one small module waits with the runtime's timers, and the clients have their own time limits switched off.

--- a/crates/node/src/admit.rs
+++ b/crates/node/src/admit.rs
@@ -10,9 +10,10 @@
 use crate::headers;
 use crate::permit::Permit;
 use crate::reply::Reply;
+use crate::timer::sleep;
 use crate::wire::Wire;
 
-const COLLECT_POLL_MS: u32 = 5;
+const COLLECT_POLL_MS: u64 = 5;
 
 /// Serves a request of an ingress.
 pub(crate) async fn serve(wire: Rc<Wire>, request: HttpRequest, payload: Payload) -> HttpResponse {
@@ -104,7 +105,7 @@
         if fate != Fate::Running || now >= end {
             return Reply::unknown(Cause::Unreachable, 0).response();
         }
-        ntex::time::sleep(ntex::time::Millis(COLLECT_POLL_MS)).await;
+        sleep(COLLECT_POLL_MS).await;
     }
 }
 
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -7,7 +7,6 @@
 use ntex::http::client::error::{ConnectError, SendRequestError};
 use ntex::http::client::{ClientRequest, ClientResponse};
 use ntex::http::header::{HeaderMap, HeaderName, HeaderValue};
-use ntex::time::{Millis as Wait, sleep};
 use opentelemetry_sdk::trace::Span;
 use oriolering::{
     Attempt, Cause, Failure, Fate, Grant, LoadHint, Millis, Outcome, Refusal, ServiceKey,
@@ -17,6 +16,7 @@
 use crate::directory::Target;
 use crate::headers;
 use crate::sessions::Issued;
+use crate::timer::{sleep, within};
 use crate::traces;
 use crate::wire::Wire;
 
@@ -26,7 +26,7 @@
 /// Inquiries without an answer after which a gate counts as out of reach.
 const MAX_UNANSWERED: u32 = 2;
 /// The time in which the answer of a finished call may still come over its first connection.
-const DONE_WAIT_MS: u32 = 20;
+const DONE_WAIT_MS: u64 = 20;
 
 /// How an attempt ended.
 pub(crate) enum Reached {
@@ -148,8 +148,7 @@
     }
     let request = wire.gate(target.address.gate).get(uri(target, "/"));
     let sending = request.set_header(oriolering::STEP, "open").send();
-    let response = ntex::time::timeout(Wait(INQUIRY_TIMEOUT_MS as u32), sending).await;
-    let response = response.ok()?.ok()?;
+    let response = within(INQUIRY_TIMEOUT_MS, sending).await?.ok()?;
     learn_grant(wire, target, response.headers());
     wire.node.directory.lock().issue(target.server)
 }
@@ -243,10 +242,10 @@
     *request.headers_mut() = headers.clone();
     let sending = request.set_header(oriolering::STEP, "reserve").send();
     let left = call.left(wire.node.clock.now()).max(1);
-    match ntex::time::timeout(Wait(left as u32), sending).await {
-        Ok(Ok(response)) if response.status().is_success() => None,
-        Ok(Ok(response)) => Some(read_word(wire, call, target, response)),
-        Ok(Err(_)) | Err(()) => Some(Reached::Missing(Failure::Unsent)),
+    match within(left, sending).await {
+        Some(Ok(response)) if response.status().is_success() => None,
+        Some(Ok(response)) => Some(read_word(wire, call, target, response)),
+        Some(Err(_)) | None => Some(Reached::Missing(Failure::Unsent)),
     }
 }
 
@@ -277,7 +276,7 @@
             return Reached::Missing(Failure::MayHaveRun);
         }
         let asking = async {
-            sleep(Wait(silence.min(left) as u32)).await;
+            sleep(silence.min(left)).await;
             inquire(wire, target, issued).await
         };
         tokio::select! {
@@ -289,7 +288,7 @@
                     return Reached::Missing(Failure::Refused(Refusal { cause: Cause::Fenced, retry_after: 0 }));
                 }
                 Some(Fate::Done) => {
-                    if let Ok(result) = ntex::time::timeout(Wait(DONE_WAIT_MS), &mut sending).await {
+                    if let Some(result) = within(DONE_WAIT_MS, &mut sending).await {
                         return classify(wire, call, target, issued, result).await;
                     }
                     wire.renew(target.address.gate);
@@ -374,9 +373,9 @@
         .set_header(oriolering::CALL_ID, issued.id.encode())
         .set_header(oriolering::STEP, "collect")
         .set_header(oriolering::DEADLINE, left.to_string());
-    match ntex::time::timeout(Wait(left as u32), request.send()).await {
-        Ok(Ok(response)) => read_word(wire, call, target, response),
-        Ok(Err(_)) | Err(()) => Reached::Missing(Failure::MayHaveRun),
+    match within(left, request.send()).await {
+        Some(Ok(response)) => read_word(wire, call, target, response),
+        Some(Err(_)) | None => Reached::Missing(Failure::MayHaveRun),
     }
 }
 
--- a/crates/node/src/control/platform.rs
+++ b/crates/node/src/control/platform.rs
@@ -3,17 +3,19 @@
 use std::net::SocketAddr;
 
 use ntex::http::StatusCode;
+use ntex::http::client::error::SendRequestError;
 use ntex::http::client::{Client, ClientResponse, Connector};
+use ntex::http::error::PayloadError;
 use ntex::time::{Millis, Seconds};
 use oriolering::VALUE_BYTES;
 use snafu::{OptionExt, ResultExt, Snafu};
 
 use super::message::Kind;
+use crate::timer::within;
 
 /// The bytes of a request and of the headers of its answer.
 pub(crate) const HEAD_BYTES: u64 = 600;
-/// The time to connect, and the time that an answer may take beyond the wait of a watch.
-const CONNECT_MS: u32 = 2_000;
+/// The time that an answer may take beyond the wait of a watch.
 const ANSWER_MS: u64 = 5_000;
 /// The header that carries the revision of a value.
 const REVISION: &str = "revision";
@@ -49,12 +51,14 @@
     /// Returns a client of the service at `address`.
     pub(crate) fn new(address: SocketAddr) -> Self {
         let connector = Connector::default()
-            .timeout(Millis(CONNECT_MS))
+            .timeout(Millis::ZERO)
             .keep_alive(Seconds::ZERO)
             .finish();
         let client = Client::build()
             .connector(connector)
             .disable_redirects()
+            .disable_timeout()
+            .response_payload_timeout(Millis::ZERO)
             .no_default_headers()
             .response_payload_limit(VALUE_BYTES)
             .finish();
@@ -74,14 +78,9 @@
         };
         let address = self.address;
         let url = format!("http://{address}/v1/{path}?after={after}&wait_ms={wait_ms}");
-        let sent = self
-            .client
-            .get(url)
-            .force_close()
-            .no_decompress()
-            .timeout(Millis((wait_ms + ANSWER_MS) as u32))
-            .send()
-            .await;
+        let sent = self.client.get(url).force_close().no_decompress().send();
+        let sent = within(wait_ms + ANSWER_MS, sent).await;
+        let sent = sent.unwrap_or(Err(SendRequestError::Timeout));
         let response = sent.map_err(|error| ReadError::Send {
             address,
             reason: error.to_string(),
@@ -99,11 +98,10 @@
         .header(REVISION)
         .and_then(|value| value.to_str().ok()?.parse().ok())
         .context(RevisionSnafu)?;
-    let body = response
-        .body()
-        .limit(VALUE_BYTES)
-        .timeout(Millis(ANSWER_MS as u32));
-    let bytes = body.await.map_err(|error| ReadError::Body {
+    let body = response.body().limit(VALUE_BYTES);
+    let bytes = within(ANSWER_MS, body).await;
+    let bytes = bytes.unwrap_or(Err(PayloadError::Incomplete(None)));
+    let bytes = bytes.map_err(|error| ReadError::Body {
         reason: error.to_string(),
     })?;
     let text = std::str::from_utf8(&bytes).context(TextSnafu)?;
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -7,7 +7,6 @@
 use ntex::http::client::{ClientRequest, ClientResponse};
 use ntex::http::header::HeaderMap;
 use ntex::http::{Payload, StatusCode};
-use ntex::time::Millis as Wait;
 use ntex::util::{Bytes, BytesMut};
 use ntex::web::{HttpRequest, HttpResponse};
 use oriolering::config::Service;
@@ -20,6 +19,7 @@
 use crate::headers;
 use crate::permit::Permit;
 use crate::reply::Reply;
+use crate::timer::within;
 use crate::watch;
 use crate::wire::Wire;
 
@@ -116,8 +116,7 @@
         if now >= end {
             return Err(Missing::Late);
         }
-        let wait = Wait(end.since(now) as u32);
-        if let Ok(result) = ntex::time::timeout(wait, &mut sending).await {
+        if let Some(result) = within(end.since(now), &mut sending).await {
             return result.map_err(missing);
         }
     }
@@ -128,9 +127,9 @@
     F: Future<Output = Result<ClientResponse, SendRequestError>>,
 {
     let left = deadline.since(wire.node.clock.now()).max(1);
-    match ntex::time::timeout(Wait(left as u32), sending).await {
-        Ok(result) => result.map_err(missing),
-        Err(()) => Err(Missing::Late),
+    match within(left, sending).await {
+        Some(result) => result.map_err(missing),
+        None => Err(Missing::Late),
     }
 }
 
@@ -192,8 +191,8 @@
     let status = response.status();
     let headers = headers::end_to_end(response.headers());
     let left = job.deadline.since(wire.node.clock.now()).max(1);
-    let body = ntex::time::timeout(Wait(left as u32), read(&mut response, length)).await;
-    let Ok(Some(body)) = body else {
+    let body = within(left, read(&mut response, length)).await;
+    let Some(Some(body)) = body else {
         watch::lost(&wire.node);
         permit.finish(Finish::Lost);
         return unknown(&wire, Cause::Unreachable);
--- a/crates/node/src/hedge.rs
+++ b/crates/node/src/hedge.rs
@@ -1,7 +1,6 @@
 //! Sends a slow idempotent call to a second backend server.
 
 use futures_util::future::{Either, select};
-use ntex::time::{Millis as Wait, sleep};
 use opentelemetry_sdk::trace::Span;
 use oriolering::ServerKey;
 use smallvec::SmallVec;
@@ -9,6 +8,7 @@
 use crate::attempt::{self, Plan, Reached};
 use crate::call::Call;
 use crate::directory::Target;
+use crate::timer::sleep;
 use crate::wire::Wire;
 
 /// Runs an attempt, and beside it a second one when the first is slow and the budget allows.
@@ -29,7 +29,7 @@
     let Some(delay) = delay else {
         return attempt.await;
     };
-    let timer = std::pin::pin!(sleep(Wait(delay as u32)));
+    let timer = std::pin::pin!(sleep(delay));
     let attempt = match select(attempt, timer).await {
         Either::Left((reached, _)) => return reached,
         Either::Right(((), attempt)) => attempt,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -36,6 +36,7 @@
 mod startup;
 mod state;
 mod status;
+mod timer;
 mod traces;
 mod watch;
 mod wire;
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -4,17 +4,18 @@
 use std::sync::Arc;
 
 use ntex::http::KeepAlive;
-use ntex::time::{Millis as Wait, Seconds, sleep};
+use ntex::time::Seconds;
 use ntex::web::{self, App, HttpRequest, HttpResponse, HttpServer, types};
 
 use crate::admin;
 use crate::admit;
 use crate::ingress;
 use crate::state::Node;
+use crate::timer::sleep;
 use crate::wire::Wire;
 
 /// The time between two looks at the queue of the gate.
-const TICK: Wait = Wait(10);
+const TICK_MS: u64 = 5;
 const KEEP_ALIVE: Seconds = Seconds(60);
 const BACKLOG: i32 = 4_096;
 /// The time in which peers learn that the node is leaving before its listeners close.
@@ -64,7 +65,7 @@
         if waited >= node.card.drain_ms || (idle && waited >= LEAVE_MS) {
             return;
         }
-        sleep(TICK).await;
+        sleep(TICK_MS).await;
     }
 }
 
@@ -79,7 +80,7 @@
     loop {
         let now = wire.node.tick();
         wire.reserved.borrow_mut().expire(now);
-        sleep(TICK).await;
+        sleep(TICK_MS).await;
     }
 }
 
