--- a/crates/node/src/call.rs
+++ b/crates/node/src/call.rs
@@ -1,5 +1,6 @@
 //! One call of a caller as it moves through the filters and attempts.
 
+use std::cell::RefCell;
 use std::sync::Arc;
 
 use ntex::http::header::HeaderMap;
@@ -32,7 +33,7 @@
     /// The headers that travel on, without those of the connection.
     pub(crate) headers: HeaderMap,
     /// The body of the request.
-    pub(crate) body: CallBody,
+    pub(crate) body: RefCell<CallBody>,
 }
 
 impl Call {
@@ -46,6 +47,19 @@
         self.request.uri()
     }
 
+    /// Returns whether the body can be sent again.
+    pub(crate) fn is_whole(&self) -> bool {
+        match &*self.body.borrow() {
+            CallBody::Whole(_) => true,
+            CallBody::Stream(_) | CallBody::Taken => false,
+        }
+    }
+
+    /// Returns whether the body has been handed to an attempt and cannot be sent again.
+    pub(crate) fn is_taken(&self) -> bool {
+        matches!(&*self.body.borrow(), CallBody::Taken)
+    }
+
     /// Returns the milliseconds left before the deadline.
     pub(crate) fn left(&self, now: Millis) -> u64 {
         self.deadline.since(now)
--- a/crates/node/src/filters/fingerprint.rs
+++ b/crates/node/src/filters/fingerprint.rs
@@ -14,7 +14,7 @@
     hash.update(&[0]);
     hash.update(call.uri().to_string().as_bytes());
     hash.update(&[0]);
-    match &call.body {
+    match &*call.body.borrow() {
         CallBody::Whole(bytes) => hash.update(bytes),
         CallBody::Stream(_) | CallBody::Taken => {
             let length = call.request.headers().get("content-length");
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use futures_util::StreamExt;
+use ntex::http::client::ClientResponse;
 use ntex::http::{Method, Payload};
 use ntex::util::{Bytes, BytesMut};
 use ntex::web::{HttpRequest, HttpResponse};
@@ -10,12 +11,13 @@
 use oriolering::{AttemptState, Cause, Failure, Refusal, ServerKey, Step, next_step};
 use smallvec::SmallVec;
 
-use crate::attempt::{self, Reached};
+use crate::attempt::{Plan, Reached};
 use crate::body::{Ending, Upload, WholeBody};
 use crate::call::{Call, CallBody};
 use crate::filters::{self, route};
 use crate::forward;
 use crate::headers;
+use crate::hedge;
 use crate::reply::Reply;
 use crate::traces;
 use crate::wire::Wire;
@@ -55,7 +57,7 @@
 async fn prepare(wire: &Wire, request: HttpRequest, payload: Payload) -> Result<Call, Reply> {
     let mut call = begin(wire, request)?;
     filters::run(&filters::HEAD, &wire.node, &mut call)?;
-    call.body = read_body(wire, &call, payload).await?;
+    call.body = read_body(wire, &call, payload).await?.into();
     filters::run(&filters::BODY, &wire.node, &mut call)?;
     Ok(call)
 }
@@ -86,7 +88,7 @@
         customer: 0,
         fingerprint: 0,
         headers: headers::end_to_end(request.headers()),
-        body: CallBody::Whole(Bytes::new()),
+        body: CallBody::Whole(Bytes::new()).into(),
         settings,
         request,
     })
@@ -125,7 +127,7 @@
 }
 
 /// Sends the call to one backend server after the other until there is a final word.
-async fn attempts(wire: &Rc<Wire>, mut call: Call, span: &mut Span) -> Result<HttpResponse, Reply> {
+async fn attempts(wire: &Rc<Wire>, call: Call, span: &mut Span) -> Result<HttpResponse, Reply> {
     let mut tried: SmallVec<[ServerKey; 4]> = SmallVec::new();
     let mut crashes = 0;
     let mut uncertain = false;
@@ -144,7 +146,12 @@
         if number > 1 {
             wire.node.metrics.retries.add(1, &[]);
         }
-        let failure = match attempt::run(wire, &mut call, target, number, crashes, span).await {
+        let first = Plan {
+            target,
+            number,
+            crashes,
+        };
+        let failure = match hedge::run(wire, &call, first, &mut tried, span).await {
             Reached::Answer(response) => return Ok(pass_on(wire, &call, response, span)),
             Reached::Missing(failure) => failure,
         };
@@ -169,9 +176,9 @@
 
 /// A body that was handed to an attempt cannot be sent again.
 fn attempt_limit(call: &Call) -> u32 {
-    match call.body {
-        CallBody::Whole(_) | CallBody::Stream(_) => call.settings.retry.attempts,
-        CallBody::Taken => 0,
+    match call.is_taken() {
+        true => 0,
+        false => call.settings.retry.attempts,
     }
 }
 
@@ -202,7 +209,7 @@
 fn pass_on(
     wire: &Rc<Wire>,
     call: &Call,
-    response: ntex::http::client::ClientResponse,
+    response: Box<ClientResponse>,
     span: &mut Span,
 ) -> HttpResponse {
     traces::note(span, "status", i64::from(response.status().as_u16()));
@@ -218,6 +225,6 @@
         Ending::Whole => {}
         Ending::Cut => node.metrics.cuts.add(1, &[]),
     };
-    let body = WholeBody::new(response, length, reader, ended);
+    let body = WholeBody::new(*response, length, reader, ended);
     builder.body(ntex::http::body::Body::from_message(body))
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -19,6 +19,7 @@
 mod filters;
 mod forward;
 mod headers;
+mod hedge;
 mod ingress;
 mod logging;
 mod metrics;
--- a/crates/node/src/servers.rs
+++ b/crates/node/src/servers.rs
@@ -1,9 +1,7 @@
 //! The arena of backend servers that this ingress knows.
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
 
-use compact_str::CompactString;
 use oriolering::{Member, ServerKey};
 
 use crate::sessions::Session;
@@ -34,7 +32,6 @@
 #[derive(Debug, Default)]
 pub(crate) struct Servers {
     list: Vec<Server>,
-    by_id: HashMap<CompactString, ServerKey>,
 }
 
 impl Servers {
@@ -56,20 +53,13 @@
         }
     }
 
-    /// Returns the key of the server with this id.
-    pub(crate) fn key(&self, id: &str) -> Option<ServerKey> {
-        self.by_id.get(id).copied()
-    }
-
     /// Takes up a new list of members.
     pub(crate) fn update(&mut self, members: &[Member]) {
         for server in &mut self.list {
             server.gone = true;
         }
-        self.by_id.clear();
         for member in members {
-            let key = self.place(member);
-            self.by_id.insert(member.id.clone(), key);
+            self.place(member);
         }
     }
 
@@ -82,13 +72,14 @@
     }
 
     /// Finds the slot of `member`: its own, a free one, or a new one.
-    fn place(&mut self, member: &Member) -> ServerKey {
+    fn place(&mut self, member: &Member) {
         let own = self
             .list
             .iter()
             .position(|server| server.member.id == member.id);
         if let Some(ix) = own {
-            return self.renew(ix, member);
+            self.renew(ix, member);
+            return;
         }
         let free = self
             .list
@@ -101,24 +92,17 @@
             gone: false,
         };
         match free {
-            Some(ix) => {
-                self.list[ix] = server;
-                ServerKey(ix as u32)
-            }
-            None => {
-                self.list.push(server);
-                ServerKey(self.list.len() as u32 - 1)
-            }
+            Some(ix) => self.list[ix] = server,
+            None => self.list.push(server),
         }
     }
 
-    fn renew(&mut self, ix: usize, member: &Member) -> ServerKey {
+    fn renew(&mut self, ix: usize, member: &Member) {
         let server = &mut self.list[ix];
         if server.member.gate != member.gate {
             server.session = Session::default();
         }
         server.member = member.clone();
         server.gone = false;
-        ServerKey(ix as u32)
     }
 }
