Give the HTTP pools a limit so that waiting calls are woken

Ruled out: the nodes, whose counters showed only the calls that were answered. The pool of the HTTP client opens one connection to an address at a time; calls that come meanwhile wait, and are woken only while the pool is below its limit. With the limit 0, which stands for none, that is never.

--- a/crates/node/src/wire.rs
+++ b/crates/node/src/wire.rs
@@ -13,6 +13,9 @@
 use crate::reserved::Reserved;
 use crate::state::Node;
 
+/// The pool opens one connection at a time and wakes the calls that wait for it only while it
+/// is below a limit; with a limit of zero, which means none, they wait for good.
+const MAX_CONNECTIONS: usize = 65_536;
 const CONNECT_TIMEOUT_MS: u32 = 500;
 const IDLE_TIMEOUT: Seconds = Seconds(20);
 const LIFETIME: Seconds = Seconds(3_600);
@@ -55,10 +58,11 @@
 }
 
 /// Returns a client that passes on what it gets: no redirects, no default headers, no limit of
-/// connections and no time limit of its own. The gate's slots and the deadlines bound both.
+/// connections that is ever met and no time limit of its own. The gate's slots and the
+/// deadlines bound both.
 fn pooled() -> Client {
     let connector = Connector::new()
-        .limit(0)
+        .limit(MAX_CONNECTIONS)
         .timeout(Millis(CONNECT_TIMEOUT_MS))
         .keep_alive(IDLE_TIMEOUT)
         .lifetime(LIFETIME)
