--- a/crates/bench/src/caller.rs
+++ b/crates/bench/src/caller.rs
@@ -16,9 +16,12 @@
 use crate::echo::{CHECK, Check, Echo, EchoReader, NONCE, SPENT};
 
 const IDLE_S: u16 = 30;
+const LIFETIME_S: u16 = 3_600;
+/// Without a limit the pool never wakes calls that wait while a connection is being opened.
+const CONNECTIONS: usize = 100_000;
 const CONNECT_MS: u32 = 2_000;
 
-/// A client that follows no redirect, retries nothing and has no limit of connections.
+/// A client that follows no redirect, retries nothing and opens as many connections as it needs.
 #[derive(Clone)]
 pub struct Caller {
     client: Client,
@@ -49,10 +52,10 @@
     /// Returns a caller whose times count from `start`.
     pub fn new(start: Instant) -> Self {
         let connector = Connector::default()
-            .limit(0)
+            .limit(CONNECTIONS)
             .timeout(Millis(CONNECT_MS))
             .keep_alive(Seconds(IDLE_S))
-            .lifetime(Seconds::ZERO)
+            .lifetime(Seconds(LIFETIME_S))
             .finish();
         let client = Client::build()
             .connector(connector)
--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -11,7 +11,7 @@
 
 use crate::backend_state::Runs;
 use crate::history::merge_runs;
-use crate::http::http_get;
+use crate::http::{http_get, http_post};
 use crate::member::{Member, MemberPlan};
 use crate::process::{Process, free_address, program, wait_for_listener};
 
@@ -92,6 +92,8 @@
     pub async fn start(plan: &FleetPlan) -> io::Result<Self> {
         let dir = tempfile::tempdir()?;
         let address = free_address();
+        let platform = start_platform(&dir, address, plan)?;
+        wait_for_listener(address, READY_LIMIT).await;
         let mut members = Vec::new();
         for (service, count) in &plan.services {
             for number in 0..*count {
@@ -108,17 +110,27 @@
                 members.push(Member::start(dir.path(), plan)?);
             }
         }
-        let platform = start_platform(&dir, address, plan, &members)?;
         let mut fleet = Self {
             members,
             platform,
             address,
             dir,
         };
+        fleet.list(|_| "live").await;
         fleet.wait_ready().await?;
         Ok(fleet)
     }
 
+    /// Replaces the platform's list of instances by all members in the states given.
+    pub async fn list(&self, state: impl Fn(&Member) -> &'static str) -> bool {
+        let entries = self
+            .members
+            .iter()
+            .map(|member| member.entry(state(member)));
+        let list = json!({ "instances": entries.collect::<Vec<Value>>() });
+        http_post(self.address, "/_instances", &list).await == Some(202)
+    }
+
     /// Waits until every node that runs says that it is ready.
     ///
     /// # Errors
@@ -126,9 +138,10 @@
     /// Returns the log of a node that ends or takes too long.
     pub async fn wait_ready(&mut self) -> io::Result<()> {
         let end = Instant::now() + READY_LIMIT;
+        let count = self.members.len();
         for member in &mut self.members {
             wait_for_listener(member.backend, READY_LIMIT).await;
-            while !is_ready(member.admin).await {
+            while !is_ready(member.admin, count).await {
                 if Instant::now() > end || !member.node.is_running() {
                     let log = fs::read_to_string(&member.node.log)?;
                     return Err(io::Error::other(format!(
@@ -166,29 +179,26 @@
     }
 }
 
-async fn is_ready(admin: SocketAddr) -> bool {
-    let answer = http_get(admin, "/ready").await;
-    answer.is_some_and(|(status, _)| status == 200)
+/// Returns whether a node is ready and knows all members.
+async fn is_ready(admin: SocketAddr, members: usize) -> bool {
+    if !matches!(http_get(admin, "/ready").await, Some((200, _))) {
+        return false;
+    }
+    let Some((200, body)) = http_get(admin, "/status").await else {
+        return false;
+    };
+    let status: Value = serde_json::from_slice(&body).unwrap_or_default();
+    status["members"].as_array().map(Vec::len) == Some(members)
 }
 
-fn start_platform(
-    dir: &TempDir,
-    address: SocketAddr,
-    plan: &FleetPlan,
-    members: &[Member],
-) -> io::Result<Process> {
+fn start_platform(dir: &TempDir, address: SocketAddr, plan: &FleetPlan) -> io::Result<Process> {
     let bundle = dir.path().join("bundle.json");
     fs::write(&bundle, plan.bundle().to_string())?;
-    let instances = dir.path().join("instances.json");
-    let entries: Vec<Value> = members.iter().map(|member| member.entry("live")).collect();
-    fs::write(&instances, json!({ "instances": entries }).to_string())?;
     let args = [
         "--listen".to_owned(),
         address.to_string(),
         "--bundle".to_owned(),
         bundle.display().to_string(),
-        "--instances".to_owned(),
-        instances.display().to_string(),
     ];
     Process::start(
         &program("platform"),
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -40,4 +40,4 @@
 pub use report::{Report, histogram, label};
 pub use scenario::{Outcomes, Scenario, Trouble};
 pub use signal::Signal;
-pub use trial::{Mix, Trial, Verdict, seed_or};
+pub use trial::{Mix, Trial, Verdict, block_on, seed_or};
--- a/crates/bench/src/trial.rs
+++ b/crates/bench/src/trial.rs
@@ -27,6 +27,11 @@
     text.and_then(|text| text.parse().ok()).unwrap_or(default)
 }
 
+/// Runs a proof on a runtime of its own.
+pub fn block_on(proof: impl Future<Output = ()> + 'static) {
+    ntex::rt::System::new("proof").block_on(proof);
+}
+
 /// The load of a trial.
 #[derive(Clone, Copy, Debug)]
 pub struct Mix {
@@ -65,23 +70,31 @@
         let mut arrival = |(index, at): (usize, Duration)| {
             let entry = rng.random_range(skipped..count);
             let service = &fleet.members[rng.random_range(0..count)].service;
-            let nonce = format_compact!("t{seed}-{index}");
             let target = fleet.members[entry].ingress;
             Arrival {
                 at,
                 label: entry as u8,
-                request: self.request(&mut rng, target, service, &nonce),
+                request: self.request(
+                    &mut rng,
+                    target,
+                    service,
+                    &format_compact!("t{seed}-{index}"),
+                ),
             }
         };
         let times = poisson_times(seed, self.rate, self.time);
         times.into_iter().enumerate().map(&mut arrival).collect()
     }
 
-    fn request(&self, rng: &mut StdRng, to: SocketAddr, service: &str, nonce: &str) -> Request {
+    fn request(&self, rng: &mut StdRng, to: SocketAddr, service: &str, name: &str) -> Request {
         let post = rng.random_bool(self.posts);
         let method = if post { "POST" } else { "GET" };
-        let mut request = Request::new(to, service, method, nonce);
+        let nonce = format_compact!("{name}-{method}");
+        let mut request = Request::new(to, service, method, &nonce);
         let large = rng.random_bool(self.large);
+        if large {
+            request.nonce.push_str("-large");
+        }
         if post {
             let size = if large { LARGE_BYTES } else { nonce.len() };
             let body: Vec<u8> = nonce.bytes().cycle().take(size).collect();
