Keep the control thread idle when there is nothing to do

Cause: an idle node spent half a core on its control thread and a timer thread. Ruled out: gossip and reads, of which there were 16 messages and 4 reads in 15 s. A ping interval of 0 does not switch the runtime's pings of its threads off; it sends them without a pause. Change: the runtime's default interval of 1 s.

--- a/crates/node/src/control/start.rs
+++ b/crates/node/src/control/start.rs
@@ -59,7 +59,7 @@
 }
 
 fn run(shared: Arc<Shared>, listener: TcpListener, commands: Commands) {
-    let system = System::build().name("control").ping_interval(0).finish();
+    let system = System::build().name("control").finish();
     let stopped = system.block_on(serve(shared, listener, commands));
     if let Some(stopped) = stopped {
         let _ = stopped.send(());
