End the processes of a fleet with their harness

Change: each child asks the kernel to be killed with the thread that started it. Seen: no process of the fleet left after the harness was terminated.

--- a/crates/bench/src/process.rs
+++ b/crates/bench/src/process.rs
@@ -8,7 +8,7 @@
 use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::{Duration, Instant};
 
-use crate::signal::{Signal, send_signal};
+use crate::signal::{Signal, send_signal, tie_to_parent};
 
 const FIRST_PORT: u16 = 10_000;
 const PORTS: u16 = 20_000;
@@ -30,11 +30,14 @@
     /// Returns the error of the file or of the start.
     pub fn start(program: &Path, args: &[String], log: &Path) -> io::Result<Self> {
         let output = File::options().create(true).append(true).open(log)?;
-        let child = Command::new(program)
+        let mut command = Command::new(program);
+        command
             .args(args)
             .stdin(Stdio::null())
             .stdout(output.try_clone()?)
-            .stderr(output)
+            .stderr(output);
+        tie_to_parent(&mut command);
+        let child = command
             .spawn()
             .map_err(|e| io::Error::new(e.kind(), format!("{}: {e}", program.display())))?;
         Ok(Self {
--- a/crates/bench/src/signal.rs
+++ b/crates/bench/src/signal.rs
@@ -1,5 +1,9 @@
 //! Signals to processes that the harness started.
 
+use std::io;
+use std::os::unix::process::CommandExt;
+use std::process::Command;
+
 /// A signal that the harness sends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Signal {
@@ -36,3 +40,20 @@
     // SAFETY: the call takes two integers; an unwaited child's number is not used again.
     unsafe { libc::kill(pid, signal.number()) == 0 }
 }
+
+/// Makes a child end with the thread that starts it, also when that thread is killed.
+#[expect(
+    unsafe_code,
+    reason = "the standard library cannot tie a child to its parent"
+)]
+pub(crate) fn tie_to_parent(command: &mut Command) {
+    // SAFETY: the call takes two integers.
+    let tie = || match unsafe { libc::prctl(libc::PR_SET_PDEATHSIG, libc::SIGKILL) } {
+        0 => Ok(()),
+        _ => Err(io::Error::last_os_error()),
+    };
+    // SAFETY: between fork and exec the closure only makes one system call.
+    unsafe {
+        command.pre_exec(tie);
+    }
+}
