--- /dev/null
+++ b/crates/oriolering/src/adaptive.rs
@@ -0,0 +1,127 @@
+//! The adaptive policy: requests in flight first, latency second.
+
+use smallvec::SmallVec;
+
+use crate::clock::Millis;
+use crate::panic_rule::is_panic;
+use crate::policy::ChoiceSettings;
+use crate::pool::Server;
+use crate::subset::rendezvous_rank;
+use crate::typical::Typical;
+
+/// How many times the typical latency still counts as typical.
+const SAME_RATIO: f64 = 1.5;
+/// What a late request in flight counts on top of itself.
+const OVERDUE_WEIGHT: f64 = 3.0;
+/// The share of the slots up to which the own availability zone is preferred.
+const LOCAL_SHARE: f64 = 0.7;
+
+/// The view of all backend servers at one moment.
+pub(crate) struct View<'a> {
+    pub(crate) now: Millis,
+    pub(crate) settings: &'a ChoiceSettings,
+    pub(crate) servers: &'a [Server],
+    pub(crate) typical: Typical,
+    /// Whether suspicion is ignored because it falls on most.
+    pub(crate) panic: bool,
+}
+
+impl<'a> View<'a> {
+    pub(crate) fn new(now: Millis, settings: &'a ChoiceSettings, servers: &'a [Server]) -> Self {
+        let used = || servers.iter().filter(|s| s.used && !s.is_leaving());
+        let suspects = used().filter(|s| s.standing.is_suspect()).count();
+        Self {
+            now,
+            settings,
+            servers,
+            typical: Typical::of(servers),
+            panic: is_panic(suspects, used().count()),
+        }
+    }
+
+    /// Returns the position of the backend server to choose among `open`.
+    ///
+    /// A suspect is chosen when it is due for a trial, which a repeated attempt never is.
+    pub(crate) fn choose(&self, open: &[usize], count: u64, first: bool) -> Option<usize> {
+        let is_due = |&i: &usize| self.servers[i].standing.is_due(self.now, count);
+        let due = open.iter().copied().find(is_due);
+        if first && !self.panic && due.is_some() {
+            return due;
+        }
+        let trusted = self.keep(open, |s| self.panic || !s.standing.is_suspect());
+        let local = self.keep(&trusted, |s| self.is_local(s) && self.has_room(s));
+        self.cheapest(&local)
+    }
+
+    /// Returns the estimated requests at a backend server.
+    pub(crate) fn load(&self, server: &Server) -> f64 {
+        f64::from(server.inflight()) + server.others(self.now, self.typical.others)
+    }
+
+    pub(crate) fn is_local(&self, server: &Server) -> bool {
+        server.candidate.zone == self.settings.zone
+    }
+
+    fn has_room(&self, server: &Server) -> bool {
+        let slots = f64::from(server.limit()) * self.share(server);
+        self.load(server) < slots * LOCAL_SHARE
+    }
+
+    fn share(&self, server: &Server) -> f64 {
+        if self.panic && server.standing.is_suspect() {
+            return 1.0;
+        }
+        server.standing.share(self.now, self.settings.ramp)
+    }
+
+    /// Returns those of `open` that `is_kept`, or all when none is.
+    fn keep(&self, open: &[usize], is_kept: impl Fn(&Server) -> bool) -> SmallVec<[usize; 16]> {
+        let kept: SmallVec<[usize; 16]> = open
+            .iter()
+            .copied()
+            .filter(|&i| is_kept(&self.servers[i]))
+            .collect();
+        if kept.is_empty() { open.into() } else { kept }
+    }
+
+    /// Returns the one with the lowest cost; among equals the one not chosen for longest.
+    fn cheapest(&self, open: &[usize]) -> Option<usize> {
+        let order = |i: usize| {
+            let server = &self.servers[i];
+            let rank = rendezvous_rank(self.settings.node, server.candidate.name);
+            (server.last, rank)
+        };
+        let costs: SmallVec<[(f64, usize); 16]> = open
+            .iter()
+            .map(|&i| (self.cost(&self.servers[i]), i))
+            .collect();
+        let by_cost = |a: &&(f64, usize), b: &&(f64, usize)| {
+            a.0.total_cmp(&b.0)
+                .then_with(|| order(a.1).cmp(&order(b.1)))
+        };
+        costs.iter().min_by(by_cost).map(|&(_, i)| i)
+    }
+
+    fn cost(&self, server: &Server) -> f64 {
+        let own = f64::from(server.inflight());
+        let late = OVERDUE_WEIGHT * f64::from(self.typical.overdue(self.now, server));
+        let slots = f64::from(server.limit()) * self.share(server);
+        let slowness = (self.typical.ratio(server) / SAME_RATIO).max(1.0);
+        (own + late + self.excess(server) + 1.0) / slots * slowness
+    }
+
+    /// Returns this ingress's part of the load that a report shows beyond the mean.
+    ///
+    /// Each ingress corrects only by its own share of all requests, because all others see
+    /// the same report and correct it too. Differences within the noise of the counts are no
+    /// evidence, and a report of little load earns nothing, so a false one gains no traffic.
+    fn excess(&self, server: &Server) -> f64 {
+        let Typical { own, others, .. } = self.typical;
+        let all = own + others;
+        if all <= 0.0 {
+            return 0.0;
+        }
+        let above = server.others(self.now, others) - others;
+        (above - all.sqrt()).max(0.0) * own / all
+    }
+}
--- a/crates/oriolering/src/choice.rs
+++ b/crates/oriolering/src/choice.rs
@@ -3,22 +3,24 @@
 use rand::Rng;
 use smallvec::SmallVec;
 
+use crate::adaptive::View;
 use crate::attempt::Attempt;
 use crate::clock::Millis;
-use crate::explain::{Class, Explanation};
+use crate::explain::{Explanation, explain_server};
 use crate::keys::ServerKey;
 use crate::load::LoadHint;
 use crate::policy::{ChoiceSettings, Policy};
 use crate::pool::{Candidate, Server};
-use crate::standing::Standing;
 use crate::subset::select_subset;
+use crate::typical::Typical;
 
 /// Chooses the backend servers of one service at one ingress.
 #[derive(Clone, Debug)]
 pub struct Chooser {
     settings: ChoiceSettings,
     servers: Vec<Server>,
-    turn: usize,
+    /// The picks so far.
+    picks: u64,
 }
 
 impl Chooser {
@@ -27,7 +29,7 @@
         Self {
             settings,
             servers: Vec::new(),
-            turn: 0,
+            picks: 0,
         }
     }
 
@@ -80,10 +82,17 @@
                 let second = pick_random(rng, &rest).unwrap_or(first);
                 self.pick_least(rng, &[first, second])
             }
-            Policy::Adaptive => self.pick_adaptive(now, rng, &open),
+            Policy::Adaptive => {
+                let view = View::new(now, &self.settings, &self.servers);
+                view.choose(&open, self.picks, exclude.is_empty())
+            }
         }?;
-        self.servers[i].start(now);
-        Some(self.servers[i].candidate.server)
+        self.picks += 1;
+        let server = &mut self.servers[i];
+        server.last = self.picks;
+        server.standing.probe(now, self.picks);
+        server.start(now);
+        Some(server.candidate.server)
     }
 
     /// Takes a report that rode on an answer or a refusal.
@@ -95,79 +104,52 @@
 
     /// Ends an attempt; called once for each that [`Self::pick`] started.
     pub fn finish(&mut self, now: Millis, server: ServerKey, result: Attempt) {
+        let picks = self.picks;
+        let typical = Typical::of(&self.servers);
         if let Some(server) = self.find(server) {
             server.finish(now, result);
+            judge(server, now, picks, &typical, result);
         }
         self.servers.retain(|s| !s.gone || s.inflight() > 0);
     }
 
     /// Returns what is known of each backend server and why it would be chosen or not.
     pub fn explain(&self, now: Millis) -> Vec<Explanation> {
-        let mean = self.mean_others();
-        let explain = |s| self.explain_server(now, s, mean);
+        let view = View::new(now, &self.settings, &self.servers);
+        let explain = |server| explain_server(&view, server);
         self.servers.iter().map(explain).collect()
     }
 
-    fn explain_server(&self, now: Millis, server: &Server, mean: f64) -> Explanation {
-        let load = server.load(now, mean);
-        let class = match server.standing {
-            _ if server.is_leaving() => Class::Leaving,
-            Standing::Suspect(_) => Class::Suspect,
-            Standing::Ramping(_) if server.standing.share(now, self.settings.ramp) < 1.0 => {
-                Class::Ramping
-            }
-            Standing::Fit | Standing::Ramping(_) if load < f64::from(server.limit()) => Class::Cold,
-            Standing::Fit | Standing::Ramping(_) => Class::Hot,
-        };
-        Explanation {
-            server: server.candidate.server,
-            subset: server.used,
-            zone: server.candidate.zone,
-            local: server.candidate.zone == self.settings.zone,
-            inflight: server.inflight(),
-            hint: server.heard.map(|heard| heard.hint),
-            age_ms: server.heard.map(|heard| now.since(heard.at)),
-            latency_us: server.latency.map(|us| us as u64),
-            load,
-            class,
-            reason: "".into(),
-        }
-    }
-
     fn find(&mut self, key: ServerKey) -> Option<&mut Server> {
         self.servers.iter_mut().find(|s| s.candidate.server == key)
     }
 
-    fn pick_next(&mut self, open: &[usize]) -> Option<usize> {
-        if open.is_empty() {
-            return None;
-        }
-        self.turn = self.turn.wrapping_add(1);
-        Some(open[self.turn % open.len()])
+    fn pick_next(&self, open: &[usize]) -> Option<usize> {
+        let turn = (self.picks as usize).checked_rem(open.len())?;
+        Some(open[turn])
     }
 
     fn pick_least(&self, rng: &mut impl Rng, open: &[usize]) -> Option<usize> {
         pick_lowest(rng, open, |i| f64::from(self.servers[i].inflight()))
     }
+}
 
-    fn pick_adaptive(&self, now: Millis, rng: &mut impl Rng, open: &[usize]) -> Option<usize> {
-        let mean = self.mean_others();
-        pick_lowest(rng, open, |i| {
-            let server = &self.servers[i];
-            let share = server.standing.share(now, self.settings.ramp);
-            (server.load(now, mean) + 1.0) / (f64::from(server.limit()) * share)
-        })
-    }
-
-    /// Returns the mean over all reports of what other ingresses have at a backend server.
-    fn mean_others(&self) -> f64 {
-        let mut sum = 0.0;
-        let mut count = 0.0;
-        for heard in self.servers.iter().filter_map(|s| s.heard) {
-            sum += f64::from(heard.others);
-            count += 1.0;
+/// Judges a backend server by the answer that it just gave.
+fn judge(server: &mut Server, now: Millis, picks: u64, typical: &Typical, result: Attempt) {
+    match result {
+        Attempt::Refused | Attempt::Cancelled => {}
+        Attempt::Served { latency_us }
+            if server.standing.is_suspect() && typical.is_good(server, latency_us) =>
+        {
+            if server.standing.clear(now) {
+                server.forgive(latency_us);
+            }
+        }
+        Attempt::Served { .. } | Attempt::Failed { .. } | Attempt::Silent => {
+            if server.standing.is_suspect() || typical.is_outlier(server) {
+                server.standing.suspect(now, picks);
+            }
         }
-        if count > 0.0 { sum / count } else { 0.0 }
     }
 }
 
--- a/crates/oriolering/src/explain.rs
+++ b/crates/oriolering/src/explain.rs
@@ -3,8 +3,11 @@
 use compact_str::CompactString;
 use serde::Serialize;
 
+use crate::adaptive::View;
 use crate::keys::{ServerKey, ZoneKey};
 use crate::load::LoadHint;
+use crate::pool::Server;
+use crate::standing::Standing;
 
 /// How a backend server stands with one ingress.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
@@ -48,3 +51,55 @@
     /// Why it would or would not be chosen now.
     pub reason: CompactString,
 }
+
+/// Returns the view on one backend server.
+pub(crate) fn explain_server(view: &View<'_>, server: &Server) -> Explanation {
+    let class = class_of(view, server);
+    Explanation {
+        server: server.candidate.server,
+        subset: server.used,
+        zone: server.candidate.zone,
+        local: view.is_local(server),
+        inflight: server.inflight(),
+        hint: server.heard.map(|heard| heard.hint),
+        age_ms: server.heard.map(|heard| view.now.since(heard.at)),
+        latency_us: server.latency.map(|us| us as u64),
+        load: view.load(server),
+        class,
+        reason: reason_of(view, server, class).into(),
+    }
+}
+
+fn class_of(view: &View<'_>, server: &Server) -> Class {
+    if server.is_leaving() {
+        return Class::Leaving;
+    }
+    match server.standing {
+        Standing::Suspect { .. } => Class::Suspect,
+        Standing::Ramping(_) if server.standing.share(view.now, view.settings.ramp) < 1.0 => {
+            Class::Ramping
+        }
+        Standing::Fit | Standing::Ramping(_) => {
+            let is_cold = view.load(server) < f64::from(server.limit());
+            if is_cold { Class::Cold } else { Class::Hot }
+        }
+    }
+}
+
+fn reason_of(view: &View<'_>, server: &Server, class: Class) -> &'static str {
+    if server.gone {
+        return "not chosen: it is no longer in the list of members";
+    }
+    if !server.used && class != Class::Leaving {
+        return "not chosen: it is outside the subset of this ingress";
+    }
+    match class {
+        Class::Leaving => "not chosen: it takes no new work",
+        Class::Suspect if view.panic => "may be chosen: most look bad, so suspicion is ignored",
+        Class::Suspect => "only tried now and then: it failed or was slow beyond the others",
+        Class::Ramping => "chosen for a growing share of its slots",
+        Class::Hot => "chosen only when the others have no free slot either",
+        Class::Cold if view.is_local(server) => "chosen first: it is local and has free slots",
+        Class::Cold => "chosen when no local one has room or it has less in flight",
+    }
+}
--- a/crates/oriolering/src/lib.rs
+++ b/crates/oriolering/src/lib.rs
@@ -14,6 +14,7 @@
 //! assert_eq!(clock.now(), Millis(15));
 //! ```
 
+mod adaptive;
 mod attempt;
 mod choice;
 mod explain;
@@ -24,6 +25,7 @@
 mod retry;
 mod standing;
 mod subset;
+mod typical;
 
 pub use attempt::Attempt;
 pub use choice::Chooser;
--- a/crates/oriolering/src/pool.rs
+++ b/crates/oriolering/src/pool.rs
@@ -8,8 +8,12 @@
 use crate::load::LoadHint;
 use crate::standing::Standing;
 
-/// The weight of one attempt in the running means.
-const SAMPLE_WEIGHT: f64 = 0.1;
+/// The weight of one answer in the mean latency.
+const LATENCY_WEIGHT: f64 = 0.1;
+/// The weight of one answer in the share of failures.
+const FAILURE_WEIGHT: f64 = 0.25;
+/// The weight of one silence in the share of failures.
+const SILENCE_WEIGHT: f64 = 0.5;
 /// The slots assumed for a backend server that has not reported its limit.
 const DEFAULT_LIMIT: u32 = 12;
 /// The shortest time in which a report loses its weight.
@@ -26,7 +30,7 @@
     pub zone: ZoneKey,
     /// Whether it takes no new work.
     pub leaving: bool,
-    /// Whether it is a new incarnation.
+    /// Whether this is the first list with a new incarnation.
     pub fresh: bool,
 }
 
@@ -53,6 +57,8 @@
     /// The share of its answers here that were failures.
     pub(crate) failures: f64,
     pub(crate) standing: Standing,
+    /// The number of the last pick that chose it.
+    pub(crate) last: u64,
     /// The send times of the requests in flight, oldest first.
     sent: VecDeque<Millis>,
 }
@@ -61,12 +67,13 @@
     pub(crate) fn new(now: Millis, candidate: Candidate) -> Self {
         Self {
             candidate,
-            used: true,
+            used: false,
             gone: false,
             heard: None,
             latency: None,
             failures: 0.0,
             standing: Standing::new(now, candidate.fresh),
+            last: 0,
             sent: VecDeque::new(),
         }
     }
@@ -115,16 +122,16 @@
         match result {
             Attempt::Served { latency_us } => {
                 self.forget_sent(now, latency_us / 1000);
-                self.failures *= 1.0 - SAMPLE_WEIGHT;
+                self.failures *= 1.0 - FAILURE_WEIGHT;
                 self.learn_latency(latency_us as f64);
             }
             Attempt::Failed { latency_us } => {
                 self.forget_sent(now, latency_us / 1000);
-                self.failures += (1.0 - self.failures) * SAMPLE_WEIGHT;
+                self.failures += (1.0 - self.failures) * FAILURE_WEIGHT;
             }
             Attempt::Silent => {
                 self.sent.pop_front();
-                self.failures += (1.0 - self.failures) * SAMPLE_WEIGHT;
+                self.failures += (1.0 - self.failures) * SILENCE_WEIGHT;
             }
             Attempt::Refused | Attempt::Cancelled => {
                 self.sent.pop_back();
@@ -132,23 +139,34 @@
         }
     }
 
-    /// Returns the estimated requests there, given the mean that others have at each server.
+    /// Returns the requests there of other ingresses, given their mean over all servers.
     ///
-    /// What this ingress sent is known exactly. The report about the others loses its weight
-    /// within about one service time, because by then other requests run there.
-    pub(crate) fn load(&self, now: Millis, mean_others: f64) -> f64 {
-        let own = f64::from(self.inflight());
+    /// A report loses its weight within about one service time, because by then other
+    /// requests run there.
+    pub(crate) fn others(&self, now: Millis, mean: f64) -> f64 {
         let Some(heard) = self.heard else {
-            return own + mean_others;
+            return mean;
         };
         let decay = (f64::from(heard.hint.latency_us) / 1000.0).max(MIN_DECAY_MS);
         let weight = (-(now.since(heard.at) as f64) / decay).exp();
-        own + weight * f64::from(heard.others) + (1.0 - weight) * mean_others
+        weight * f64::from(heard.others) + (1.0 - weight) * mean
+    }
+
+    /// Returns how many of the requests in flight were sent more than `age` milliseconds ago.
+    pub(crate) fn overdue(&self, now: Millis, age: f64) -> u32 {
+        let is_late = |&&sent: &&Millis| now.since(sent) as f64 > age;
+        self.sent.iter().take_while(is_late).count() as u32
+    }
+
+    /// Forgets what made it a suspect.
+    pub(crate) fn forgive(&mut self, latency_us: u64) {
+        self.latency = Some(latency_us as f64);
+        self.failures = 0.0;
     }
 
     fn learn_latency(&mut self, latency: f64) {
         self.latency = Some(match self.latency {
-            Some(mean) => mean + (latency - mean) * SAMPLE_WEIGHT,
+            Some(mean) => mean + (latency - mean) * LATENCY_WEIGHT,
             None => latency,
         });
     }
--- a/crates/oriolering/src/standing.rs
+++ b/crates/oriolering/src/standing.rs
@@ -4,6 +4,14 @@
 
 /// The smallest share of its slots that a ramping backend server gets.
 const MIN_SHARE: f64 = 0.1;
+/// The good answers in a row that end a suspicion.
+const GOOD_ANSWERS: u32 = 2;
+/// The shortest time between two requests to a suspect, in milliseconds.
+const PROBE_MS: u64 = 1000;
+/// The requests of the ingress between two requests to a suspect.
+const PROBE_PICKS: u64 = 500;
+/// The time after which a suspect gets a request however little traffic there is.
+const QUIET_MS: u64 = 10_000;
 
 /// How far a backend server is trusted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -12,8 +20,15 @@
     Fit,
     /// Its share grows since the given time.
     Ramping(Millis),
-    /// It gets only occasional requests; the last was sent at the given time.
-    Suspect(Millis),
+    /// It gets only occasional requests.
+    Suspect {
+        /// When the last one was sent.
+        probed: Millis,
+        /// The picks of the ingress when the last one was sent.
+        picks: u64,
+        /// The good answers in a row.
+        good: u32,
+    },
 }
 
 impl Standing {
@@ -21,6 +36,10 @@
         if fresh { Self::Ramping(now) } else { Self::Fit }
     }
 
+    pub(crate) fn is_suspect(self) -> bool {
+        matches!(self, Self::Suspect { .. })
+    }
+
     /// Returns the share of its slots that it may be given, from zero to one.
     pub(crate) fn share(self, now: Millis, ramp: u64) -> f64 {
         match self {
@@ -30,7 +49,59 @@
                 done.clamp(MIN_SHARE, 1.0)
             }
             Self::Ramping(_) => 1.0,
-            Self::Suspect(_) => MIN_SHARE,
+            Self::Suspect { .. } => MIN_SHARE,
+        }
+    }
+
+    /// Returns whether a suspect is due for a request that tries it out.
+    pub(crate) fn is_due(self, now: Millis, count: u64) -> bool {
+        match self {
+            Self::Fit | Self::Ramping(_) => false,
+            Self::Suspect { probed, picks, .. } => {
+                let age = now.since(probed);
+                let enough = count.saturating_sub(picks) >= PROBE_PICKS;
+                age >= QUIET_MS || (age >= PROBE_MS && enough)
+            }
+        }
+    }
+
+    /// Makes it a suspect, or starts the count of good answers anew.
+    pub(crate) fn suspect(&mut self, now: Millis, count: u64) {
+        match self {
+            Self::Fit | Self::Ramping(_) => {
+                *self = Self::Suspect {
+                    probed: now,
+                    picks: count,
+                    good: 0,
+                };
+            }
+            Self::Suspect { good, .. } => *good = 0,
+        }
+    }
+
+    /// Notes that a suspect was sent a request.
+    pub(crate) fn probe(&mut self, now: Millis, count: u64) {
+        match self {
+            Self::Fit | Self::Ramping(_) => {}
+            Self::Suspect { probed, picks, .. } => {
+                *probed = now;
+                *picks = count;
+            }
+        }
+    }
+
+    /// Counts a good answer of a suspect, and returns whether it is trusted again.
+    pub(crate) fn clear(&mut self, now: Millis) -> bool {
+        match self {
+            Self::Fit | Self::Ramping(_) => false,
+            Self::Suspect { good, .. } => {
+                *good += 1;
+                if *good < GOOD_ANSWERS {
+                    return false;
+                }
+                *self = Self::Ramping(now);
+                true
+            }
         }
     }
 }
--- a/crates/oriolering/src/subset.rs
+++ b/crates/oriolering/src/subset.rs
@@ -39,6 +39,6 @@
 }
 
 /// Returns the rank of a backend server for an ingress; the highest ranks are used.
-fn rendezvous_rank(node: u64, name: u64) -> u64 {
+pub(crate) fn rendezvous_rank(node: u64, name: u64) -> u64 {
     xxh3_64_with_seed(&name.to_le_bytes(), node)
 }
--- /dev/null
+++ b/crates/oriolering/src/typical.rs
@@ -0,0 +1,93 @@
+//! What is typical of the backend servers of a service, and who stands out.
+
+use smallvec::SmallVec;
+
+use crate::clock::Millis;
+use crate::pool::Server;
+
+/// How many times the typical latency makes a suspect.
+const SLOW_RATIO: f64 = 3.0;
+/// How many times the typical latency an answer of a suspect may take to count as good.
+const GOOD_RATIO: f64 = 2.0;
+/// How far the share of failures must lie above the typical one to make a suspect.
+const FAILURE_GAP: f64 = 0.5;
+
+/// The means and medians over the backend servers that an ingress uses.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Typical {
+    /// The mean requests in flight from this ingress.
+    pub(crate) own: f64,
+    /// The mean requests there from other ingresses.
+    pub(crate) others: f64,
+    /// The median latency seen here, in microseconds.
+    pub(crate) latency: Option<f64>,
+    /// The median latency in the reports, in microseconds.
+    pub(crate) reported: Option<f64>,
+    /// The median share of failures.
+    pub(crate) failures: f64,
+}
+
+impl Typical {
+    pub(crate) fn of(servers: &[Server]) -> Self {
+        let used = || servers.iter().filter(|s| s.used);
+        let heard = || used().filter_map(|s| s.heard);
+        Self {
+            own: mean(used().map(|s| f64::from(s.inflight()))),
+            others: mean(heard().map(|h| f64::from(h.others))),
+            latency: median(used().filter_map(|s| s.latency)),
+            reported: median(heard().map(|h| f64::from(h.hint.latency_us))),
+            failures: median(used().map(|s| s.failures)).unwrap_or(0.0),
+        }
+    }
+
+    /// Returns whether a backend server fails or lags so far beyond the others.
+    pub(crate) fn is_outlier(&self, server: &Server) -> bool {
+        server.failures > self.failures + FAILURE_GAP || self.is_slow(server)
+    }
+
+    /// Returns whether an answer of a suspect counts as good.
+    pub(crate) fn is_good(&self, server: &Server, latency_us: u64) -> bool {
+        let limit = self.latency.unwrap_or(f64::INFINITY) * GOOD_RATIO;
+        latency_us as f64 <= limit && !self.reports_slow(server)
+    }
+
+    /// Returns the latency of a backend server as a multiple of the typical one.
+    pub(crate) fn ratio(&self, server: &Server) -> f64 {
+        match (server.latency, self.latency) {
+            (Some(own), Some(typical)) if typical > 0.0 => own / typical,
+            (Some(_) | None, Some(_) | None) => 1.0,
+        }
+    }
+
+    /// Returns how many requests in flight are late by far.
+    pub(crate) fn overdue(&self, now: Millis, server: &Server) -> u32 {
+        match self.latency {
+            Some(latency) => server.overdue(now, latency * SLOW_RATIO / 1000.0),
+            None => 0,
+        }
+    }
+
+    fn is_slow(&self, server: &Server) -> bool {
+        self.ratio(server) > SLOW_RATIO || self.reports_slow(server)
+    }
+
+    fn reports_slow(&self, server: &Server) -> bool {
+        let (Some(heard), Some(reported)) = (server.heard, self.reported) else {
+            return false;
+        };
+        f64::from(heard.hint.latency_us) > reported * SLOW_RATIO
+    }
+}
+
+fn mean(values: impl Iterator<Item = f64>) -> f64 {
+    let (sum, count) = values.fold((0.0, 0.0), |(sum, count), v| (sum + v, count + 1.0));
+    if count > 0.0 { sum / count } else { 0.0 }
+}
+
+/// Returns the lower median.
+fn median(values: impl Iterator<Item = f64>) -> Option<f64> {
+    let mut sorted: SmallVec<[f64; 16]> = values.collect();
+    sorted.sort_unstable_by(f64::total_cmp);
+    let middle = sorted.len().checked_sub(1)? / 2;
+    Some(sorted[middle])
+}
