--- a/crates/oriolering/src/adaptive.rs
+++ b/crates/oriolering/src/adaptive.rs
@@ -11,8 +11,8 @@
 
 /// How many times the typical latency still counts as typical.
 const SAME_RATIO: f64 = 1.5;
-/// What a late request in flight counts on top of itself.
-const OVERDUE_WEIGHT: f64 = 3.0;
+/// What a request in flight counts more for each typical latency that it is late.
+const LATE_WEIGHT: f64 = 0.5;
 /// The share of the slots up to which the own availability zone is preferred.
 const LOCAL_SHARE: f64 = 0.7;
 
@@ -64,7 +64,10 @@
 
     fn has_room(&self, server: &Server) -> bool {
         let slots = f64::from(server.limit()) * self.share(server);
-        self.load(server) < slots * LOCAL_SHARE
+        let others = server
+            .others(self.now, self.typical.others)
+            .max(self.typical.others);
+        f64::from(server.inflight()) + others < slots * LOCAL_SHARE
     }
 
     fn share(&self, server: &Server) -> f64 {
@@ -104,7 +107,7 @@
 
     fn cost(&self, server: &Server) -> f64 {
         let own = f64::from(server.inflight());
-        let late = OVERDUE_WEIGHT * f64::from(self.typical.overdue(self.now, server));
+        let late = LATE_WEIGHT * self.typical.lateness(self.now, server);
         let slots = f64::from(server.limit()) * self.share(server);
         let slowness = (self.typical.ratio(server) / SAME_RATIO).max(1.0);
         (own + late + self.excess(server) + 1.0) / slots * slowness
--- a/crates/oriolering/src/choice.rs
+++ b/crates/oriolering/src/choice.rs
@@ -105,10 +105,11 @@
     /// Ends an attempt; called once for each that [`Self::pick`] started.
     pub fn finish(&mut self, now: Millis, server: ServerKey, result: Attempt) {
         let picks = self.picks;
+        let ramp = self.settings.ramp;
         let typical = Typical::of(&self.servers);
         if let Some(server) = self.find(server) {
             server.finish(now, result);
-            judge(server, now, picks, &typical, result);
+            judge(server, now, picks, ramp, &typical, result);
         }
         self.servers.retain(|s| !s.gone || s.inflight() > 0);
     }
@@ -135,7 +136,14 @@
 }
 
 /// Judges a backend server by the answer that it just gave.
-fn judge(server: &mut Server, now: Millis, picks: u64, typical: &Typical, result: Attempt) {
+fn judge(
+    server: &mut Server,
+    now: Millis,
+    picks: u64,
+    ramp: u64,
+    typical: &Typical,
+    result: Attempt,
+) {
     match result {
         Attempt::Refused | Attempt::Cancelled => {}
         Attempt::Served { latency_us }
@@ -146,7 +154,10 @@
             }
         }
         Attempt::Served { .. } | Attempt::Failed { .. } | Attempt::Silent => {
-            if server.standing.is_suspect() || typical.is_outlier(server) {
+            let slow = server.note_slow(now, typical.is_slow(server));
+            let hold = server.standing.patience(ramp);
+            let is_slow = slow.is_some_and(|since| now.since(since) >= hold);
+            if server.standing.is_suspect() || is_slow || typical.is_failing(server) {
                 server.standing.suspect(now, picks);
             }
         }
--- a/crates/oriolering/src/pool.rs
+++ b/crates/oriolering/src/pool.rs
@@ -57,6 +57,8 @@
     /// The share of its answers here that were failures.
     pub(crate) failures: f64,
     pub(crate) standing: Standing,
+    /// Since when it has been far slower than the others.
+    pub(crate) slow: Option<Millis>,
     /// The number of the last pick that chose it.
     pub(crate) last: u64,
     /// The send times of the requests in flight, oldest first.
@@ -73,6 +75,7 @@
             latency: None,
             failures: 0.0,
             standing: Standing::new(now, candidate.fresh),
+            slow: None,
             last: 0,
             sent: VecDeque::new(),
         }
@@ -85,6 +88,7 @@
             self.latency = None;
             self.failures = 0.0;
             self.standing = Standing::new(now, true);
+            self.slow = None;
         }
         self.candidate = candidate;
         self.gone = false;
@@ -152,16 +156,28 @@
         weight * f64::from(heard.others) + (1.0 - weight) * mean
     }
 
-    /// Returns how many of the requests in flight were sent more than `age` milliseconds ago.
-    pub(crate) fn overdue(&self, now: Millis, age: f64) -> u32 {
-        let is_late = |&&sent: &&Millis| now.since(sent) as f64 > age;
-        self.sent.iter().take_while(is_late).count() as u32
+    /// Returns the sum over the requests in flight of how many times `typical` milliseconds
+    /// each is late.
+    pub(crate) fn lateness(&self, now: Millis, typical: f64) -> f64 {
+        let late = |&sent: &Millis| (now.since(sent) as f64 / typical - 1.0).max(0.0);
+        self.sent.iter().map(late).sum()
     }
 
     /// Forgets what made it a suspect.
     pub(crate) fn forgive(&mut self, latency_us: u64) {
         self.latency = Some(latency_us as f64);
         self.failures = 0.0;
+        self.slow = None;
+    }
+
+    /// Notes whether it is far slower than the others, and returns since when.
+    pub(crate) fn note_slow(&mut self, now: Millis, is_slow: bool) -> Option<Millis> {
+        self.slow = if is_slow {
+            self.slow.or(Some(now))
+        } else {
+            None
+        };
+        self.slow
     }
 
     fn learn_latency(&mut self, latency: f64) {
--- a/crates/oriolering/src/typical.rs
+++ b/crates/oriolering/src/typical.rs
@@ -5,8 +5,10 @@
 use crate::clock::Millis;
 use crate::pool::Server;
 
-/// How many times the typical latency makes a suspect.
-const SLOW_RATIO: f64 = 3.0;
+/// How many times the typical latency seen here makes a suspect.
+const SLOW_RATIO: f64 = 4.0;
+/// How many times the typical reported latency makes a suspect.
+const REPORT_RATIO: f64 = 3.0;
 /// How many times the typical latency an answer of a suspect may take to count as good.
 const GOOD_RATIO: f64 = 2.0;
 /// How far the share of failures must lie above the typical one to make a suspect.
@@ -40,9 +42,14 @@
         }
     }
 
-    /// Returns whether a backend server fails or lags so far beyond the others.
-    pub(crate) fn is_outlier(&self, server: &Server) -> bool {
-        server.failures > self.failures + FAILURE_GAP || self.is_slow(server)
+    /// Returns whether a backend server fails far more often than the others.
+    pub(crate) fn is_failing(&self, server: &Server) -> bool {
+        server.failures > self.failures + FAILURE_GAP
+    }
+
+    /// Returns whether a backend server is far slower than the others.
+    pub(crate) fn is_slow(&self, server: &Server) -> bool {
+        self.ratio(server) > SLOW_RATIO || self.reports_slow(server)
     }
 
     /// Returns whether an answer of a suspect counts as good.
@@ -59,23 +66,19 @@
         }
     }
 
-    /// Returns how many requests in flight are late by far.
-    pub(crate) fn overdue(&self, now: Millis, server: &Server) -> u32 {
+    /// Returns how late the requests in flight are, in typical latencies.
+    pub(crate) fn lateness(&self, now: Millis, server: &Server) -> f64 {
         match self.latency {
-            Some(latency) => server.overdue(now, latency * SLOW_RATIO / 1000.0),
-            None => 0,
+            Some(latency) if latency > 0.0 => server.lateness(now, latency / 1000.0),
+            Some(_) | None => 0.0,
         }
     }
 
-    fn is_slow(&self, server: &Server) -> bool {
-        self.ratio(server) > SLOW_RATIO || self.reports_slow(server)
-    }
-
     fn reports_slow(&self, server: &Server) -> bool {
         let (Some(heard), Some(reported)) = (server.heard, self.reported) else {
             return false;
         };
-        f64::from(heard.hint.latency_us) > reported * SLOW_RATIO
+        f64::from(heard.hint.latency_us) > reported * REPORT_RATIO
     }
 }
 
