--- a/crates/oriolering/src/retry.rs
+++ b/crates/oriolering/src/retry.rs
@@ -11,6 +11,9 @@
 const FLOOR: u64 = 3;
 
 /// A budget of repeated attempts, as a share of first attempts in a window of ten seconds.
+///
+/// Failures shrink it: when everything fails, a repeat helps nobody and only the floor is left,
+/// so that calls many hops deep do not multiply.
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
     percent: u64,
@@ -21,6 +24,7 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct Bucket {
     first: u64,
+    failed: u64,
     repeated: u64,
 }
 
@@ -39,13 +43,19 @@
         self.bucket(now).first += 1;
     }
 
+    /// Counts a failed attempt.
+    pub fn note_failure(&mut self, now: Millis) {
+        self.bucket(now).failed += 1;
+    }
+
     /// Counts a repeated attempt if the budget allows it, and returns whether it does.
     pub fn try_spend(&mut self, now: Millis) -> bool {
         self.bucket(now);
         let first: u64 = self.buckets.iter().map(|b| b.first).sum();
+        let failed: u64 = self.buckets.iter().map(|b| b.failed).sum();
         let repeated: u64 = self.buckets.iter().map(|b| b.repeated).sum();
         let floor = if self.percent > 0 { FLOOR } else { 0 };
-        let allowed = (first * self.percent / 100).max(floor);
+        let allowed = (first.saturating_sub(failed) * self.percent / 100).max(floor);
         if repeated >= allowed {
             return false;
         }
@@ -61,9 +71,6 @@
             let i = (self.newest + step) % BUCKETS as u64;
             self.buckets[i as usize] = Bucket::default();
         }
-        if passed == BUCKETS as u64 {
-            self.buckets = [Bucket::default(); BUCKETS];
-        }
         self.newest = current;
         &mut self.buckets[(current % BUCKETS as u64) as usize]
     }
@@ -119,6 +126,9 @@
     now: Millis,
 ) -> Step {
     let answer = answer_for(failure, attempt);
+    if !is_free(failure) {
+        budget.note_failure(now);
+    }
     if attempt.attempts >= attempt.limit || attempt.left_ms == 0 || !may_repeat(failure, attempt) {
         return answer;
     }
--- /dev/null
+++ b/crates/oriolering/tests/retry.rs
@@ -0,0 +1,212 @@
+//! Retry budget and what follows a failed attempt.
+
+use oriolering::{
+    AttemptState, Cause, Failure, Millis, Outcome, Refusal, RetryBudget, Step, next_step,
+};
+use rstest::rstest;
+
+const DEPTH: usize = 11;
+
+fn refused(cause: Cause) -> Failure {
+    Failure::Refused(Refusal {
+        cause,
+        retry_after: 5,
+    })
+}
+
+fn state(idempotent: bool) -> AttemptState {
+    AttemptState {
+        idempotent,
+        uncertain: false,
+        attempts: 1,
+        limit: 3,
+        crashes: 0,
+        left_ms: 100,
+    }
+}
+
+fn spend_all(budget: &mut RetryBudget, now: Millis) -> usize {
+    (0..10_000).take_while(|_| budget.try_spend(now)).count()
+}
+
+#[rstest]
+#[case::no_traffic(10, 0, 3)]
+#[case::little_traffic(10, 20, 3)]
+#[case::tenth(10, 1000, 100)]
+#[case::off(0, 1000, 0)]
+fn budget_is_a_share_of_first_attempts(
+    #[case] percent: u32,
+    #[case] first: u32,
+    #[case] allowed: usize,
+) {
+    let now = Millis(50_000);
+    let mut budget = RetryBudget::new(percent, now);
+    for _ in 0..first {
+        budget.deposit(now);
+    }
+    assert_eq!(spend_all(&mut budget, now), allowed);
+}
+
+#[test]
+fn pause_leaves_only_the_floor() {
+    let mut budget = RetryBudget::new(10, Millis(0));
+    for ms in 0..5000 {
+        budget.deposit(Millis(ms));
+    }
+    assert_eq!(spend_all(&mut budget, Millis(60_000)), 3);
+}
+
+#[test]
+fn spent_attempts_leave_the_window_with_it() {
+    let mut budget = RetryBudget::new(10, Millis(0));
+    for _ in 0..100 {
+        budget.deposit(Millis(0));
+    }
+    assert_eq!(spend_all(&mut budget, Millis(0)), 10);
+    assert_eq!(spend_all(&mut budget, Millis(9_999)), 0);
+    assert_eq!(spend_all(&mut budget, Millis(10_000)), 3);
+}
+
+#[test]
+fn total_failure_leaves_only_the_floor() {
+    let now = Millis(0);
+    let mut budget = RetryBudget::new(10, now);
+    for _ in 0..1000 {
+        budget.deposit(now);
+        budget.note_failure(now);
+    }
+    assert_eq!(spend_all(&mut budget, now), 3);
+}
+
+#[rstest]
+#[case::full(refused(Cause::Full), false, true)]
+#[case::leaving(refused(Cause::Leaving), false, true)]
+#[case::fenced(refused(Cause::Fenced), false, true)]
+#[case::share(refused(Cause::Share), true, false)]
+#[case::deadline(refused(Cause::Deadline), true, false)]
+#[case::quarantined(refused(Cause::Quarantined), true, false)]
+#[case::cancelled(refused(Cause::Cancelled), true, false)]
+#[case::invalid(refused(Cause::Invalid), true, false)]
+#[case::unsent(Failure::Unsent, false, true)]
+#[case::may_have_run(Failure::MayHaveRun, false, false)]
+#[case::may_run_again(Failure::MayHaveRun, true, true)]
+#[case::crashed(Failure::Crashed, false, false)]
+fn goes_elsewhere_only_if_it_may(
+    #[case] failure: Failure,
+    #[case] idempotent: bool,
+    #[case] elsewhere: bool,
+) {
+    let mut budget = RetryBudget::new(10, Millis(0));
+    let step = next_step(failure, &state(idempotent), &mut budget, Millis(0));
+    assert_eq!(step == Step::Elsewhere, elsewhere, "{step:?}");
+}
+
+#[test]
+fn idempotent_request_stops_at_the_second_crash() {
+    let mut budget = RetryBudget::new(100, Millis(0));
+    let mut attempt = state(true);
+    attempt.crashes = 1;
+    let first = next_step(Failure::Crashed, &attempt, &mut budget, Millis(0));
+    assert_eq!(first, Step::Elsewhere);
+    attempt.crashes = 2;
+    let second = next_step(Failure::Crashed, &attempt, &mut budget, Millis(0));
+    assert!(matches!(second, Step::Answer(Outcome::Unknown, _)));
+}
+
+#[rstest]
+#[case::no_attempts(3, 100)]
+#[case::no_time(1, 0)]
+fn limits_end_the_attempts(#[case] attempts: u32, #[case] left_ms: u64) {
+    let mut budget = RetryBudget::new(100, Millis(0));
+    let mut attempt = state(true);
+    attempt.attempts = attempts;
+    attempt.left_ms = left_ms;
+    let step = next_step(refused(Cause::Full), &attempt, &mut budget, Millis(0));
+    assert!(matches!(step, Step::Answer(Outcome::NotRun, _)));
+}
+
+#[rstest]
+fn not_run_is_told_only_when_nothing_may_have_run(
+    #[values(false, true)] idempotent: bool,
+    #[values(false, true)] uncertain: bool,
+    #[values(0, 1, 2)] crashes: u32,
+    #[values(
+        refused(Cause::Full),
+        refused(Cause::Deadline),
+        Failure::Unsent,
+        Failure::MayHaveRun,
+        Failure::Crashed
+    )]
+    failure: Failure,
+) {
+    let mut budget = RetryBudget::new(0, Millis(0));
+    let mut attempt = state(idempotent);
+    attempt.uncertain = uncertain;
+    attempt.crashes = crashes;
+    let ran = uncertain || crashes > 0 || matches!(failure, Failure::MayHaveRun | Failure::Crashed);
+    let step = next_step(failure, &attempt, &mut budget, Millis(0));
+    let told = matches!(step, Step::Answer(Outcome::NotRun, _));
+    assert_eq!(told, !ran, "{step:?}");
+}
+
+/// Calls the hop `depth`, where `failing` of a hundred attempts at the deepest service fail, and
+/// returns whether it succeeded.
+fn call(chain: &mut Chain, depth: usize, now: Millis) -> bool {
+    chain.budgets[depth].deposit(now);
+    let mut attempt = state(true);
+    loop {
+        chain.attempts[depth] += 1;
+        let deepest = depth + 1 == DEPTH;
+        let ok = if deepest {
+            chain.attempts[depth] * chain.failing % 100 >= chain.failing
+        } else {
+            call(chain, depth + 1, now)
+        };
+        if ok || !(deepest || chain.repeats) {
+            return ok;
+        }
+        let failure = Failure::MayHaveRun;
+        match next_step(failure, &attempt, &mut chain.budgets[depth], now) {
+            Step::Elsewhere => attempt.attempts += 1,
+            Step::Answer(_, _) => return false,
+        }
+    }
+}
+
+/// A chain of services that call each other.
+struct Chain {
+    budgets: Vec<RetryBudget>,
+    attempts: Vec<u64>,
+    failing: u64,
+    /// Whether every hop takes a failure below it for one of its own.
+    repeats: bool,
+}
+
+/// Sends a request each millisecond, and returns the attempts at the deepest service for each.
+fn amplification(failing: u64, repeats: bool) -> f64 {
+    const REQUESTS: u64 = 20_000;
+    let mut chain = Chain {
+        budgets: vec![RetryBudget::new(10, Millis(0)); DEPTH],
+        attempts: vec![0; DEPTH],
+        failing,
+        repeats,
+    };
+    for ms in 0..REQUESTS {
+        call(&mut chain, 0, Millis(ms));
+    }
+    chain.attempts[DEPTH - 1] as f64 / REQUESTS as f64
+}
+
+#[rstest]
+fn calls_eleven_deep_do_not_multiply(#[values(1, 10, 50, 90, 100)] failing: u64) {
+    let factor = amplification(failing, false);
+    println!("{failing}% fail at the deepest service: {factor:.4} attempts for each request");
+    assert!(factor <= 1.1, "{factor}");
+}
+
+#[test]
+fn total_failure_does_not_multiply_even_when_every_hop_repeats() {
+    let factor = amplification(100, true);
+    println!("every hop repeats: {factor:.4} attempts for each request");
+    assert!(factor <= 1.1, "{factor}");
+}
