--- a/crates/oriolering/src/lib.rs
+++ b/crates/oriolering/src/lib.rs
@@ -14,6 +14,7 @@
 //! assert_eq!(clock.now(), Millis(15));
 //! ```
 
+mod adaptive;
 mod attempt;
 mod calls;
 mod choice;
@@ -48,6 +49,7 @@
 mod spread;
 mod standing;
 mod subset;
+mod typical;
 
 #[cfg(feature = "config")]
 pub mod config;
