--- a/crates/oriolering/src/config/check.rs
+++ b/crates/oriolering/src/config/check.rs
@@ -108,7 +108,7 @@
 
 /// Reports the fields without a default that are missing.
 pub(crate) fn check_required(node: &Node, shape: &Shape, flags: bool, problems: &mut Problems) {
-    let Kind::Group(fields) = &shape.kind else {
+    let (Kind::Group(fields), Tree::Object(_)) = (&shape.kind, &node.tree) else {
         return;
     };
     for (key, _) in fields.iter().filter(|(_, field)| field.required) {
--- a/crates/oriolering/src/config/fault.rs
+++ b/crates/oriolering/src/config/fault.rs
@@ -36,7 +36,7 @@
         line: u32,
     },
     /// No field has this name.
-    #[snafu(display("is not a field; {}", suggest("write", near, "remove it")))]
+    #[snafu(display("is not a field; {}", suggest(near, "remove it")))]
     Unknown {
         /// The field whose name is the nearest.
         near: Option<CompactString>,
@@ -44,7 +44,7 @@
     /// An overlay names a service that the base lacks.
     #[snafu(display(
         "is not a service of the base; {}",
-        suggest("write", near, "add it to the base file or remove it here")
+        suggest(near, "add it to the base file or remove it here")
     ))]
     Service {
         /// The service whose name is the nearest.
@@ -93,10 +93,7 @@
         most: u64,
     },
     /// A text is none of those that are allowed.
-    #[snafu(display(
-        "is \"{found}\"; {}",
-        suggest("write", near, &format!("write one of {}", allowed.join(", ")))
-    ))]
+    #[snafu(display("is \"{found}\"; {}", choose(near, allowed)))]
     Choice {
         /// The text found.
         found: String,
@@ -151,14 +148,22 @@
     },
 }
 
-/// Returns "`verb` `near`", or `otherwise` when nothing is near.
-fn suggest(verb: &str, near: &Option<CompactString>, otherwise: &str) -> String {
+/// Returns the remedy for a name, with the name that is near when there is one.
+fn suggest(near: &Option<CompactString>, otherwise: &str) -> String {
     match near {
-        Some(near) => format!("{verb} {near}, or {otherwise}"),
+        Some(near) => format!("write {near}, or {otherwise}"),
         None => otherwise.to_owned(),
     }
 }
 
+fn choose(near: &Option<CompactString>, allowed: &[CompactString]) -> String {
+    let allowed = allowed.join(", ");
+    match near {
+        Some(near) => format!("write {near} (allowed are {allowed})"),
+        None => format!("write one of {allowed}"),
+    }
+}
+
 fn or_flag(flag: &Option<String>) -> String {
     match flag {
         Some(flag) => format!(" to the file or give {flag}"),
--- a/crates/oriolering/src/config/mod.rs
+++ b/crates/oriolering/src/config/mod.rs
@@ -7,6 +7,7 @@
 mod bundle;
 mod change;
 mod check;
+mod effective;
 mod fault;
 mod field;
 mod limits;
--- a/crates/oriolering/src/config/node.rs
+++ b/crates/oriolering/src/config/node.rs
@@ -4,6 +4,7 @@
 use serde_json::Value;
 
 use crate::config::Place;
+use crate::config::reader::join;
 
 /// A JSON value and where it stands.
 #[derive(Clone, Debug, PartialEq)]
@@ -78,6 +79,18 @@
         }
     }
 
+    /// Removes the keys whose values have problems, which `is_faulty` tells by their paths.
+    pub(crate) fn prune(&mut self, path: &str, is_faulty: &impl Fn(&str) -> bool) {
+        let Tree::Object(entries) = &mut self.tree else {
+            return;
+        };
+        entries.retain_mut(|entry| {
+            let path = join(path, &entry.key);
+            entry.value.prune(&path, is_faulty);
+            !is_faulty(&path)
+        });
+    }
+
     /// Returns a copy in which no object has a key with null.
     fn without_nulls(&self) -> Self {
         let Tree::Object(entries) = &self.tree else {
--- a/crates/oriolering/src/config/problem.rs
+++ b/crates/oriolering/src/config/problem.rs
@@ -1,5 +1,6 @@
 //! What is wrong with settings, and where.
 
+use std::collections::HashSet;
 use std::error::Error;
 use std::fmt;
 
@@ -75,12 +76,14 @@
         self.0.len() >= MAX_PROBLEMS
     }
 
-    /// Returns whether a problem of `file` concerns the field at `path`.
-    pub(crate) fn touches(&self, file: &str, path: &str) -> bool {
-        self.0
-            .iter()
-            .filter(|p| p.place.file == file)
-            .any(|p| is_within(&p.path, path) || is_within(path, &p.path))
+    /// Returns the paths in `file` whose values cannot be taken. A problem of an item stands
+    /// for its whole list; of a key that stands twice the first value is taken.
+    pub(crate) fn paths(&self, file: &str) -> HashSet<CompactString> {
+        let is_taken = |p: &&Problem| matches!(p.fault, Fault::Duplicate { .. });
+        let of_file = self.0.iter().filter(|p| p.place.file == file);
+        let of_file = of_file.filter(|p| !is_taken(p));
+        let whole = |p: &Problem| p.path.split('[').next().unwrap_or_default().into();
+        of_file.map(whole).collect()
     }
 
     /// Returns `value` when there is no problem.
@@ -95,15 +98,6 @@
     }
 }
 
-/// Returns whether `path` is `outer` or lies below it; the empty path is the whole file.
-fn is_within(path: &str, outer: &str) -> bool {
-    if outer.is_empty() {
-        return true;
-    }
-    let rest = path.strip_prefix(outer);
-    rest.is_some_and(|rest| rest.is_empty() || rest.starts_with(['.', '[']))
-}
-
 impl fmt::Display for Problems {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         for (i, problem) in self.0.iter().enumerate() {
--- a/crates/oriolering/src/config/reader.rs
+++ b/crates/oriolering/src/config/reader.rs
@@ -40,7 +40,7 @@
     let mut reader = Reader {
         file,
         text,
-        starts: line_starts(text),
+        cursor: Cursor::default(),
         problems,
     };
     reader.node(&value, "", 0)
@@ -61,25 +61,17 @@
     }
 }
 
-/// Returns the offset of the first byte of each line.
-fn line_starts(text: &str) -> Vec<usize> {
-    let breaks = text.bytes().enumerate().filter(|(_, c)| *c == b'\n');
-    std::iter::once(0)
-        .chain(breaks.map(|(i, _)| i + 1))
-        .collect()
-}
-
 struct Reader<'a> {
     file: &'a str,
     text: &'a str,
-    starts: Vec<usize>,
+    cursor: Cursor,
     problems: &'a mut Problems,
 }
 
 impl Reader<'_> {
     fn node(&mut self, value: &Value<'_>, path: &str, depth: usize) -> Option<Node> {
         let place = self.place(value.start());
-        if depth > MAX_DEPTH {
+        if depth >= MAX_DEPTH {
             self.problems
                 .push(&place, path, Fault::Depth { limit: MAX_DEPTH });
             return None;
@@ -130,14 +122,36 @@
         Some(Entry { key, place, value })
     }
 
-    fn place(&self, offset: usize) -> Place {
-        let line = self.starts.partition_point(|start| *start <= offset);
-        let start = self.starts[line - 1];
+    fn place(&mut self, offset: usize) -> Place {
+        self.cursor.advance(self.text, offset);
         Place {
             file: self.file.into(),
-            line: line as u32,
-            column: self.text[start..offset].chars().count() as u32 + 1,
+            line: self.cursor.line + 1,
+            column: self.cursor.column + 1,
+        }
+    }
+}
+
+/// A position that moves through a text, so that a long line is counted only once.
+#[derive(Default)]
+struct Cursor {
+    offset: usize,
+    line: u32,
+    column: u32,
+}
+
+impl Cursor {
+    /// Moves to `offset`; values are read in the order in which they stand.
+    fn advance(&mut self, text: &str, offset: usize) {
+        let passed = text.get(self.offset..offset).unwrap_or_default();
+        for c in passed.chars() {
+            self.column += 1;
+            if c == '\n' {
+                self.line += 1;
+                self.column = 0;
+            }
         }
+        self.offset = offset;
     }
 }
 
--- a/crates/oriolering/src/config/rules.rs
+++ b/crates/oriolering/src/config/rules.rs
@@ -12,6 +12,8 @@
     pub(crate) node: &'a Node,
     /// The path of the service.
     pub(crate) path: &'a str,
+    /// Tells of a field whether its value could not be taken; rules about it are left out.
+    pub(crate) is_faulty: &'a dyn Fn(&str) -> bool,
     /// The name of the base file; a field of any other file is blamed first.
     pub(crate) base: &'a str,
     pub(crate) problems: &'a mut Problems,
@@ -91,7 +93,7 @@
 
     /// Requires `low` to be at most `high`; blames the field that the overlay sets.
     fn at_most(&mut self, low: (&str, u64), high: (&str, u64)) {
-        if low.1 <= high.1 {
+        if low.1 <= high.1 || self.skips(&[low.0, high.0]) {
             return;
         }
         let lower = self.node.at(low.0);
@@ -121,11 +123,18 @@
 
     /// Reports a fault of the first field, at the place of the first field that is set.
     fn blame(&mut self, fields: &[&str], fault: Fault) {
+        if self.skips(fields) {
+            return;
+        }
         let place = self.place(fields);
         let path = join(self.path, fields[0]);
         self.problems.push(&place, &path, fault);
     }
 
+    fn skips(&self, fields: &[&str]) -> bool {
+        fields.iter().any(|field| (self.is_faulty)(field))
+    }
+
     fn place(&self, fields: &[&str]) -> Place {
         let nodes = || fields.iter().filter_map(|path| self.node.at(path));
         let overlaid = nodes().find(|node| node.place.file != self.base);
--- a/crates/oriolering/src/config/set.rs
+++ b/crates/oriolering/src/config/set.rs
@@ -6,16 +6,16 @@
 
 use crate::config::bundle::check_size;
 use crate::config::check::{Check, Role, check_required};
+use crate::config::effective::{Builder, Overlay};
 use crate::config::fault::Fault;
 use crate::config::nearest::nearest;
-use crate::config::node::{Entry, Node};
+use crate::config::node::Node;
 use crate::config::reader::{self, join};
-use crate::config::rules::Rules;
 use crate::config::shape::{Form, Shape};
-use crate::config::{Bundle, Place, Problems, Service, Settings, base::Base};
+use crate::config::{Bundle, Place, Problems, Settings, base::Base};
 
 /// The name of the base file in problems.
-const BASE_FILE: &str = "base.jsonc";
+pub(crate) const BASE_FILE: &str = "base.jsonc";
 
 /// The most services of a set.
 const MAX_SERVICES: u64 = 1_000;
@@ -45,21 +45,18 @@
         let mut overlays = Vec::new();
         for (site, text) in &bundle.overlays {
             let overlay = read_overlay(site, text, &shape, base.as_ref(), &mut problems);
-            overlays.extend(overlay.map(|node| (site.clone(), node)));
+            overlays.extend(overlay);
         }
         let Some(base) = base else {
             return problems.into_result(Self::empty());
         };
-        let mut sites = BTreeMap::new();
-        for (site, overlay) in overlays {
-            let mut merged = base.clone();
-            if !problems.is_full() {
-                merged.merge(&overlay);
-            }
-            sites.insert(site, effective(&merged, &overlay.place.file, &mut problems));
-        }
-        let base = effective(&base, BASE_FILE, &mut problems);
-        problems.into_result(Self { base, sites })
+        let mut builder = Builder::new(base, problems);
+        let sites = overlays
+            .iter()
+            .map(|o| (o.site.clone(), builder.site(o)))
+            .collect();
+        let base = builder.base();
+        builder.problems.into_result(Self { base, sites })
     }
 
     /// Returns the effective settings of a site; a site without an overlay has the base's.
@@ -119,16 +116,16 @@
 }
 
 fn read_overlay(
-    site: &str,
+    site: &CompactString,
     text: &str,
     shape: &Shape,
     base: Option<&Node>,
     problems: &mut Problems,
-) -> Option<Node> {
+) -> Option<Overlay> {
     let file = overlay_file(site);
     if !Form::Name.accepts(site) {
         let fault = Fault::Form {
-            found: site.to_owned(),
+            found: site.to_string(),
             wanted: Form::Name.wanted(),
         };
         problems.push(&Place::whole(&file), "", fault);
@@ -142,7 +139,11 @@
     if let Some(services) = base.and_then(|base| base.get("services")) {
         check_services(&node, services, problems);
     }
-    Some(node)
+    Some(Overlay {
+        site: site.clone(),
+        file,
+        node,
+    })
 }
 
 /// Reports the services of an overlay that the base lacks.
@@ -160,52 +161,3 @@
         }
     }
 }
-
-/// Returns the effective settings of a site, and checks the rules between fields.
-fn effective(merged: &Node, file: &str, problems: &mut Problems) -> Settings {
-    let entries = merged.get("services").map_or(&[][..], Node::entries);
-    let services = entries
-        .iter()
-        .filter_map(|entry| effective_service(merged, entry, file, problems));
-    Settings {
-        services: services.collect(),
-    }
-}
-
-/// Returns the settings of one service; `None` when its fields already have problems.
-fn effective_service(
-    merged: &Node,
-    entry: &Entry,
-    file: &str,
-    problems: &mut Problems,
-) -> Option<Service> {
-    let path = join("services", &entry.key);
-    let files = [BASE_FILE, file];
-    let is_faulty = |path| files.iter().any(|file| problems.touches(file, path));
-    if problems.is_full() || is_faulty(&path) || is_faulty("defaults") {
-        return None;
-    }
-    let mut node = Node::empty(entry.place.clone());
-    if let Some(defaults) = merged.get("defaults") {
-        node.merge(defaults);
-    }
-    node.merge(&entry.value);
-    let mut service: Service = match serde_json::from_value(node.to_json()) {
-        Ok(service) => service,
-        Err(e) => {
-            let detail = e.to_string();
-            problems.push(&entry.place, &path, Fault::Syntax { detail });
-            return None;
-        }
-    };
-    service.name = entry.key.clone();
-    let mut rules = Rules {
-        service: &service,
-        node: &node,
-        path: &path,
-        base: BASE_FILE,
-        problems,
-    };
-    rules.check();
-    Some(service)
-}
