Publish the schemas and the reference of the fields

Cause: the operators' command and the node need the fields as flags and as a reference. Ruled out: a second list of fields by hand. Change: schemas of base, overlay and process, fields with their flags, and the example bases under test.

--- a/crates/oriolering/src/config/change.rs
+++ b/crates/oriolering/src/config/change.rs
@@ -4,6 +4,7 @@
 use std::fmt;
 
 use compact_str::CompactString;
+use serde::Serialize;
 use serde_json::Value;
 use smallvec::SmallVec;
 
@@ -11,7 +12,7 @@
 use crate::config::{Service, Set, Settings};
 
 /// One difference of the effective settings of a service.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct Change {
     /// Where the difference is in force.
     pub scope: Scope,
@@ -24,7 +25,8 @@
 }
 
 /// Where a difference is in force.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum Scope {
     /// At every site.
     Everywhere,
@@ -35,7 +37,8 @@
 }
 
 /// What changes.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum Effect {
     /// The service is new.
     Added,
--- a/crates/oriolering/src/config/check.rs
+++ b/crates/oriolering/src/config/check.rs
@@ -3,6 +3,7 @@
 use compact_str::CompactString;
 
 use crate::config::fault::Fault;
+use crate::config::field::flag_of;
 use crate::config::nearest::nearest;
 use crate::config::node::{Entry, Node, Tree};
 use crate::config::reader::join;
@@ -114,7 +115,7 @@
     for (key, _) in fields.iter().filter(|(_, field)| field.required) {
         if node.get(key).is_none() {
             let place = Place::whole(&node.place.file);
-            let flag = flags.then(|| format!("--{key}"));
+            let flag = flags.then(|| flag_of(key));
             problems.push(&place, key, Fault::Missing { flag });
         }
     }
--- a/crates/oriolering/src/config/field.rs
+++ b/crates/oriolering/src/config/field.rs
@@ -23,6 +23,18 @@
     pub effect: String,
 }
 
+impl Field {
+    /// Returns the flag that sets the field of a process, such as `--drain-ms`.
+    pub fn flag(&self) -> String {
+        flag_of(&self.path)
+    }
+}
+
+/// Returns the flag that sets a field of a process.
+pub(crate) fn flag_of(path: &str) -> String {
+    format!("--{}", path.replace('_', "-"))
+}
+
 /// Returns the fields of a shape, those of groups with their whole paths.
 pub(crate) fn fields(shape: &Shape) -> Vec<Field> {
     let mut all = Vec::new();
--- a/crates/oriolering/src/config/place.rs
+++ b/crates/oriolering/src/config/place.rs
@@ -5,7 +5,7 @@
 use compact_str::CompactString;
 
 /// A position in a file, or a flag of the command line.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Place {
     /// The name of the file, or the flag.
     pub file: CompactString,
--- a/crates/oriolering/src/config/process.rs
+++ b/crates/oriolering/src/config/process.rs
@@ -8,10 +8,10 @@
 
 use crate::config::check::{Check, Role, check_required};
 use crate::config::fault::Fault;
-use crate::config::field::{Field, fields};
+use crate::config::field::{Field, fields, flag_of};
 use crate::config::node::{Entry, Node, Tree};
 use crate::config::reader;
-use crate::config::shape::{Kind, Shape};
+use crate::config::shape::{Kind, Shape, schema};
 use crate::config::{LogLevel, Place, Problems};
 
 /// The settings of one process: who it is, and the addresses that it uses.
@@ -87,8 +87,8 @@
         Self::parse_with(file, text, &[])
     }
 
-    /// Reads the settings from the text of a file, over which flags are laid. A flag is a
-    /// name from [`Self::fields`] with its text; a text of only flags is `{}`.
+    /// Reads the settings from the text of a file, over which flags are laid. A flag is the
+    /// path of a field with its text; where there are only flags, the text is `{}`.
     ///
     /// # Errors
     ///
@@ -118,6 +118,11 @@
         fields.into_iter().filter(|f| f.path != "$schema").collect()
     }
 
+    /// Returns the JSON schema of the file.
+    pub fn schema() -> serde_json::Value {
+        schema::<Self>().to_value()
+    }
+
     /// Checks the addresses against each other.
     fn check(self, node: &Node) -> Result<Self, Problems> {
         let mut problems = Problems::default();
@@ -178,7 +183,7 @@
 
 /// Returns an object with the one field that a flag sets.
 fn flag_node(name: &str, text: &str, shape: &Shape) -> Node {
-    let place = Place::whole(&format!("--{name}"));
+    let place = Place::whole(&flag_of(name));
     let is_whole = matches!(shape.field(name).map(|f| &f.kind), Some(Kind::Whole { .. }));
     let is_number = serde_json::from_str::<serde_json::Number>(text).is_ok();
     let tree = match is_whole && is_number {
--- a/crates/oriolering/src/config/set.rs
+++ b/crates/oriolering/src/config/set.rs
@@ -3,16 +3,18 @@
 use std::collections::BTreeMap;
 
 use compact_str::CompactString;
+use serde_json::Value;
 
 use crate::config::bundle::check_size;
 use crate::config::check::{Check, Role, check_required};
 use crate::config::effective::{Builder, Overlay};
 use crate::config::fault::Fault;
+use crate::config::field::{Field, fields};
 use crate::config::nearest::nearest;
 use crate::config::node::Node;
 use crate::config::reader::{self, join};
-use crate::config::shape::{Form, Shape};
-use crate::config::{Bundle, Place, Problems, Settings, base::Base};
+use crate::config::shape::{Form, Shape, schema};
+use crate::config::{Bundle, Place, Problems, Service, Settings, base::Base};
 
 /// The name of the base file in problems.
 pub(crate) const BASE_FILE: &str = "base.jsonc";
@@ -74,6 +76,23 @@
         self.sites.keys().map(CompactString::as_str)
     }
 
+    /// Returns the fields of a service, which `defaults` has too, in the order of their paths.
+    pub fn fields() -> Vec<Field> {
+        fields(&Shape::of::<Service>())
+    }
+
+    /// Returns the JSON schema of the base file.
+    pub fn schema() -> Value {
+        schema::<Base>().to_value()
+    }
+
+    /// Returns the JSON schema of an overlay, in which every field may be left out or null.
+    pub fn overlay_schema() -> Value {
+        let mut schema = Self::schema();
+        relax(&mut schema);
+        schema
+    }
+
     fn empty() -> Self {
         Self {
             base: Settings::default(),
@@ -82,6 +101,28 @@
     }
 }
 
+/// Lets every field of a schema be left out or null, but for `services` and the services.
+fn relax(schema: &mut Value) {
+    let Some(object) = schema.as_object_mut() else {
+        return;
+    };
+    object.remove("required");
+    object.remove("default");
+    for inner in ["additionalProperties", "items"] {
+        object.get_mut(inner).map_or((), relax);
+    }
+    let Some(fields) = object.get_mut("properties").and_then(Value::as_object_mut) else {
+        return;
+    };
+    for (key, field) in fields {
+        relax(field);
+        if key != "services" {
+            let inner = field.take();
+            *field = serde_json::json!({"anyOf": [inner, {"type": "null"}]});
+        }
+    }
+}
+
 /// Returns the name of a site's overlay in problems.
 fn overlay_file(site: &str) -> String {
     format!("overlays/{site}.jsonc")
--- a/crates/oriolering/tests/config.rs
+++ b/crates/oriolering/tests/config.rs
@@ -333,3 +333,25 @@
     let found = Bundle::parse(text).unwrap_err().to_string();
     assert!(found.starts_with(start), "{found}");
 }
+
+#[rstest]
+#[case::huaraz(include_str!("../../../examples/rental/base.jsonc"), &["rack", "caja", "bitacora"])]
+#[case::leuven(
+    include_str!("../../../examples/supper/base.jsonc"),
+    &["avondgids", "plaatsboek", "menukast"]
+)]
+fn the_example_bases_are_valid(#[case] base: &str, #[case] services: &[&str]) {
+    let set = Set::parse(&bundle(base, &[])).unwrap();
+    let settings = set.base();
+    let names: Vec<&str> = settings.services.iter().map(|s| s.name.as_str()).collect();
+    assert_eq!(names, services);
+    for service in &settings.services {
+        assert_eq!((service.slots.initial, service.connections), (12, 240));
+        assert_eq!(
+            (service.measure.probe_ms, service.measure.connect_ms),
+            (6, 1)
+        );
+        assert!(!service.is_idempotent("POST"), "{}", service.name);
+        assert!(!service.shed.not_run, "{}", service.name);
+    }
+}
