Add the operators' command

Cause: operators check, compare and publish sets, and ask nodes what they do. Ruled out: publishing by the command, since nothing of the system writes shared state; names instead of IP numbers for nodes.

--- /dev/null
+++ b/crates/ctl/src/check.rs
@@ -0,0 +1,56 @@
+//! `oriolering check`: checks a base with all its overlays.
+
+use clap::{ArgMatches, Command};
+use oriolering::config::Set;
+
+use crate::failure::Failure;
+use crate::format::{Format, to_json};
+use crate::source;
+
+/// Returns the subcommand.
+pub(crate) fn command() -> Command {
+    Command::new("check")
+        .about("Checks a base file with all its overlays")
+        .long_about(
+            "Checks a base file with all its overlays, and prints every problem at once with \
+             its file, line, column, field and remedy.\n\nThe verdict is the one that every \
+             node would reach: a set that passes here is accepted everywhere.",
+        )
+        .after_help("Example:\n  oriolering check examples/rental")
+        .arg(source::arg(
+            "set",
+            "The directory of the set, or a published value",
+        ))
+        .arg(Format::arg())
+}
+
+/// Checks the set and returns a summary of it.
+pub(crate) fn run(args: &ArgMatches) -> Result<String, Failure> {
+    let set = source::parse(args, "set")?;
+    let path = args.get_one::<String>("set").cloned().unwrap_or_default();
+    Ok(match Format::of(args) {
+        Format::Text => text(&path, &set),
+        Format::Json => to_json(&serde_json::json!({
+            "problems": [],
+            "services": names(&set),
+            "sites": set.sites().collect::<Vec<_>>(),
+        })),
+    })
+}
+
+fn names(set: &Set) -> Vec<&str> {
+    let services = set.base().services.iter();
+    services.map(|s| s.name.as_str()).collect()
+}
+
+fn text(path: &str, set: &Set) -> String {
+    let sites: Vec<&str> = set.sites().collect();
+    let sites = match sites.is_empty() {
+        true => "none".to_owned(),
+        false => sites.join(", "),
+    };
+    format!(
+        "{path}: no problems\n  services: {}\n  sites with an overlay: {sites}\n",
+        names(set).join(", ")
+    )
+}
--- /dev/null
+++ b/crates/ctl/src/cli.rs
@@ -0,0 +1,58 @@
+//! The command line.
+
+use std::net::SocketAddr;
+
+use clap::{Arg, ArgAction, Command};
+
+use crate::{bundle, check, completion, diff, explain, render, schema, status, trace};
+
+/// What stands below the list of subcommands.
+const AFTER_HELP: &str = "\
+Examples:
+  oriolering check examples/rental
+  oriolering diff in-force.json examples/rental
+  oriolering bundle examples/rental > rental.json
+  oriolering status --node 127.0.0.1:7400 --node 127.0.0.1:7401 --watch 2
+
+Exit codes:
+  0  done
+  1  the set has problems
+  2  the command line is wrong
+  3  a node could not be asked";
+
+/// Returns the whole command.
+pub(crate) fn command() -> Command {
+    Command::new("oriolering")
+        .about("Checks and publishes the settings of services, and asks nodes what they do")
+        .version(env!("CARGO_PKG_VERSION"))
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .after_help(AFTER_HELP)
+        .subcommands([
+            check::command(),
+            render::command(),
+            diff::command(),
+            bundle::command(),
+            schema::command(),
+            status::command(),
+            explain::command(),
+            trace::command(),
+            completion::command(),
+        ])
+}
+
+/// Returns the argument that names a node by its admin address.
+pub(crate) fn node_arg() -> Arg {
+    Arg::new("node")
+        .long("node")
+        .value_name("IP:PORT")
+        .required(true)
+        .action(ArgAction::Append)
+        .value_parser(parse_address)
+        .help("The admin address of a node")
+}
+
+fn parse_address(text: &str) -> Result<SocketAddr, String> {
+    let explain = |_| "write an IP number with a port, such as 127.0.0.1:7400".to_owned();
+    text.parse().map_err(explain)
+}
--- /dev/null
+++ b/crates/ctl/src/completion.rs
@@ -0,0 +1,32 @@
+//! `oriolering completion`: prints a completion script for a shell.
+
+use clap::{Arg, ArgMatches, Command, value_parser};
+use clap_complete::Shell;
+
+use crate::cli;
+use crate::failure::Failure;
+
+/// Returns the subcommand.
+pub(crate) fn command() -> Command {
+    Command::new("completion")
+        .about("Prints a completion script for a shell")
+        .after_help("Example:\n  oriolering completion bash > /etc/bash_completion.d/oriolering")
+        .arg(
+            Arg::new("shell")
+                .value_name("SHELL")
+                .required(true)
+                .value_parser(value_parser!(Shell))
+                .help("The shell"),
+        )
+}
+
+/// Returns the script.
+pub(crate) fn run(args: &ArgMatches) -> Result<String, Failure> {
+    let shell = args
+        .get_one::<Shell>("shell")
+        .copied()
+        .unwrap_or(Shell::Bash);
+    let mut script = Vec::new();
+    clap_complete::generate(shell, &mut cli::command(), "oriolering", &mut script);
+    Ok(String::from_utf8_lossy(&script).into_owned())
+}
--- /dev/null
+++ b/crates/ctl/src/trace.rs
@@ -0,0 +1,156 @@
+//! `oriolering trace`: shows the hops of one call.
+
+use std::collections::BTreeMap;
+
+use clap::{Arg, ArgMatches, Command};
+use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+
+use crate::client::{self, Answer};
+use crate::failure::Failure;
+use crate::format::{Format, to_json};
+use crate::status::micros;
+use crate::{cli, table};
+
+/// The most spans that are shown.
+const MAX_SPANS: usize = 1_000;
+
+/// What a node recorded of a call.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(default)]
+struct Trace {
+    spans: Vec<Span>,
+}
+
+/// One hop of a call. Every field but the identity may be missing.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[serde(default)]
+struct Span {
+    id: CompactString,
+    parent: Option<CompactString>,
+    name: CompactString,
+    /// The instance that recorded the span.
+    node: Option<CompactString>,
+    /// The start by that instance's clock; never compared with another instance's.
+    start_us: Option<u64>,
+    time_us: Option<u64>,
+    outcome: Option<String>,
+}
+
+/// Returns the subcommand.
+pub(crate) fn command() -> Command {
+    Command::new("trace")
+        .about("Shows the hops of one call as a tree")
+        .long_about(
+            "Shows the hops of one call as a tree, with the time in each. Every node keeps its \
+             own spans for a short while, so name all nodes that the call may have passed.",
+        )
+        .after_help(
+            "Example:\n  oriolering trace --node 127.0.0.1:7400 --node 127.0.0.1:7401 \
+             4bf92f3577b34da6a3ce929d0e0e4736",
+        )
+        .arg(cli::node_arg().help("The admin address of a node; may be given several times"))
+        .arg(
+            Arg::new("trace")
+                .value_name("TRACEID")
+                .required(true)
+                .value_parser(parse_trace)
+                .help("The trace identity: the second part of the traceparent header"),
+        )
+        .arg(Format::arg())
+}
+
+fn parse_trace(text: &str) -> Result<String, String> {
+    let is_hex = text.len() == 32 && text.bytes().all(|c| c.is_ascii_hexdigit());
+    match is_hex {
+        true => Ok(text.to_ascii_lowercase()),
+        false => Err(
+            "write the 32 hexadecimal digits between the first two hyphens of the \
+                      traceparent header"
+                .to_owned(),
+        ),
+    }
+}
+
+/// Returns the tree of the spans of all nodes.
+pub(crate) fn run(args: &ArgMatches) -> Result<String, Failure> {
+    let trace = args.get_one::<String>("trace").cloned().unwrap_or_default();
+    let path = format!("/trace?id={trace}");
+    let answers = client::ask(&client::nodes(args), &path);
+    let spans = merge(&answers);
+    let report = match Format::of(args) {
+        Format::Json => to_json(&json!({"trace": trace, "spans": spans})),
+        Format::Text if spans.is_empty() => format!("trace {trace}: no node asked has a span\n"),
+        Format::Text => format!("trace {trace}\n{}", tree(&spans)),
+    };
+    match answers.iter().find_map(|a| a.failure(&report)) {
+        Some(failure) => Err(failure),
+        None => Ok(report),
+    }
+}
+
+/// Returns the spans of all nodes, each once.
+fn merge(answers: &[Answer]) -> Vec<Span> {
+    let values = answers.iter().filter_map(|a| a.result.as_ref().ok());
+    let traces = values.map(|v| serde_json::from_value::<Trace>(v.clone()).unwrap_or_default());
+    let mut spans: Vec<Span> = Vec::new();
+    for span in traces.flat_map(|trace| trace.spans).take(MAX_SPANS) {
+        if spans.iter().all(|known| known.id != span.id) {
+            spans.push(span);
+        }
+    }
+    spans
+}
+
+/// Returns the spans as a tree; a span whose parent is unknown stands at the top.
+fn tree(spans: &[Span]) -> String {
+    let mut children: BTreeMap<&str, Vec<&Span>> = BTreeMap::new();
+    let mut roots = Vec::new();
+    for span in spans {
+        let parent = span.parent.as_deref();
+        match parent.filter(|id| spans.iter().any(|s| s.id == *id)) {
+            Some(parent) => children.entry(parent).or_default().push(span),
+            None => roots.push(span),
+        }
+    }
+    for siblings in children.values_mut() {
+        siblings.sort_by_key(|s| (s.node.clone(), s.start_us));
+    }
+    let mut rows = vec![table::row(["HOP", "INSTANCE", "TIME", "OUTCOME"])];
+    for root in roots {
+        push_rows(root, &children, "", "", &mut rows);
+    }
+    table::render(&rows)
+}
+
+/// Adds the row of a span and those of all below it. `lead` stands before the span's name,
+/// `below` before the names of its children.
+fn push_rows(
+    span: &Span,
+    children: &BTreeMap<&str, Vec<&Span>>,
+    lead: &str,
+    below: &str,
+    rows: &mut Vec<Vec<String>>,
+) {
+    rows.push(vec![
+        format!("{lead}{}", span.name),
+        span.node.as_deref().unwrap_or("-").to_owned(),
+        span.time_us.map_or("-".to_owned(), micros),
+        span.outcome.clone().unwrap_or_default(),
+    ]);
+    let inner = children
+        .get(span.id.as_str())
+        .map_or(&[][..], Vec::as_slice);
+    for (i, child) in inner.iter().enumerate() {
+        let is_last = i + 1 == inner.len();
+        let (branch, line) = if is_last {
+            ("└─ ", "   ")
+        } else {
+            ("├─ ", "│  ")
+        };
+        let lead = format!("{below}{branch}");
+        let below = format!("{below}{line}");
+        push_rows(child, children, &lead, &below, rows);
+    }
+}
--- a/crates/oriolering/src/config/set.rs
+++ b/crates/oriolering/src/config/set.rs
@@ -109,7 +109,9 @@
     object.remove("required");
     object.remove("default");
     for inner in ["additionalProperties", "items"] {
-        object.get_mut(inner).map_or((), relax);
+        if let Some(inner) = object.get_mut(inner) {
+            relax(inner);
+        }
     }
     let Some(fields) = object.get_mut("properties").and_then(Value::as_object_mut) else {
         return;
