--- a/crates/node/src/crash.rs
+++ b/crates/node/src/crash.rs
@@ -10,17 +10,27 @@
         let now = self.clock.now();
         self.metrics.backend_deaths.add(1, &[]);
         log::warn!(suspects = suspects.len(); "backend server refuses connections");
-        self.quarantine.lock().crashed(now, suspects);
+        let mut quarantine = self.quarantine.lock();
+        let count = quarantine.crashed(now, suspects);
+        let entries = quarantine.export(now);
+        drop(quarantine);
+        if count > 0 {
+            log::warn!(requests = count; "requests quarantined after a second death");
+        }
+        if let Some(control) = self.control() {
+            entries.iter().for_each(|entry| control.spread(*entry));
+        }
     }
 
     /// Clears a request that has finished a run.
     pub(crate) fn cleared(&self, fingerprint: u64) {
-        self.quarantine.lock().cleared(fingerprint);
+        let now = self.clock.now();
+        self.quarantine.lock().cleared(now, fingerprint);
     }
 
     /// Takes up quarantines that peers have spread.
     pub(crate) fn adopt(&self, entries: &[QuarantineEntry]) {
         let now = self.clock.now();
-        self.quarantine.lock().adopt(now, entries);
+        self.quarantine.lock().import(now, entries);
     }
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -27,7 +27,6 @@
 mod logging;
 mod metrics;
 mod permit;
-mod quarantine;
 mod reply;
 mod reserved;
 mod serve;
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -6,14 +6,15 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use oriolering::config::{Bundle, ProcessSettings, Service, Set, Settings};
-use oriolering::{Clock, Gate, GateSettings, Incarnation, Member, Millis};
+use oriolering::{
+    Clock, Gate, GateSettings, Incarnation, Member, Millis, Quarantine, QuarantineSettings,
+};
 use parking_lot::Mutex;
 
 use crate::admission::Admission;
 use crate::control::Handle;
 use crate::directory::{Directory, Me};
 use crate::metrics::Metrics;
-use crate::quarantine::Quarantine;
 use crate::traces::Traces;
 use crate::watch::Watch;
 
@@ -22,6 +23,9 @@
 /// Sequence numbers that a gate remembers for each session.
 const WINDOW: u32 = 1_024;
 
+/// Requests that are suspected or quarantined at once.
+const SUSPECTS: u32 = 256;
+
 /// The state of a node.
 pub(crate) struct Node {
     /// The settings of the process.
@@ -62,7 +66,7 @@
             incarnation,
             admission: Mutex::new(Admission::new(gate)),
             directory: Mutex::new(Directory::new(me, incarnation.0)),
-            quarantine: Mutex::new(Quarantine::new(own.quarantine_ms)),
+            quarantine: Mutex::new(Quarantine::new(quarantine_settings(&own), incarnation)),
             watch: Mutex::new(Watch::default()),
             metrics: Metrics::new(),
             traces: Traces::new(&card.id),
@@ -95,7 +99,7 @@
             .find(|s| s.name == self.card.service)
         {
             self.admission.lock().gate.update(gate_settings(own));
-            self.quarantine.lock().set_duration(own.quarantine_ms);
+            self.quarantine.lock().update(quarantine_settings(own));
             *self.own.lock() = Arc::new(own.clone());
         }
         self.directory.lock().configure(now, settings);
@@ -166,6 +170,14 @@
     set.site("").services.remove(0)
 }
 
+fn quarantine_settings(service: &Service) -> QuarantineSettings {
+    QuarantineSettings {
+        capacity: SUSPECTS,
+        quarantine: service.quarantine_ms,
+        suspicion: service.quarantine_ms,
+    }
+}
+
 fn gate_settings(service: &Service) -> GateSettings {
     GateSettings {
         initial: service.slots.initial,
--- a/crates/node/src/status.rs
+++ b/crates/node/src/status.rs
@@ -1,7 +1,7 @@
 //! What a node says about itself.
 
 use compact_str::CompactString;
-use oriolering::{Explanation, LoadHint, Member};
+use oriolering::{Explanation, LoadHint, Member, Verdict};
 use serde::Serialize;
 
 use crate::control::ControlStatus;
@@ -36,6 +36,7 @@
 #[derive(Debug, Serialize)]
 struct Quarantined {
     fingerprint: CompactString,
+    verdict: Verdict,
     left_ms: u32,
 }
 
@@ -57,12 +58,8 @@
 pub(crate) fn collect(node: &Node) -> Status {
     let now = node.clock.now();
     let members = node.directory.lock().members().iter().map(member).collect();
-    let quarantines = node
-        .quarantine
-        .lock()
-        .entries(now)
-        .map(quarantined)
-        .collect();
+    let entries = node.quarantine.lock().export(now);
+    let quarantines = entries.into_iter().map(quarantined).collect();
     Status {
         id: node.card.id.clone(),
         service: node.card.service.clone(),
@@ -90,7 +87,8 @@
 fn quarantined(entry: oriolering::QuarantineEntry) -> Quarantined {
     Quarantined {
         fingerprint: format!("{:016x}", entry.fingerprint).into(),
-        left_ms: entry.left_ms,
+        verdict: entry.verdict,
+        left_ms: entry.remaining,
     }
 }
 
--- a/crates/node/src/timer.rs
+++ b/crates/node/src/timer.rs
@@ -1,7 +1,6 @@
 //! Waiting with a resolution of one millisecond.
 //!
-//! The timers of the HTTP library have steps of 16 ms, and its wheel was seen to spin without
-//! end on long timers; the runtime's own timers are used everywhere instead.
+//! The timers of the HTTP library have steps of 16 ms; the runtime's own are used instead.
 
 use std::time::Duration;
 
--- a/crates/oriolering/src/lib.rs
+++ b/crates/oriolering/src/lib.rs
@@ -16,6 +16,7 @@
 
 mod adaptive;
 mod attempt;
+mod budget;
 mod calls;
 mod choice;
 mod clock;
@@ -37,6 +38,7 @@
 mod pause;
 mod policy;
 mod pool;
+mod quarantine;
 mod queue;
 mod reader;
 mod relay;
@@ -55,6 +57,7 @@
 pub mod config;
 
 pub use attempt::Attempt;
+pub use budget::{Budget, BudgetSettings, Receipt};
 pub use calls::Ticket;
 pub use choice::Chooser;
 pub use clock::{Clock, Millis};
@@ -78,6 +81,7 @@
 pub use pause::{Pause, SETTLE_MS, TICK_MAX_MS};
 pub use policy::{ChoiceSettings, Policy};
 pub use pool::Candidate;
+pub use quarantine::{Crash, Quarantine, QuarantineEntry, QuarantineSettings, Verdict};
 pub use queue::{Push, Queue};
 pub use reader::{ReadLimit, is_reader};
 pub use relay::{Assembly, Document, Relay, RelayError};
@@ -88,4 +92,4 @@
     Digest, SECTION_MAX_BYTES, SECTION_MIN_BYTES, SECTIONS_MAX, Section, VALUE_BYTES, pack, split,
     unpack,
 };
-pub use spread::{QUARANTINE_MAX_MS, QUARANTINES_MAX, QuarantineEntry, Spread};
+pub use spread::{QUARANTINE_MAX_MS, QUARANTINES_MAX, Spread};
