--- a/crates/oriolering/src/header.rs
+++ b/crates/oriolering/src/header.rs
@@ -20,3 +20,11 @@
 pub const ATTEMPT: &str = "oriolering-attempt";
 /// The customer key that an ingress passes on to the gate.
 pub const CUSTOMER: &str = "oriolering-customer";
+/// The session that a gate opened for an ingress: see [`Grant`](crate::Grant).
+pub const GRANT: &str = "oriolering-grant";
+/// The fingerprint of a request as sixteen hexadecimal digits.
+pub const FINGERPRINT: &str = "oriolering-fingerprint";
+/// Asks a gate for something other than running a call: `open`, `reserve` or `collect`.
+pub const STEP: &str = "oriolering-step";
+/// The number of backend servers that died while they ran this request.
+pub const CRASHES: &str = "oriolering-crashes";
--- a/crates/oriolering/src/ledger.rs
+++ b/crates/oriolering/src/ledger.rs
@@ -2,23 +2,7 @@
 
 use std::collections::{HashMap, VecDeque};
 
-use crate::{CallId, Cause, Grant, Incarnation};
-
-/// What a [`Ledger`] knows about a call.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub enum Fate {
-    /// The call was not dispatched and never will be.
-    Fenced,
-    /// The call was admitted and has not been dispatched yet.
-    Queued,
-    /// The call was dispatched and its run has not ended yet.
-    Running,
-    /// The call was dispatched and its run has ended.
-    Done,
-    /// Nothing is recorded about the call; if the inquiry fences, it will not be dispatched
-    /// from now on.
-    Forgotten,
-}
+use crate::{CallId, Cause, Fate, Grant, Incarnation};
 
 /// The state of one sequence number of a session.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/oriolering/src/quarantine.rs
+++ b/crates/oriolering/src/quarantine.rs
@@ -4,7 +4,7 @@
 
 use crate::{Incarnation, Millis};
 
-use QuarantineState::{Quarantined, Suspect};
+use Verdict::{Quarantined, Suspect};
 
 /// The time in which a finished run keeps a request from being suspected.
 const FINISHED_MS: u64 = 10_000;
@@ -35,7 +35,7 @@
 
 /// Whether a request was in flight at one crash, or at two.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum QuarantineState {
+pub enum Verdict {
     /// It was in flight at one crash, and is still run.
     Suspect,
     /// It was in flight at two crashes, and is refused.
@@ -50,7 +50,7 @@
     /// The last crash at which the request was in flight.
     pub crash: Crash,
     /// How the request is treated.
-    pub state: QuarantineState,
+    pub verdict: Verdict,
     /// How long the entry is still valid, in milliseconds.
     pub remaining: u32,
 }
@@ -59,7 +59,7 @@
 struct Entry {
     fingerprint: u64,
     crash: Crash,
-    state: QuarantineState,
+    verdict: Verdict,
     until: Millis,
     local: bool,
 }
@@ -120,7 +120,7 @@
         }
         self.finished[slot(fingerprint)] = (fingerprint, now);
         if let Some(index) = self.position(fingerprint)
-            && self.entries[index].state == Suspect
+            && self.entries[index].verdict == Suspect
         {
             self.entries.swap_remove(index);
         }
@@ -129,7 +129,7 @@
     /// Returns how long a request is still quarantined, in milliseconds.
     pub fn remaining(&self, now: Millis, fingerprint: u64) -> Option<u64> {
         let entry = self.get(now, fingerprint)?;
-        match entry.state {
+        match entry.verdict {
             Suspect => None,
             Quarantined => Some(entry.until.since(now)),
         }
@@ -149,11 +149,11 @@
             .map(|entry| QuarantineEntry {
                 fingerprint: entry.fingerprint,
                 crash: entry.crash,
-                state: entry.state,
+                verdict: entry.verdict,
                 remaining: u32::try_from(entry.until.since(now)).unwrap_or(u32::MAX),
             })
             .collect();
-        entries.sort_by_key(|entry| (entry.state == Suspect, entry.fingerprint));
+        entries.sort_by_key(|entry| (entry.verdict == Suspect, entry.fingerprint));
         entries.truncate(EXPORT_MAX);
         entries
     }
@@ -188,35 +188,35 @@
         if known.is_some_and(|entry| entry.crash == crash) {
             return false;
         }
-        let (state, ms) = match known {
+        let (verdict, ms) = match known {
             None => (Suspect, self.settings.suspicion),
             Some(_) => (Quarantined, self.settings.quarantine),
         };
         let entry = Entry {
             fingerprint,
             crash,
-            state,
+            verdict,
             until: now + ms,
             local: true,
         };
         self.put(now, entry);
-        state == Quarantined
+        verdict == Quarantined
     }
 
     /// Takes over the entry of a peer, unless the request is quarantined already.
     fn adopt(&mut self, now: Millis, entry: &QuarantineEntry) {
         let known = self.get(now, entry.fingerprint).copied();
-        let state = match known {
-            None => entry.state,
-            Some(known) if known.state == Quarantined => return,
+        let verdict = match known {
+            None => entry.verdict,
+            Some(known) if known.verdict == Quarantined => return,
             Some(known) if known.crash != entry.crash => Quarantined,
-            Some(_) => match entry.state {
+            Some(_) => match entry.verdict {
                 Suspect => return,
                 Quarantined => Quarantined,
             },
         };
         let remaining = u64::from(entry.remaining);
-        let ms = match (entry.state, state) {
+        let ms = match (entry.verdict, verdict) {
             (Suspect, Suspect) => remaining.min(self.settings.suspicion),
             (Suspect, Quarantined) => self.settings.quarantine,
             (Quarantined, _) => remaining.min(self.settings.quarantine),
@@ -224,7 +224,7 @@
         let entry = Entry {
             fingerprint: entry.fingerprint,
             crash: entry.crash,
-            state,
+            verdict,
             until: now + ms,
             local: known.is_some_and(|known| known.local),
         };
@@ -250,7 +250,7 @@
     /// Drops the suspect that ends first, or a quarantined request when there is none.
     fn evict(&mut self) {
         let entries = self.entries.iter().enumerate();
-        let first = entries.min_by_key(|(_, e)| (e.state == Quarantined, e.until));
+        let first = entries.min_by_key(|(_, e)| (e.verdict == Quarantined, e.until));
         if let Some((index, _)) = first {
             self.entries.swap_remove(index);
         }
