Keep the record of a call that takes long while later ones pass

Cause: a session kept one state for each sequence number above the lowest one that is not settled. With a window of 1,024 and 500 calls/s from one ingress a call of more than two seconds lost its record, and an inquiry about it, such as after a connection went silent, could only be answered with unknown. Ruled out: a larger window, which costs memory for each session although nearly all states in it are equal; acknowledging ranges, which changes the protocol. Change: the states are kept as runs of equal neighbours, and the window bounds the runs. The tests that a number is refused once it is more than the window behind the highest describe the old record; they are replaced by ones that fill the window with runs, that jump to the highest number, and that compare the ledger with a map over random operations.

--- a/crates/oriolering/src/ledger.rs
+++ b/crates/oriolering/src/ledger.rs
@@ -1,77 +1,35 @@
 //! The record of every call that an ingress offered, which makes each refusal final.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::HashMap;
 
+use crate::states::{State, States};
 use crate::{CallId, Cause, Fate, Grant, Incarnation};
 
-/// The state of one sequence number of a session.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum State {
-    Unseen,
-    Queued,
-    Running,
-    Done,
-    Fenced,
-}
-
-/// The sequence numbers above the floor of one session, oldest first.
+/// One session, and when it was used last.
 #[derive(Debug, Default)]
 struct Session {
-    floor: u64,
-    states: VecDeque<State>,
+    states: States,
     stamp: u64,
 }
 
-impl Session {
-    /// Forgets every sequence number up to `floor`.
-    fn raise(&mut self, floor: u64) {
-        let steps = floor.saturating_sub(self.floor);
-        let count = steps.min(self.states.len() as u64) as usize;
-        self.states.drain(..count);
-        self.floor += steps;
-    }
-
-    /// Returns the state of `seq`, or `None` when it is at or below the floor.
-    ///
-    /// The floor rises when `seq` is more than `window` above it.
-    fn state(&mut self, seq: u64, window: u32) -> Option<&mut State> {
-        self.raise(seq.saturating_sub(u64::from(window)));
-        let index = self.index(seq)?;
-        if index >= self.states.len() {
-            self.states.resize(index + 1, State::Unseen);
-        }
-        self.states.get_mut(index)
-    }
-
-    /// Returns the state of `seq` when it was seen before.
-    fn known(&mut self, seq: u64) -> Option<&mut State> {
-        let index = self.index(seq)?;
-        self.states.get_mut(index)
-    }
-
-    fn index(&self, seq: u64) -> Option<usize> {
-        let offset = seq.checked_sub(self.floor)?.checked_sub(1)?;
-        usize::try_from(offset).ok()
-    }
-}
-
 /// A bounded record of the calls of every session that a gate opened.
 ///
-/// A session keeps one state for each sequence number between its floor and the highest
-/// number seen, at most `window` of them. A number that falls out of the window and a session
-/// that is evicted are refused for good.
+/// A session keeps the states of its sequence numbers above a floor as runs of equal states,
+/// at most `window` of them. So a call that takes long keeps its record while later ones come
+/// and go. Numbers that are acknowledged or run out of the window, and sessions that are
+/// evicted, are refused for good.
 #[derive(Debug)]
 pub struct Ledger {
     gate: Incarnation,
     next: u64,
     stamp: u64,
     capacity: usize,
-    window: u32,
+    window: usize,
     sessions: HashMap<u64, Session>,
 }
 
 impl Ledger {
-    /// Returns an empty ledger for `sessions` sessions of `window` sequence numbers each.
+    /// Returns an empty ledger for `sessions` sessions of `window` runs of states each.
     ///
     /// Both bounds are raised to one when they are zero.
     pub fn new(gate: Incarnation, sessions: u32, window: u32) -> Self {
@@ -80,7 +38,7 @@
             next: 1,
             stamp: 0,
             capacity: sessions.max(1) as usize,
-            window: window.max(1),
+            window: window.max(1) as usize,
             sessions: HashMap::new(),
         }
     }
@@ -88,7 +46,7 @@
     /// Changes the bounds; sessions over the bound are evicted at the next [`Self::open`].
     pub fn resize(&mut self, sessions: u32, window: u32) {
         self.capacity = sessions.max(1) as usize;
-        self.window = window.max(1);
+        self.window = window.max(1) as usize;
     }
 
     /// Opens a session, and evicts the ones used least recently when there are too many.
@@ -120,12 +78,11 @@
         let stamp = self.touch();
         let session = self.session(id.grant).ok_or(Cause::Session)?;
         session.stamp = stamp;
-        session.raise(ack);
-        let state = session.state(id.seq, window).ok_or(Cause::Fenced)?;
-        if *state != State::Unseen {
+        session.states.raise(ack);
+        let unseen = session.states.get(id.seq) == Some(State::Unseen);
+        if !unseen || !session.states.set(id.seq, State::Queued, window) {
             return Err(Cause::Fenced);
         }
-        *state = State::Queued;
         Ok(())
     }
 
@@ -136,12 +93,12 @@
     /// Returns [`Cause::Session`] when the session is not open any more, and
     /// [`Cause::Fenced`] when the call is not waiting to be dispatched.
     pub fn dispatch(&mut self, id: CallId) -> Result<(), Cause> {
+        let window = self.window;
         let session = self.session(id.grant).ok_or(Cause::Session)?;
-        let state = session.known(id.seq).ok_or(Cause::Fenced)?;
-        if *state != State::Queued {
+        let queued = session.states.get(id.seq) == Some(State::Queued);
+        if !queued || !session.states.set(id.seq, State::Running, window) {
             return Err(Cause::Fenced);
         }
-        *state = State::Running;
         Ok(())
     }
 
@@ -168,16 +125,12 @@
         let Some(session) = self.session(id.grant) else {
             return Fate::Forgotten;
         };
-        let state = match fence {
-            true => session.state(id.seq, window),
-            false => session.known(id.seq),
-        };
-        let Some(state) = state else {
+        let Some(state) = session.states.get(id.seq) else {
             return Fate::Forgotten;
         };
-        match (*state, fence) {
+        match (state, fence) {
             (State::Unseen | State::Queued, true) => {
-                *state = State::Fenced;
+                session.states.set(id.seq, State::Fenced, window);
                 Fate::Fenced
             }
             (State::Unseen, false) => Fate::Forgotten,
@@ -193,8 +146,8 @@
         self.sessions.len()
     }
 
-    /// Returns the number of sequence numbers that the ledger keeps a state for.
-    pub fn states(&self) -> usize {
+    /// Returns the number of runs of states that the ledger keeps.
+    pub fn runs(&self) -> usize {
         self.sessions.values().map(|s| s.states.len()).sum()
     }
 
@@ -211,11 +164,12 @@
     }
 
     fn change(&mut self, id: CallId, from: State, to: State) {
-        let state = self
-            .session(id.grant)
-            .and_then(|session| session.known(id.seq));
-        if let Some(state) = state.filter(|state| **state == from) {
-            *state = to;
+        let window = self.window;
+        let Some(session) = self.session(id.grant) else {
+            return;
+        };
+        if session.states.get(id.seq) == Some(from) {
+            session.states.set(id.seq, to, window);
         }
     }
 
--- a/crates/oriolering/src/lib.rs
+++ b/crates/oriolering/src/lib.rs
@@ -50,6 +50,7 @@
 mod slots;
 mod spread;
 mod standing;
+mod states;
 mod subset;
 mod typical;
 
--- a/crates/oriolering/src/offer.rs
+++ b/crates/oriolering/src/offer.rs
@@ -19,7 +19,7 @@
     pub ramp: u64,
     /// The number of sessions that may be open.
     pub sessions: u32,
-    /// The number of sequence numbers that are kept for each session.
+    /// The number of runs of equal states of neighbouring calls that are kept for each session.
     pub window: u32,
 }
 
