Poll health within the budget, run suspects alone, refuse strangers

Cause: a leaving backend server was seen only through the platform's list; a second death made every request in flight a culprit; anybody could offer calls to a gate; a stalled answer held its caller for good. Ruled out: letting a health answer stop the gate, because that endpoint may mislead; it only marks the load hint, and the choice prefers others. Change: polls debited before they are sent; suspects run one at a time at each gate; calls to a gate only from addresses of the platform's list; an answer without a chunk for 10 s is cut.

--- a/crates/node/src/admit.rs
+++ b/crates/node/src/admit.rs
@@ -17,6 +17,10 @@
 
 /// Serves a request of an ingress.
 pub(crate) async fn serve(wire: Rc<Wire>, request: HttpRequest, payload: Payload) -> HttpResponse {
+    if !is_peer(&wire, &request) {
+        wire.node.metrics.strangers.add(1, &[]);
+        return Reply::rejected(Cause::Invalid, 0).response();
+    }
     let id = headers::text(request.headers(), oriolering::CALL_ID).and_then(CallId::decode);
     let Some(id) = id else {
         return open(&wire);
@@ -29,12 +33,23 @@
     }
 }
 
+/// Returns whether the request comes from an address of the platform's list.
+fn is_peer(wire: &Wire, request: &HttpRequest) -> bool {
+    let Some(peer) = request.peer_addr() else {
+        return false;
+    };
+    let directory = wire.node.directory.lock();
+    directory
+        .members()
+        .iter()
+        .any(|member| member.gate.ip() == peer.ip())
+}
+
 /// Opens a session for an ingress that has none, and says so in a refusal.
 fn open(wire: &Wire) -> HttpResponse {
     let now = wire.node.clock.now();
-    let mut admission = wire.node.admission.lock();
-    let grant = admission.gate.open(now);
-    let load = admission.gate.load(now);
+    let grant = wire.node.admission.lock().gate.open(now);
+    let load = wire.node.load();
     let refusal = Refusal {
         cause: Cause::Session,
         retry_after: 0,
@@ -55,8 +70,39 @@
     }
 }
 
+/// What is known of a request from deaths of backend servers.
+enum Suspicion {
+    /// It was not running when one died.
+    None,
+    /// It was running when one died.
+    Suspect,
+    /// It is refused for the given milliseconds.
+    Quarantined(u32),
+}
+
+fn suspicion(wire: &Wire, request: &HttpRequest) -> Suspicion {
+    let now = wire.node.clock.now();
+    let fingerprint = headers::hex(request.headers(), oriolering::FINGERPRINT).unwrap_or(0);
+    let quarantine = wire.node.quarantine.lock();
+    if let Some(left) = quarantine.remaining(now, fingerprint) {
+        return Suspicion::Quarantined(left as u32);
+    }
+    let crashed = request.headers().contains_key(oriolering::CRASHES);
+    match crashed || quarantine.is_suspect(now, fingerprint) {
+        true => Suspicion::Suspect,
+        false => Suspicion::None,
+    }
+}
+
 /// Runs a call: admission, dispatch and the answer of the backend server.
 async fn run(wire: Rc<Wire>, request: HttpRequest, payload: Payload, id: CallId) -> HttpResponse {
+    let alone = match suspicion(&wire, &request) {
+        Suspicion::None => None,
+        Suspicion::Suspect => Some(wire.suspects.clone().lock_owned().await),
+        Suspicion::Quarantined(left) => {
+            return Reply::rejected(Cause::Quarantined, left).response();
+        }
+    };
     let held = wire.reserved.borrow_mut().take(id);
     let permit = match held {
         Some(permit) => permit,
@@ -67,13 +113,16 @@
     };
     let job = Job::new(&wire, &request, id);
     if job.idempotent {
-        return forward::run(wire, job, permit, request, payload).await;
+        let answer = forward::run(wire, job, permit, request, payload).await;
+        drop(alone);
+        return answer;
     }
     // A request that may not be repeated goes on when the ingress loses its connection, so
     // that the answer can be collected over a new one.
     let (sender, receiver) = tokio::sync::oneshot::channel();
     ntex::rt::spawn(async move {
         let answer = forward::run(wire, job, permit, request, payload).await;
+        drop(alone);
         let _ = sender.send(answer);
     });
     match receiver.await {
@@ -88,8 +137,7 @@
     if refusal.cause == Cause::Session {
         return open(wire);
     }
-    let now = wire.node.clock.now();
-    let load = wire.node.admission.lock().gate.load(now);
+    let load = wire.node.load();
     Reply::not_run(refusal).response_with(Some(load), None)
 }
 
--- a/crates/node/src/body.rs
+++ b/crates/node/src/body.rs
@@ -5,6 +5,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
+use std::time::Duration;
 
 use futures_util::Stream;
 use ntex::http::Payload;
@@ -14,6 +15,9 @@
 use ntex::util::Bytes;
 use oriolering::{Clock, Millis};
 
+/// The longest time between two chunks of an answer.
+const STALL_LIMIT: Duration = Duration::from_secs(10);
+
 /// The part of a body that has been read before it turned out to be long, and the rest.
 pub(crate) struct Upload {
     head: Option<Bytes>,
@@ -85,6 +89,7 @@
     reader: Option<IoRef>,
     ended: Option<F>,
     stopped: bool,
+    stall: Pin<Box<tokio::time::Sleep>>,
 }
 
 impl<S, F> WholeBody<S, F>
@@ -105,6 +110,7 @@
             reader,
             ended: Some(ended),
             stopped: false,
+            stall: Box::pin(tokio::time::sleep(STALL_LIMIT)),
         }
     }
 
@@ -154,9 +160,14 @@
             return Poll::Pending;
         }
         match Pin::new(&mut self.source).poll_next(cx) {
+            Poll::Pending if self.stall.as_mut().poll(cx).is_ready() => self.cut(),
             Poll::Pending => Poll::Pending,
             Poll::Ready(Some(Ok(chunk))) => match self.count(&chunk) {
-                true => Poll::Ready(Some(Ok(chunk))),
+                true => {
+                    let limit = tokio::time::Instant::now() + STALL_LIMIT;
+                    self.stall.as_mut().reset(limit);
+                    Poll::Ready(Some(Ok(chunk)))
+                }
                 false => self.cut(),
             },
             Poll::Ready(Some(Err(_))) => self.cut(),
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -168,8 +168,7 @@
 }
 
 fn unknown(wire: &Wire, cause: Cause) -> HttpResponse {
-    let now = wire.node.clock.now();
-    let load = wire.node.admission.lock().gate.load(now);
+    let load = wire.node.load();
     Reply::unknown(cause, UNREACHABLE_RETRY_MS).response_with(Some(load), None)
 }
 
@@ -251,8 +250,7 @@
     let status = response.status();
     let mut builder = HttpResponse::build(status);
     copy(&mut builder, &headers::end_to_end(response.headers()));
-    let now = wire.node.clock.now();
-    let load = wire.node.admission.lock().gate.load(now);
+    let load = wire.node.load();
     builder.set_header(oriolering::LOAD, load.encode());
     let reader = request.io().cloned();
     let node = Arc::clone(&wire.node);
@@ -283,8 +281,7 @@
 pub(crate) fn respond(wire: &Wire, answer: &Answer) -> HttpResponse {
     let mut builder = HttpResponse::build(answer.status);
     copy(&mut builder, &answer.headers);
-    let now = wire.node.clock.now();
-    let load = wire.node.admission.lock().gate.load(now);
+    let load = wire.node.load();
     builder.set_header(oriolering::LOAD, load.encode());
     builder.body(answer.body.clone())
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -27,6 +27,7 @@
 mod logging;
 mod metrics;
 mod permit;
+mod poll;
 mod reply;
 mod reserved;
 mod serve;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -32,6 +32,12 @@
     pub(crate) backend_deaths: Count,
     /// Time from the head of a call to the head of its answer, in milliseconds.
     pub(crate) call_ms: Histogram<f64>,
+    /// Polls of the local backend server's health endpoint.
+    pub(crate) polls: Count,
+    /// Polls left out because the measuring budget did not allow them.
+    pub(crate) polls_skipped: Count,
+    /// Requests to the gate from addresses that are not in the platform's list.
+    pub(crate) strangers: Count,
     outcomes: Count,
     refusals: Count,
 }
@@ -66,6 +72,9 @@
             collected: count("collected", "Answers collected over a new connection"),
             cuts: count("cuts", "Answers that ended early"),
             backend_deaths: count("backend_deaths", "Deaths of the local backend server"),
+            polls: count("polls", "Polls of the local health endpoint"),
+            polls_skipped: count("polls_skipped", "Polls that the budget did not allow"),
+            strangers: count("strangers", "Requests to the gate from unlisted addresses"),
             outcomes: count("outcomes", "Calls without an answer, by outcome and reason"),
             refusals: count("refusals", "Refusals of this gate, by reason"),
             call_ms: meter
--- /dev/null
+++ b/crates/node/src/poll.rs
@@ -0,0 +1,75 @@
+//! Polls the health endpoint of the local backend server within the measuring budget.
+
+use std::rc::Rc;
+use std::sync::atomic::Ordering;
+
+use ntex::http::StatusCode;
+use oriolering::{Budget, BudgetSettings, Millis};
+
+use crate::state::Node;
+use crate::timer::{sleep, within};
+use crate::wire::Wire;
+
+const US_PER_MS: u64 = 1_000;
+/// The longest time that a poll may take.
+const POLL_TIMEOUT_MS: u64 = 500;
+/// How late the list of instances may tell of a node.
+const LIST_LAG_MS: u64 = 30_000;
+
+/// Returns the budget of a node for the settings of its service.
+pub(crate) fn budget(allowed_ms: u64) -> Budget {
+    Budget::new(settings(allowed_ms))
+}
+
+/// Returns the settings of a budget of `allowed_ms` milliseconds of work in each second.
+pub(crate) fn settings(allowed_ms: u64) -> BudgetSettings {
+    BudgetSettings {
+        allowed: allowed_ms * US_PER_MS,
+        lag: LIST_LAG_MS,
+    }
+}
+
+/// Polls until the process ends.
+pub(crate) async fn run(wire: Rc<Wire>) {
+    loop {
+        let measure = wire.node.own_service().measure.clone();
+        sleep(measure.poll_ms).await;
+        let now = wire.node.clock.now();
+        see(&wire.node, now);
+        let cost = (measure.probe_ms + measure.connect_ms) * US_PER_MS;
+        let receipt = wire.node.budget.lock().debit(now, cost, POLL_TIMEOUT_MS);
+        let Some(receipt) = receipt else {
+            wire.node.metrics.polls_skipped.add(1, &[]);
+            continue;
+        };
+        wire.node.metrics.polls.add(1, &[]);
+        poll(&wire, &measure.health_path).await;
+        let now = wire.node.clock.now();
+        wire.node.budget.lock().settle(now, receipt, cost);
+    }
+}
+
+/// Tells the budget how many nodes share it.
+fn see(node: &Node, now: Millis) {
+    let service = &node.card.service;
+    let directory = node.directory.lock();
+    let nodes = directory
+        .members()
+        .iter()
+        .filter(|m| m.service == *service)
+        .count();
+    drop(directory);
+    node.budget.lock().see(now, nodes.max(1) as u32);
+}
+
+async fn poll(wire: &Wire, path: &str) {
+    let uri = format!("http://{}{path}", wire.node.card.backend);
+    let Some(Ok(response)) = within(POLL_TIMEOUT_MS, wire.backend.get(uri).send()).await else {
+        return;
+    };
+    let leaving = response.status() == StatusCode::SERVICE_UNAVAILABLE;
+    let before = wire.node.backend_leaving.swap(leaving, Ordering::Relaxed);
+    if before != leaving {
+        log::info!(leaving = leaving; "backend server changed its health");
+    }
+}
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -10,6 +10,7 @@
 use crate::admin;
 use crate::admit;
 use crate::ingress;
+use crate::poll;
 use crate::state::Node;
 use crate::timer::sleep;
 use crate::wire::Wire;
@@ -34,6 +35,7 @@
     let server = HttpServer::new(move || {
         let wire = Wire::new(Arc::clone(&shared));
         ntex::rt::spawn(tick(Rc::clone(&wire)));
+        ntex::rt::spawn(poll::run(Rc::clone(&wire)));
         App::new().state(wire).default_service(web::to(dispatch))
     })
     .workers(1)
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -7,7 +7,8 @@
 
 use oriolering::config::{Bundle, ProcessSettings, Service, Set, Settings};
 use oriolering::{
-    Clock, Gate, GateSettings, Incarnation, Member, Millis, Quarantine, QuarantineSettings,
+    Budget, Clock, Gate, GateSettings, Incarnation, LoadHint, Member, Millis, Quarantine,
+    QuarantineSettings,
 };
 use parking_lot::Mutex;
 
@@ -15,6 +16,7 @@
 use crate::control::Handle;
 use crate::directory::{Directory, Me};
 use crate::metrics::Metrics;
+use crate::poll;
 use crate::traces::Traces;
 use crate::watch::Watch;
 
@@ -42,6 +44,10 @@
     pub(crate) quarantine: Mutex<Quarantine>,
     /// Whether the local backend server is up.
     pub(crate) watch: Mutex<Watch>,
+    /// What may be spent on measuring the local backend server.
+    pub(crate) budget: Mutex<Budget>,
+    /// Whether the backend server's health endpoint says that it is leaving.
+    pub(crate) backend_leaving: AtomicBool,
     /// Counters and gauges.
     pub(crate) metrics: Metrics,
     /// Spans of recent calls.
@@ -68,6 +74,8 @@
             directory: Mutex::new(Directory::new(me, incarnation.0)),
             quarantine: Mutex::new(Quarantine::new(quarantine_settings(&own), incarnation)),
             watch: Mutex::new(Watch::default()),
+            budget: Mutex::new(poll::budget(own.measure.budget_ms)),
+            backend_leaving: AtomicBool::new(false),
             metrics: Metrics::new(),
             traces: Traces::new(&card.id),
             control: OnceLock::new(),
@@ -100,6 +108,9 @@
         {
             self.admission.lock().gate.update(gate_settings(own));
             self.quarantine.lock().update(quarantine_settings(own));
+            self.budget
+                .lock()
+                .update(poll::settings(own.measure.budget_ms));
             *self.own.lock() = Arc::new(own.clone());
         }
         self.directory.lock().configure(now, settings);
@@ -110,7 +121,18 @@
     /// Takes up a new list of members.
     pub(crate) fn set_members(&self, members: Arc<[Member]>) {
         let now = self.clock.now();
+        let leaving = members.iter().any(|m| m.id == self.card.id && m.leaving);
         self.directory.lock().set_members(now, members);
+        if leaving {
+            self.drain();
+        }
+    }
+
+    /// Returns the load of the local backend server as it is told to ingresses.
+    pub(crate) fn load(&self) -> LoadHint {
+        let mut load = self.admission.lock().gate.load(self.clock.now());
+        load.leaving |= self.backend_leaving.load(Ordering::Relaxed);
+        load
     }
 
     /// Returns the settings of the local backend server's service.
--- a/crates/node/src/status.rs
+++ b/crates/node/src/status.rs
@@ -1,12 +1,14 @@
 //! What a node says about itself.
 
 use compact_str::CompactString;
-use oriolering::{Explanation, LoadHint, Member, Verdict};
+use oriolering::{Explanation, LoadHint, Member, Millis, Verdict};
 use serde::Serialize;
 
 use crate::control::ControlStatus;
 use crate::state::Node;
 
+const US_PER_MS: f64 = 1_000.0;
+
 /// The status of a node.
 #[derive(Debug, Serialize)]
 pub(crate) struct Status {
@@ -18,11 +20,19 @@
     draining: bool,
     revision: Option<u64>,
     gate: LoadHint,
+    budget: BudgetStatus,
     control: Option<ControlStatus>,
     members: Vec<MemberStatus>,
     quarantines: Vec<Quarantined>,
 }
 
+/// What may be and has been spent on measuring, in milliseconds of work in one second.
+#[derive(Debug, Serialize)]
+struct BudgetStatus {
+    spent_ms: f64,
+    allowed_ms: f64,
+}
+
 /// One member as the status lists it.
 #[derive(Debug, Serialize)]
 struct MemberStatus {
@@ -68,13 +78,22 @@
         ready: node.is_ready(),
         draining: node.is_draining(),
         revision: node.revision(),
-        gate: node.admission.lock().gate.load(now),
+        gate: node.load(),
+        budget: budget(node, now),
         control: node.control().map(|control| control.status()),
         members,
         quarantines,
     }
 }
 
+fn budget(node: &Node, now: Millis) -> BudgetStatus {
+    let budget = node.budget.lock();
+    BudgetStatus {
+        spent_ms: budget.spent(now) as f64 / US_PER_MS,
+        allowed_ms: budget.allowed(now) as f64 / US_PER_MS,
+    }
+}
+
 fn member(member: &Member) -> MemberStatus {
     MemberStatus {
         id: member.id.clone(),
--- a/crates/node/src/wire.rs
+++ b/crates/node/src/wire.rs
@@ -30,6 +30,9 @@
     pub(crate) answers: RefCell<Answers>,
     /// Calls that were admitted before their body was sent.
     pub(crate) reserved: RefCell<Reserved>,
+    /// Held by a request that was running when a backend server died. Suspects run one at a
+    /// time, so that a second death shows which of them was the cause.
+    pub(crate) suspects: Arc<tokio::sync::Mutex<()>>,
     gates: RefCell<HashMap<SocketAddr, Client>>,
 }
 
@@ -41,6 +44,7 @@
             backend: pooled(),
             answers: RefCell::default(),
             reserved: RefCell::default(),
+            suspects: Arc::default(),
             gates: RefCell::default(),
         })
     }
--- a/crates/oriolering/src/config/limits.rs
+++ b/crates/oriolering/src/config/limits.rs
@@ -1,5 +1,6 @@
 //! The groups of settings within a service.
 
+use compact_str::CompactString;
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
@@ -94,7 +95,7 @@
 }
 
 /// The budget for measuring backend servers and load.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(default, deny_unknown_fields)]
 pub struct Measure {
     /// The work that all nodes of the service together may spend on measuring in each second.
@@ -107,7 +108,11 @@
     /// The cost of one new connection that is debited before it is opened.
     #[schemars(range(min = 1, max = 1_000), extend("x-unit" = "ms", "x-title" = "cost of a connection"))]
     pub connect_ms: u64,
-    /// The time between two polls of the backend server's load endpoint by its gate.
+    /// The path that a gate polls on its backend server. An answer of 503 means that the
+    /// backend server is leaving.
+    #[schemars(with = "String", extend("x-form" = "path", "x-title" = "path of the health endpoint"))]
+    pub health_path: CompactString,
+    /// The time between two polls of the backend server's health endpoint by its gate.
     #[schemars(range(min = 10, max = 600_000), extend("x-unit" = "ms", "x-title" = "poll interval"))]
     pub poll_ms: u64,
 }
@@ -118,6 +123,7 @@
             budget_ms: 100,
             probe_ms: 6,
             connect_ms: 1,
+            health_path: CompactString::const_new("/_health"),
             poll_ms: 1_000,
         }
     }
--- a/crates/oriolering/src/config/rules.rs
+++ b/crates/oriolering/src/config/rules.rs
@@ -42,7 +42,7 @@
 
     /// A budget of zero turns measuring off; any other must pay for one gate's polls.
     fn check_measure(&mut self) {
-        let measure = self.service.measure;
+        let measure = &self.service.measure;
         if measure.budget_ms == 0 {
             return;
         }
--- a/crates/oriolering/src/config/shape.rs
+++ b/crates/oriolering/src/config/shape.rs
@@ -35,6 +35,8 @@
 pub(crate) enum Form {
     /// A name of a service, site, zone, region or instance.
     Name,
+    /// A path of an HTTP request.
+    Path,
     /// A lower-case name of a header.
     Header,
     /// An IP number with a port.
@@ -119,6 +121,7 @@
             Some("name") => Self::Name,
             Some("header") => Self::Header,
             Some("ip-port") => Self::Address,
+            Some("path") => Self::Path,
             Some(_) | None => Self::Any,
         }
     }
@@ -129,6 +132,7 @@
             Self::Name => "1 to 63 lower-case letters, digits and hyphens, such as caja",
             Self::Header => "a lower-case header name, such as x-customer",
             Self::Address => "an IP number with a port, such as 127.0.0.1:8080 or [::1]:8080",
+            Self::Path => "a path of an HTTP request, such as /health",
             Self::Any => "a text",
         }
     }
@@ -140,6 +144,7 @@
             Self::Name => (1..=63).contains(&text.len()) && text.bytes().all(lower),
             Self::Header => (1..=64).contains(&text.len()) && text.bytes().all(lower),
             Self::Address => text.parse::<std::net::SocketAddr>().is_ok(),
+            Self::Path => text.starts_with('/') && text.bytes().all(|c| c.is_ascii_graphic()),
             Self::Any => true,
         }
     }
