--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -4,6 +4,9 @@
 //! the local backend server and decides finally whether a call runs; the control part
 //! exchanges configuration, membership and quarantines with peers.
 
+// The HTTP client's connector is a chain of generic services, too deep for the default limit.
+#![recursion_limit = "256"]
+
 mod admin;
 mod admission;
 mod admit;
@@ -24,7 +27,6 @@
 mod logging;
 mod metrics;
 mod permit;
-mod quarantine;
 mod reply;
 mod reserved;
 mod serve;
@@ -33,6 +35,7 @@
 mod startup;
 mod state;
 mod status;
+mod timer;
 mod traces;
 mod watch;
 mod wire;
