Handle SIGTERM in the node itself

Ruled out: the drain itself. The server's signal future is fed by a thread that starts only when the server's own handling is on, which would stop the listeners before peers know.

--- a/crates/bench/examples/load.rs
+++ b/crates/bench/examples/load.rs
@@ -5,7 +5,8 @@
 
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use compact_str::format_compact;
-use oriolering_bench::{Arrival, Caller, Report, Request, poisson_times, run_load};
+use ntex::util::Bytes;
+use oriolering_bench::{Arrival, Caller, Report, Request, Upload, poisson_times, run_load};
 
 fn command() -> Command {
     let number = |name: &'static str, default: &'static str| {
@@ -35,6 +36,7 @@
         .arg(number("seconds", "5"))
         .arg(number("seed", "1"))
         .arg(number("bytes", "0").help("The size of each answer"))
+        .arg(number("upload", "0").help("The size of each request's body"))
 }
 
 fn arrivals(args: &ArgMatches) -> Vec<Arrival> {
@@ -61,6 +63,7 @@
         let nonce = format_compact!("load-{seed}-{index}");
         let mut request = Request::new(target, service, method, &nonce);
         request.answer_bytes = number("bytes");
+        request.upload = Upload::Whole(Bytes::from(vec![7; number("upload") as usize]));
         Arrival {
             at,
             label: 0,
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -6,6 +6,7 @@
 use ntex::http::KeepAlive;
 use ntex::time::Seconds;
 use ntex::web::{self, App, HttpRequest, HttpResponse, HttpServer, types};
+use tokio::signal::unix::{SignalKind, signal};
 
 use crate::admin;
 use crate::admit;
@@ -70,10 +71,21 @@
 }
 
 /// Waits for SIGTERM or SIGINT.
+///
+/// The server's own signals cannot be used: it handles them only while it may stop at once.
 async fn stopped() {
-    if let Ok(signal) = ntex::server::signal().await {
-        log::info!(signal:? = signal; "stopping");
+    let (Ok(mut term), Ok(mut int)) = (
+        signal(SignalKind::terminate()),
+        signal(SignalKind::interrupt()),
+    ) else {
+        log::error!("signals cannot be handled; the process will not drain when it is stopped");
+        return std::future::pending().await;
+    };
+    tokio::select! {
+        _ = term.recv() => {}
+        _ = int.recv() => {}
     }
+    log::info!("stopping");
 }
 
 async fn tick(wire: Rc<Wire>) {
