--- a/crates/bench/src/caller.rs
+++ b/crates/bench/src/caller.rs
@@ -139,6 +139,11 @@
 /// Returns what a failure to get the head of an answer says about the request.
 fn told_of(error: &SendRequestError) -> Told {
     match error {
+        SendRequestError::Connect(ConnectError::Disconnected(Some(e)))
+            if e.kind() == io::ErrorKind::ConnectionRefused =>
+        {
+            Told::Unsent
+        }
         SendRequestError::Connect(ConnectError::Disconnected(_)) => Told::Broken,
         SendRequestError::Connect(_) | SendRequestError::Url(_) => Told::Unsent,
         SendRequestError::Send(_)
