--- a/crates/oriolering/src/adaptive.rs
+++ b/crates/oriolering/src/adaptive.rs
@@ -49,8 +49,13 @@
             return due;
         }
         let trusted = self.keep(open, |s| self.panic || !s.standing.is_suspect());
-        let local = self.keep(&trusted, |s| self.is_local(s) && self.has_room(s));
-        self.cheapest(&local)
+        let local = self.keep(&trusted, |s| self.is_local(s));
+        let chosen = if self.has_room(&local) {
+            &local
+        } else {
+            &trusted
+        };
+        self.cheapest(chosen)
     }
 
     /// Returns the estimated requests at a backend server.
@@ -62,12 +67,19 @@
         server.candidate.zone == self.settings.zone
     }
 
-    fn has_room(&self, server: &Server) -> bool {
-        let slots = f64::from(server.limit()) * self.share(server);
-        let others = server
-            .others(self.now, self.typical.others)
-            .max(self.typical.others);
-        f64::from(server.inflight()) + others < slots * LOCAL_SHARE
+    /// Returns whether some backend servers together have room for more.
+    ///
+    /// They are taken together, so that one report does not draw everything to one of them, and
+    /// a report of less than the mean earns nothing.
+    fn has_room(&self, some: &[usize]) -> bool {
+        let mean = self.typical.others;
+        let mut load = 0.0;
+        let mut slots = 0.0;
+        for server in some.iter().map(|&i| &self.servers[i]) {
+            load += f64::from(server.inflight()) + server.others(self.now, mean).max(mean);
+            slots += f64::from(server.limit()) * self.share(server);
+        }
+        load < slots * LOCAL_SHARE
     }
 
     fn share(&self, server: &Server) -> f64 {
@@ -109,7 +121,7 @@
         let own = f64::from(server.inflight());
         let late = LATE_WEIGHT * self.typical.lateness(self.now, server);
         let slots = f64::from(server.limit()) * self.share(server);
-        let slowness = (self.typical.ratio(server) / SAME_RATIO).max(1.0);
+        let slowness = (self.typical.slowness(self.now, server) / SAME_RATIO).max(1.0);
         (own + late + self.excess(server) + 1.0) / slots * slowness
     }
 
--- a/crates/oriolering/src/pool.rs
+++ b/crates/oriolering/src/pool.rs
@@ -54,6 +54,8 @@
     pub(crate) heard: Option<Heard>,
     /// The mean latency of its answers here, in microseconds.
     pub(crate) latency: Option<f64>,
+    /// When the last good answer came.
+    pub(crate) answered: Millis,
     /// The share of its answers here that were failures.
     pub(crate) failures: f64,
     pub(crate) standing: Standing,
@@ -73,6 +75,7 @@
             gone: false,
             heard: None,
             latency: None,
+            answered: now,
             failures: 0.0,
             standing: Standing::new(now, candidate.fresh),
             slow: None,
@@ -128,6 +131,7 @@
                 self.forget_sent(now, latency_us / 1000);
                 self.failures *= 1.0 - FAILURE_WEIGHT;
                 self.learn_latency(latency_us as f64);
+                self.answered = now;
             }
             Attempt::Failed { latency_us } => {
                 self.forget_sent(now, latency_us / 1000);
--- a/crates/oriolering/src/typical.rs
+++ b/crates/oriolering/src/typical.rs
@@ -11,6 +11,8 @@
 const REPORT_RATIO: f64 = 3.0;
 /// How many times the typical latency an answer of a suspect may take to count as good.
 const GOOD_RATIO: f64 = 2.0;
+/// The time in which a slow answer fades, in milliseconds.
+const FADE_MS: f64 = 1000.0;
 /// How far the share of failures must lie above the typical one to make a suspect.
 const FAILURE_GAP: f64 = 0.5;
 
@@ -58,8 +60,18 @@
         latency_us as f64 <= limit && !self.reports_slow(server)
     }
 
+    /// Returns how far a backend server's latency counts against it, as a multiple of the
+    /// typical one.
+    ///
+    /// It fades with the age of the last answer: a slow answer alone must not keep a backend
+    /// server from being chosen, and so from showing that it is fast again.
+    pub(crate) fn slowness(&self, now: Millis, server: &Server) -> f64 {
+        let age = now.since(server.answered) as f64;
+        1.0 + (self.ratio(server) - 1.0).max(0.0) * (-age / FADE_MS).exp()
+    }
+
     /// Returns the latency of a backend server as a multiple of the typical one.
-    pub(crate) fn ratio(&self, server: &Server) -> f64 {
+    fn ratio(&self, server: &Server) -> f64 {
         match (server.latency, self.latency) {
             (Some(own), Some(typical)) if typical > 0.0 => own / typical,
             (Some(_) | None, Some(_) | None) => 1.0,
