Avoid a backend server for a while after it refused

Change: after a refusal a backend server is chosen only if all others refuse too, for 10 ms and twice as long each time up to 1 s, until it serves again.

--- a/crates/oriolering/src/adaptive.rs
+++ b/crates/oriolering/src/adaptive.rs
@@ -49,11 +49,12 @@
             return due;
         }
         let trusted = self.keep(open, |s| self.panic || !s.standing.is_suspect());
-        let local = self.keep(&trusted, |s| self.is_local(s));
+        let willing = self.keep(&trusted, |s| self.now >= s.rest);
+        let local = self.keep(&willing, |s| self.is_local(s));
         let chosen = if self.has_room(&local) {
             &local
         } else {
-            &trusted
+            &willing
         };
         self.cheapest(chosen)
     }
--- a/crates/oriolering/src/explain.rs
+++ b/crates/oriolering/src/explain.rs
@@ -15,7 +15,7 @@
 pub enum Class {
     /// It has free slots.
     Cold,
-    /// Its slots are taken.
+    /// Its slots are taken, or it has just refused a request.
     Hot,
     /// It is new or recovering, and its share still grows.
     Ramping,
@@ -80,7 +80,8 @@
             Class::Ramping
         }
         Standing::Fit | Standing::Ramping(_) => {
-            let is_cold = view.load(server) < f64::from(server.limit());
+            let is_full = view.load(server) >= f64::from(server.limit());
+            let is_cold = !is_full && view.now >= server.rest;
             if is_cold { Class::Cold } else { Class::Hot }
         }
     }
@@ -94,6 +95,9 @@
         return "not chosen: it is outside the subset of this ingress";
     }
     match class {
+        Class::Hot | Class::Ramping if view.now < server.rest => {
+            "chosen only when all others refuse too: it has just refused a request"
+        }
         Class::Leaving => "not chosen: it takes no new work",
         Class::Suspect if view.panic => "may be chosen: most look bad, so suspicion is ignored",
         Class::Suspect => "only tried now and then: it failed or was slow beyond the others",
--- a/crates/oriolering/src/pool.rs
+++ b/crates/oriolering/src/pool.rs
@@ -14,6 +14,10 @@
 const FAILURE_WEIGHT: f64 = 0.25;
 /// The weight of one silence in the share of failures.
 const SILENCE_WEIGHT: f64 = 0.5;
+/// The time for which a backend server is avoided after a first refusal, in milliseconds.
+const MIN_REST_MS: u64 = 10;
+/// The longest time for which it is avoided after refusals in a row, in milliseconds.
+const MAX_REST_MS: u64 = 1000;
 /// The slots assumed for a backend server that has not reported its limit.
 const DEFAULT_LIMIT: u32 = 12;
 /// The shortest time in which a report loses its weight.
@@ -61,6 +65,10 @@
     pub(crate) standing: Standing,
     /// Since when it has been far slower than the others.
     pub(crate) slow: Option<Millis>,
+    /// Until when it is avoided because it refused.
+    pub(crate) rest: Millis,
+    /// For how long it is avoided after its next refusal.
+    backoff: u64,
     /// The number of the last pick that chose it.
     pub(crate) last: u64,
     /// The send times of the requests in flight, oldest first.
@@ -79,6 +87,8 @@
             failures: 0.0,
             standing: Standing::new(now, candidate.fresh),
             slow: None,
+            rest: now,
+            backoff: MIN_REST_MS,
             last: 0,
             sent: VecDeque::new(),
         }
@@ -132,6 +142,8 @@
                 self.failures *= 1.0 - FAILURE_WEIGHT;
                 self.learn_latency(latency_us as f64);
                 self.answered = now;
+                self.rest = now;
+                self.backoff = MIN_REST_MS;
             }
             Attempt::Failed { latency_us } => {
                 self.forget_sent(now, latency_us / 1000);
@@ -141,7 +153,11 @@
                 self.sent.pop_front();
                 self.failures += (1.0 - self.failures) * SILENCE_WEIGHT;
             }
-            Attempt::Refused | Attempt::Cancelled => {
+            Attempt::Refused => {
+                self.sent.pop_back();
+                self.back_off(now);
+            }
+            Attempt::Cancelled => {
                 self.sent.pop_back();
             }
         }
@@ -184,6 +200,17 @@
         self.slow
     }
 
+    /// Avoids it for a while, twice as long each time until it serves again.
+    ///
+    /// Refusals of requests that were sent before the last one count as one.
+    fn back_off(&mut self, now: Millis) {
+        if now < self.rest {
+            return;
+        }
+        self.rest = now + self.backoff;
+        self.backoff = (self.backoff * 2).min(MAX_REST_MS);
+    }
+
     fn learn_latency(&mut self, latency: f64) {
         self.latency = Some(match self.latency {
             Some(mean) => mean + (latency - mean) * LATENCY_WEIGHT,
--- a/crates/oriolering/tests/choice.rs
+++ b/crates/oriolering/tests/choice.rs
@@ -225,6 +225,33 @@
     assert!((3..=10).contains(&counts[0]), "{counts:?}");
 }
 
+#[rstest]
+fn refusals_do_not_attract_requests(#[values(0, 9)] zone: u32) {
+    let mut list = candidates(5);
+    for candidate in &mut list[1..] {
+        candidate.zone = ZoneKey(zone);
+    }
+    let mut chooser = chooser(Policy::Adaptive, &list);
+    let refusing = |server| match server {
+        ServerKey(0) => Attempt::Refused,
+        ServerKey(_) => SERVED,
+    };
+    let counts = drive(&mut chooser, 0, 5000, refusing);
+    assert!((5..=15).contains(&counts[0]), "{counts:?}");
+    let counts = drive(&mut chooser, 7000, 8000, |_| SERVED);
+    assert!(counts[0] >= 190, "{counts:?}");
+}
+
+#[test]
+fn refusals_of_all_are_ignored() {
+    let mut chooser = chooser(Policy::Adaptive, &candidates(5));
+    let counts = drive(&mut chooser, 0, 1000, |_| Attempt::Refused);
+    assert!(
+        counts.iter().all(|&n| (150..=250).contains(&n)),
+        "{counts:?}"
+    );
+}
+
 #[test]
 fn silence_is_noticed_at_once() {
     let mut chooser = chooser(Policy::Adaptive, &candidates(3));
