--- a/crates/ctl/src/bundle.rs
+++ b/crates/ctl/src/bundle.rs
@@ -12,8 +12,9 @@
     Command::new("bundle")
         .about("Prints the value to publish at the platform's configuration service")
         .long_about(
-            "Checks a set and prints the one value to publish at the platform's configuration \
-             service. Nothing is published: the system only reads what operators publish.",
+            "Checks a set and prints the one value to publish at the platform's\n\
+             configuration service. Nothing is published: the system only reads what\n\
+             operators publish.",
         )
         .after_help("Example:\n  oriolering bundle examples/rental > rental.json")
         .arg(source::arg("set", "The directory of the set"))
--- a/crates/ctl/src/check.rs
+++ b/crates/ctl/src/check.rs
@@ -12,9 +12,10 @@
     Command::new("check")
         .about("Checks a base file with all its overlays")
         .long_about(
-            "Checks a base file with all its overlays, and prints every problem at once with \
-             its file, line, column, field and remedy.\n\nThe verdict is the one that every \
-             node would reach: a set that passes here is accepted everywhere.",
+            "Checks a base file with all its overlays, and prints every problem at once\n\
+             with its file, line, column, field and remedy.\n\n\
+             The verdict is the one that every node would reach: a set that passes here is\n\
+             accepted everywhere.",
         )
         .after_help("Example:\n  oriolering check examples/rental")
         .arg(source::arg(
@@ -26,7 +27,7 @@
 
 /// Checks the set and returns a summary of it.
 pub(crate) fn run(args: &ArgMatches) -> Result<String, Failure> {
-    let set = source::parse(args, "set")?;
+    let set = source::parse(args, "set").map_err(as_result)?;
     let path = args.get_one::<String>("set").cloned().unwrap_or_default();
     Ok(match Format::of(args) {
         Format::Text => text(&path, &set),
@@ -38,6 +39,14 @@
     })
 }
 
+/// Turns the problems of a set into the result of the check.
+fn as_result(failure: Failure) -> Failure {
+    match failure {
+        Failure::Invalid { report } => Failure::Problems { report },
+        Failure::Problems { .. } | Failure::Usage { .. } | Failure::Unreachable { .. } => failure,
+    }
+}
+
 fn names(set: &Set) -> Vec<&str> {
     let services = set.base().services.iter();
     services.map(|s| s.name.as_str()).collect()
--- a/crates/ctl/src/client.rs
+++ b/crates/ctl/src/client.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use clap::ArgMatches;
+use ntex::http::client::error::{ConnectError, SendRequestError};
 use ntex::http::client::{Client, Connector};
 use ntex::time::Millis;
 use serde_json::Value;
@@ -87,7 +88,7 @@
     let mut response = request
         .send()
         .await
-        .map_err(|e| format!("does not answer ({e})"))?;
+        .map_err(|e| format!("does not answer ({})", cause(&e)))?;
     let body = response
         .body()
         .limit(ANSWER_BYTES)
@@ -97,7 +98,17 @@
     let status = response.status();
     if !status.is_success() {
         let text = String::from_utf8_lossy(&body);
-        return Err(format!("answers {status} ({})", text.trim()));
+        return Err(format!("answers {status} {}", text.trim())
+            .trim_end()
+            .to_owned());
     }
     serde_json::from_slice(&body).map_err(|e| format!("answers no JSON ({e})"))
 }
+
+/// Returns what made a request fail; the client hides the cause of a failed connection.
+fn cause(e: &SendRequestError) -> String {
+    if let SendRequestError::Connect(ConnectError::Disconnected(Some(io))) = e {
+        return io.to_string();
+    }
+    e.to_string()
+}
--- a/crates/ctl/src/diff.rs
+++ b/crates/ctl/src/diff.rs
@@ -12,8 +12,8 @@
     Command::new("diff")
         .about("Compares two sets by their effect at each site")
         .long_about(
-            "Compares two sets by their effect at each site, such as \"in Yungay, caja's queue \
-             falls from 24 to 12\". Texts that differ without an effect give no line.",
+            "Compares two sets by their effect at each site, such as \"in Yungay, caja's\n\
+             queue falls from 24 to 12\". Texts that differ without an effect give no line.",
         )
         .after_help("Example:\n  oriolering diff in-force.json examples/rental")
         .arg(source::arg(
--- a/crates/ctl/src/explain.rs
+++ b/crates/ctl/src/explain.rs
@@ -43,9 +43,9 @@
     Command::new("explain")
         .about("Shows where a node would send a call, and why")
         .long_about(
-            "Shows to which backend server a node would send a call to a service right now, \
-             and what it knows of every candidate. Load and latency come from the hints that \
-             gates send with answers; their age is shown.",
+            "Shows to which backend server a node would send a call to a service right now,\n\
+             and what it knows of every candidate. Load and latency come from the hints\n\
+             that gates send with answers; their age is shown.",
         )
         .after_help("Example:\n  oriolering explain --node 127.0.0.1:7400 --service caja")
         .arg(cli::node_arg())
--- a/crates/ctl/src/failure.rs
+++ b/crates/ctl/src/failure.rs
@@ -16,9 +16,12 @@
 #[derive(Debug, Snafu)]
 #[snafu(visibility(pub(crate)))]
 pub(crate) enum Failure {
-    /// The set has problems, which `report` lists.
+    /// A check found problems; `report` is its result.
     #[snafu(display("the set has problems; correct them and check it again"))]
     Problems { report: String },
+    /// A set that is needed for something else has problems, which `report` lists.
+    #[snafu(display("the set has problems; correct them and try again"))]
+    Invalid { report: String },
     /// The command line or a file that it names is wrong.
     #[snafu(display("{text}; {remedy}"))]
     Usage { text: String, remedy: &'static str },
@@ -37,7 +40,7 @@
     pub(crate) fn report(&self) -> String {
         match self {
             Self::Problems { report } | Self::Unreachable { report, .. } => report.clone(),
-            Self::Usage { .. } => String::new(),
+            Self::Invalid { .. } | Self::Usage { .. } => String::new(),
         }
     }
 
@@ -45,6 +48,7 @@
     pub(crate) fn advice(&self) -> String {
         match self {
             Self::Problems { .. } => String::new(),
+            Self::Invalid { report } => report.clone(),
             Self::Usage { .. } => format!("error: {self}\n\nFor more, try 'oriolering --help'.\n"),
             Self::Unreachable { .. } => format!("error: {self}\n"),
         }
@@ -53,7 +57,7 @@
     /// Returns the exit code of the process.
     pub(crate) fn exit_code(&self) -> ExitCode {
         match self {
-            Self::Problems { .. } => ExitCode::from(EXIT_PROBLEMS),
+            Self::Problems { .. } | Self::Invalid { .. } => ExitCode::from(EXIT_PROBLEMS),
             Self::Usage { .. } => ExitCode::from(EXIT_USAGE),
             Self::Unreachable { .. } => ExitCode::from(EXIT_UNREACHABLE),
         }
--- a/crates/ctl/src/render.rs
+++ b/crates/ctl/src/render.rs
@@ -13,7 +13,7 @@
     Command::new("render")
         .about("Prints the effective settings of a site")
         .long_about(
-            "Prints the effective settings of a site: the base, the site's overlay and the \
+            "Prints the effective settings of a site: the base, the site's overlay and the\n\
              defaults together. Without --site, those of a site without an overlay.",
         )
         .after_help(
--- a/crates/ctl/src/schema.rs
+++ b/crates/ctl/src/schema.rs
@@ -12,8 +12,9 @@
     Command::new("schema")
         .about("Prints the JSON schema or the reference of the fields")
         .long_about(
-            "Prints the JSON schema of a file, by which an editor completes and checks it, or \
-             the reference of its fields as tables. Both are taken from the program itself.",
+            "Prints the JSON schema of a file, by which an editor completes and checks it,\n\
+             or the reference of its fields as tables. Both are taken from the program\n\
+             itself.",
         )
         .after_help(
             "Examples:\n  oriolering schema > docs/config.schema.json\n  \
--- a/crates/ctl/src/source.rs
+++ b/crates/ctl/src/source.rs
@@ -53,7 +53,7 @@
         Format::Text => problems_text(path, problems),
         Format::Json => to_json(&serde_json::json!({"problems": problems_json(problems)})),
     };
-    Failure::Problems { report }
+    Failure::Invalid { report }
 }
 
 fn problems_text(path: &str, problems: &Problems) -> String {
--- a/crates/ctl/src/status.rs
+++ b/crates/ctl/src/status.rs
@@ -21,10 +21,10 @@
     Command::new("status")
         .about("Shows what one or several nodes do")
         .long_about(
-            "Shows what one or several nodes do: the configuration revision in force, the load \
-             and limit of each gate, the measuring budget that was spent, who is leaving and \
-             what is quarantined. A node that cannot be asked is shown as such, and the exit \
-             code is then 3.",
+            "Shows what one or several nodes do: the configuration revision in force, the\n\
+             load and limit of each gate, the measuring budget that was spent, who is\n\
+             leaving and what is quarantined. A node that cannot be asked is shown as such,\n\
+             and the exit code is then 3.",
         )
         .after_help(
             "Examples:\n  oriolering status --node 127.0.0.1:7400\n  \
@@ -112,7 +112,7 @@
     rows.extend(answers.iter().zip(&reports).map(|(a, r)| node_row(a, r)));
     let known: Vec<&StatusReport> = reports.iter().flatten().collect();
     let mut text = table::render(&rows);
-    text += &revisions(&known);
+    text += &revisions(answers, &reports);
     text += &members(&known);
     text += &quarantines(&known);
     if counters {
@@ -133,8 +133,9 @@
         return vec![node, cause];
     };
     let budget = match (r.budget.spent_ms, r.budget.allowed_ms) {
-        (None, None) => "-".to_owned(),
-        (spent, allowed) => format!("{} of {} ms", show(spent), show(allowed)),
+        (Some(spent), Some(allowed)) => format!("{spent} of {allowed} ms"),
+        (Some(spent), None) => format!("{spent} ms"),
+        (None, Some(_)) | (None, None) => "-".to_owned(),
     };
     vec![
         node,
@@ -156,16 +157,25 @@
 }
 
 /// Names the nodes whose revision is behind the highest one.
-fn revisions(reports: &[&StatusReport]) -> String {
-    let Some(highest) = reports.iter().filter_map(|r| r.revision).max() else {
+fn revisions(answers: &[Answer], reports: &[Option<StatusReport>]) -> String {
+    let Some(highest) = reports.iter().flatten().filter_map(|r| r.revision).max() else {
         return String::new();
     };
-    let behind = reports.iter().filter(|r| r.revision != Some(highest));
-    let behind: Vec<String> = behind
-        .map(|r| format!("{} ({})", show(r.id.as_ref()), show(r.revision)))
-        .collect();
+    let behind = answers.iter().zip(reports).filter_map(|(answer, report)| {
+        let report = report.as_ref()?;
+        let name = report
+            .id
+            .as_ref()
+            .map_or_else(|| answer.node.to_string(), |id| id.to_string());
+        match report.revision {
+            Some(revision) if revision == highest => None,
+            Some(revision) => Some(format!("{name} at {revision}")),
+            None => Some(format!("{name} without one")),
+        }
+    });
+    let behind: Vec<String> = behind.collect();
     match behind.is_empty() {
-        true => format!("\nrevision {highest} is in force at every node asked\n"),
+        true => format!("\nrevision {highest} is in force at every node that answered\n"),
         false => format!("\nbehind revision {highest}: {}\n", behind.join(", ")),
     }
 }
@@ -256,7 +266,8 @@
 pub(crate) fn duration(ms: u64) -> String {
     match ms {
         0..1_000 => format!("{ms} ms"),
-        1_000..120_000 => format!("{} s", ms / 1_000),
+        1_000..10_000 => format!("{:.1} s", ms as f64 / 1_000.0),
+        10_000..120_000 => format!("{} s", ms / 1_000),
         120_000..7_200_000 => format!("{} min", ms / 60_000),
         _ => format!("{} h", ms / 3_600_000),
     }
--- a/crates/ctl/src/trace.rs
+++ b/crates/ctl/src/trace.rs
@@ -43,8 +43,9 @@
     Command::new("trace")
         .about("Shows the hops of one call as a tree")
         .long_about(
-            "Shows the hops of one call as a tree, with the time in each. Every node keeps its \
-             own spans for a short while, so name all nodes that the call may have passed.",
+            "Shows the hops of one call as a tree, with the time in each. Every node keeps\n\
+             its own spans for a short while, so name all nodes that the call may have\n\
+             passed.",
         )
         .after_help(
             "Example:\n  oriolering trace --node 127.0.0.1:7400 --node 127.0.0.1:7401 \
--- a/crates/oriolering/tests/config_process.rs
+++ b/crates/oriolering/tests/config_process.rs
@@ -111,3 +111,11 @@
     ];
     assert_eq!(names, expected);
 }
+
+#[rstest]
+#[case::rack(include_str!("../../../examples/rental/process/rack-1.jsonc"), "huaraz")]
+#[case::avondgids(include_str!("../../../examples/supper/process/avondgids-1.jsonc"), "leuven")]
+fn the_example_processes_are_valid(#[case] text: &str, #[case] zone: &str) {
+    let settings = ProcessSettings::parse("process.jsonc", text).unwrap();
+    assert_eq!(settings.zone, zone);
+}
