--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,1 +1,43 @@
-//! placeholder
+//! Stand-ins, load generation and whole-path tests of oriolering.
+
+mod backend;
+mod backend_fault;
+mod backend_state;
+mod bound;
+mod call;
+mod caller;
+mod echo;
+mod fleet;
+mod history;
+mod http;
+mod load;
+mod member;
+pub mod platform;
+mod plot;
+mod process;
+mod relay;
+mod report;
+mod scenario;
+mod signal;
+mod timer;
+mod trial;
+
+pub use backend::serve_backend;
+pub use backend_fault::Fault;
+pub use backend_state::{BackendSettings, Load, Runs};
+pub use bound::one_queue;
+pub use call::{Call, Request, Told, Upload};
+pub use caller::Caller;
+pub use echo::{CHECK, Check, Echo, EchoReader, NONCE, SPENT};
+pub use fleet::{Fleet, FleetPlan};
+pub use history::{Breach, Violation, check_history, merge_runs};
+pub use http::{http_get, http_post};
+pub use load::{Arrival, draw_exponential, poisson_times, run_load};
+pub use member::Member;
+pub use plot::plot_quantiles;
+pub use process::{Process, free_address, program, wait_for_listener};
+pub use relay::Relay;
+pub use report::{Report, histogram, label};
+pub use scenario::{Outcomes, Scenario, Trouble};
+pub use signal::Signal;
+pub use trial::{Mix, Trial, Verdict, block_on, seed_or};
--- a/crates/oriolering/src/lib.rs
+++ b/crates/oriolering/src/lib.rs
@@ -14,20 +14,82 @@
 //! assert_eq!(clock.now(), Millis(15));
 //! ```
 
+mod adaptive;
+mod attempt;
+mod budget;
+mod calls;
+mod choice;
 mod clock;
-#[cfg(feature = "config")]
-pub mod config;
+mod control_budget;
+mod explain;
+mod fate;
+mod gate;
 mod header;
+mod hedge;
 mod keys;
+mod latency;
+mod ledger;
+mod limit;
 mod load;
+mod member;
+mod offer;
 mod outcome;
+mod panic_rule;
+mod pause;
 mod policy;
+mod pool;
+mod quarantine;
+mod queue;
+mod reader;
+mod relay;
+mod retry;
+mod revision;
+mod roster;
+mod section;
+mod server;
+mod slots;
+mod spread;
+mod standing;
+mod subset;
+mod typical;
+
+#[cfg(feature = "config")]
+pub mod config;
 
+pub use attempt::Attempt;
+pub use budget::{Budget, BudgetSettings, Receipt};
+pub use calls::Ticket;
+pub use choice::Chooser;
 pub use clock::{Clock, Millis};
+pub use control_budget::{Bucket, ControlBudget, Work};
+pub use explain::{Class, Explanation};
+pub use fate::Fate;
+pub use gate::Gate;
 pub use header::{
-    ACK, ATTEMPT, CALL_ID, CUSTOMER, DEADLINE, LOAD, OUTCOME, REASON, RETRY_AFTER_MS, SERVICE,
+    ACK, ATTEMPT, CALL_ID, CRASHES, CUSTOMER, DEADLINE, FINGERPRINT, GRANT, LOAD, OUTCOME, REASON,
+    RETRY_AFTER_MS, SERVICE, STEP,
 };
+pub use hedge::Hedge;
 pub use keys::{CallId, Grant, Incarnation, ServerKey, ServiceKey, ZoneKey};
+pub use latency::Latency;
+pub use ledger::Ledger;
+pub use limit::Limit;
 pub use load::LoadHint;
+pub use member::Member;
+pub use offer::{Decision, Finish, GateEvent, GateSettings, Offer};
 pub use outcome::{Cause, Outcome, Refusal};
-pub use policy::Policy;
+pub use pause::{Pause, SETTLE_MS, TICK_MAX_MS};
+pub use policy::{ChoiceSettings, Policy};
+pub use pool::Candidate;
+pub use quarantine::{Crash, Quarantine, QuarantineEntry, QuarantineSettings, Verdict};
+pub use queue::{Push, Queue};
+pub use reader::{ReadLimit, is_reader};
+pub use relay::{Assembly, Document, Relay, RelayError};
+pub use retry::{AttemptState, Failure, RetryBudget, Step, next_step};
+pub use revision::{Head, Ignored, Published, Standing};
+pub use roster::{MEMBERS_MAX, MemberNote, NOTE_AGE_MAX_MS, Roster};
+pub use section::{
+    Digest, SECTION_MAX_BYTES, SECTION_MIN_BYTES, SECTIONS_MAX, Section, VALUE_BYTES, pack, split,
+    unpack,
+};
+pub use spread::{QUARANTINE_MAX_MS, QUARANTINES_MAX, Spread};
