Read the answers of nodes as they give them

Cause: the node's listener lists spans as an array and candidates without a choice, so the first fixtures were not what a node answers; an answer of another kind was shown as empty. Ruled out: silence about fields of a wrong type. Change: reports, explanations and traces in the node's form, refused revisions and silent zones below the table, columns without content left out, and a remedy that fits the cause.

--- a/crates/ctl/src/explain.rs
+++ b/crates/ctl/src/explain.rs
@@ -3,21 +3,20 @@
 use clap::{Arg, ArgMatches, Command};
 use compact_str::CompactString;
 use serde::Deserialize;
-use serde_json::{Value, json};
 
 use crate::client::{self, Answer};
 use crate::failure::{Failure, UsageSnafu};
-use crate::format::{Format, to_json};
-use crate::status::{duration, micros};
+use crate::format::Format;
+use crate::status::{duration, micros, show};
+use crate::status_report::GateReport;
 use crate::{cli, table};
 
-/// Why a node would send a call where it does. Every field may be missing.
+/// What a node knows when it chooses a backend server. Every field may be missing.
 #[derive(Clone, Debug, Default, Deserialize)]
 #[serde(default)]
 struct Explanation {
     policy: Option<CompactString>,
     chosen: Option<CompactString>,
-    reason: Option<String>,
     candidates: Vec<Candidate>,
 }
 
@@ -26,16 +25,14 @@
 #[serde(default)]
 struct Candidate {
     id: CompactString,
-    zone: Option<CompactString>,
-    state: Option<CompactString>,
-    in_flight: Option<u64>,
-    running: Option<u64>,
-    queued: Option<u64>,
-    limit: Option<u64>,
+    local: Option<bool>,
+    class: Option<CompactString>,
+    inflight: Option<u64>,
+    load: Option<f64>,
     latency_us: Option<u64>,
+    hint: Option<GateReport>,
     age_ms: Option<u64>,
-    score: Option<f64>,
-    reason: Option<String>,
+    reason: Option<CompactString>,
 }
 
 /// Returns the subcommand.
@@ -79,76 +76,71 @@
     };
     let path = format!("/explain?service={service}");
     let answers = client::ask(&client::nodes(args), &path);
-    let report = match Format::of(args) {
-        Format::Json => to_json(&json!({"nodes": rows(&answers)})),
-        Format::Text => answers.iter().map(|a| text(a, service)).collect(),
-    };
-    match answers.iter().find_map(|a| a.failure(&report)) {
-        Some(failure) => Err(failure),
-        None => Ok(report),
+    match Format::of(args) {
+        Format::Json => client::finish(&answers, client::to_rows(&answers, "explanation")),
+        Format::Text => {
+            let answers: Vec<Answer<Explanation>> = answers.iter().map(Answer::read).collect();
+            let report = answers.iter().map(|a| text(a, service)).collect();
+            client::finish(&answers, report)
+        }
     }
 }
 
-fn rows(answers: &[Answer]) -> Vec<Value> {
-    let row = |a: &Answer| match &a.result {
-        Ok(value) => json!({"node": a.node, "explanation": value}),
-        Err(cause) => json!({"node": a.node, "error": cause}),
-    };
-    answers.iter().map(row).collect()
-}
-
-fn text(answer: &Answer, service: &str) -> String {
+fn text(answer: &Answer<Explanation>, service: &str) -> String {
     let node = answer.node;
-    let value = match &answer.result {
-        Ok(value) => value.clone(),
-        Err(cause) => return format!("{node} {cause}\n"),
+    let explanation = match &answer.result {
+        Ok(explanation) => explanation,
+        Err(cause) => return format!("{node} {}\n", cause.text),
     };
-    let e: Explanation = serde_json::from_value(value).unwrap_or_default();
-    let head = match &e.chosen {
+    let chosen = explanation.chosen.as_ref();
+    let head = match chosen {
         Some(chosen) => format!("{node} would send a call to {service} to {chosen}"),
-        None => format!("{node} would refuse a call to {service} as not run"),
+        None if explanation.candidates.is_empty() => {
+            return format!(
+                "{node} would refuse a call to {service}: it knows no backend server\n"
+            );
+        }
+        None => format!("{node} chooses for a call to {service} among"),
     };
-    let reason = e
-        .reason
-        .map_or(String::new(), |reason| format!(": {reason}"));
-    let policy = e
-        .policy
-        .map_or(String::new(), |policy| format!(" (policy {policy})"));
+    let policy = explanation.policy.as_ref();
+    let policy = policy.map_or(String::new(), |policy| format!(" (policy {policy})"));
     let mut rows = vec![table::row([
         "",
         "ID",
-        "ZONE",
-        "STATE",
+        "LOCAL",
+        "CLASS",
         "IN FLIGHT",
+        "LOAD",
         "RUNNING",
         "QUEUED",
         "LIMIT",
         "LATENCY",
         "HINT AGE",
-        "SCORE",
         "REASON",
     ])];
-    let candidates = e.candidates.iter();
-    rows.extend(candidates.map(|c| candidate_row(c, e.chosen.as_ref() == Some(&c.id))));
-    format!("{head}{reason}{policy}\n{}", table::render(&rows))
+    let candidates = explanation.candidates.iter();
+    rows.extend(candidates.map(|c| candidate_row(c, chosen == Some(&c.id))));
+    format!(
+        "{head}{policy}\n{}",
+        table::render(&table::without_empty(rows))
+    )
 }
 
 fn candidate_row(c: &Candidate, is_chosen: bool) -> Vec<String> {
-    let number = |value: Option<u64>| value.map_or("-".to_owned(), |n| n.to_string());
-    let name = |value: &Option<CompactString>| value.as_deref().unwrap_or("-").to_owned();
+    let hint = c.hint.clone().unwrap_or_default();
+    let local = c.local.map(|local| if local { "yes" } else { "no" });
     vec![
         if is_chosen { "*" } else { "" }.to_owned(),
         c.id.to_string(),
-        name(&c.zone),
-        name(&c.state),
-        number(c.in_flight),
-        number(c.running),
-        number(c.queued),
-        number(c.limit),
-        c.latency_us.map_or("-".to_owned(), micros),
-        c.age_ms.map_or("-".to_owned(), duration),
-        c.score
-            .map_or("-".to_owned(), |score| format!("{score:.2}")),
-        c.reason.clone().unwrap_or_default(),
+        show(local),
+        show(c.class.as_ref()),
+        show(c.inflight),
+        show(c.load.map(|load| format!("{load:.1}"))),
+        show(hint.running),
+        show(hint.queued),
+        show(hint.limit),
+        show(c.latency_us.or(hint.latency_us).map(micros)),
+        show(c.age_ms.map(duration)),
+        show(c.reason.as_ref()),
     ]
 }
--- a/crates/ctl/src/status.rs
+++ b/crates/ctl/src/status.rs
@@ -5,12 +5,11 @@
 use std::time::Duration;
 
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
-use serde_json::{Value, json};
 
 use crate::client::{self, Answer};
 use crate::failure::Failure;
-use crate::format::{Format, to_json};
-use crate::status_report::{MemberReport, StatusReport};
+use crate::format::Format;
+use crate::status_report::{BudgetReport, MemberReport, StatusReport};
 use crate::{cli, table};
 
 /// Moves the cursor of a terminal to the top left and clears the screen.
@@ -72,26 +71,19 @@
 
 fn once(args: &ArgMatches) -> Result<String, Failure> {
     let answers = client::ask(&client::nodes(args), "/status");
-    let report = match Format::of(args) {
-        Format::Json => to_json(&json!({"nodes": rows(&answers)})),
-        Format::Text => text(&answers, args.get_flag("counters")),
-    };
-    match answers.iter().find_map(|a| a.failure(&report)) {
-        Some(failure) => Err(failure),
-        None => Ok(report),
+    match Format::of(args) {
+        Format::Json => client::finish(&answers, client::to_rows(&answers, "status")),
+        Format::Text => {
+            let answers: Vec<Status> = answers.iter().map(Answer::read).collect();
+            client::finish(&answers, text(&answers, args.get_flag("counters")))
+        }
     }
 }
 
-fn rows(answers: &[Answer]) -> Vec<Value> {
-    let row = |a: &Answer| match &a.result {
-        Ok(status) => json!({"node": a.node, "status": status}),
-        Err(cause) => json!({"node": a.node, "error": cause}),
-    };
-    answers.iter().map(row).collect()
-}
+/// The status of one node, or why there is none.
+type Status = Answer<StatusReport>;
 
-fn text(answers: &[Answer], counters: bool) -> String {
-    let reports: Vec<Option<StatusReport>> = answers.iter().map(report).collect();
+fn text(answers: &[Status], counters: bool) -> String {
     let mut rows = vec![table::row([
         "NODE",
         "ID",
@@ -105,15 +97,18 @@
         "LIMIT",
         "LATENCY",
         "MEASURING",
+        "CONTROL LEFT",
         "CPU",
         "MEMORY",
-        "CONTROL",
+        "TRAFFIC",
     ])];
-    rows.extend(answers.iter().zip(&reports).map(|(a, r)| node_row(a, r)));
-    let known: Vec<&StatusReport> = reports.iter().flatten().collect();
-    let mut text = table::render(&rows);
-    text += &revisions(answers, &reports);
+    rows.extend(answers.iter().map(row));
+    let known: Vec<&StatusReport> = answers.iter().flat_map(|a| &a.result).collect();
+    let mut text = table::render(&table::without_empty(rows));
+    text += &revisions(answers);
+    text += &rejected(&known);
     text += &members(&known);
+    text += &silent_zones(&known);
     text += &quarantines(&known);
     if counters {
         text += &counter_table(&known);
@@ -121,22 +116,14 @@
     text
 }
 
-fn report(answer: &Answer) -> Option<StatusReport> {
-    let value = answer.result.as_ref().ok()?;
-    Some(serde_json::from_value(value.clone()).unwrap_or_default())
-}
-
-fn node_row(answer: &Answer, report: &Option<StatusReport>) -> Vec<String> {
+fn row(answer: &Status) -> Vec<String> {
     let node = answer.node.to_string();
-    let Some(r) = report else {
-        let cause = answer.result.as_ref().err().cloned().unwrap_or_default();
-        return vec![node, cause];
-    };
-    let budget = match (r.budget.spent_ms, r.budget.allowed_ms) {
-        (Some(spent), Some(allowed)) => format!("{spent} of {allowed} ms"),
-        (Some(spent), None) => format!("{spent} ms"),
-        (None, Some(_)) | (None, None) => "-".to_owned(),
+    let r = match &answer.result {
+        Ok(report) => report,
+        Err(cause) => return vec![node, cause.text.clone()],
     };
+    let gate = r.gate.clone().unwrap_or_default();
+    let control = r.control.clone().unwrap_or_default();
     vec![
         node,
         show(r.id.as_ref()),
@@ -144,29 +131,37 @@
         show(r.zone.as_ref()),
         r.state().to_owned(),
         show(r.revision),
-        r.config_age_ms.map_or("-".to_owned(), duration),
-        show(r.gate.running),
-        show(r.gate.queued),
-        show(r.gate.limit),
-        r.gate.latency_us.map_or("-".to_owned(), micros),
-        budget,
-        unit(r.control.cpu_percent, " %"),
-        unit(r.control.rss_mb, " MB"),
-        unit(r.control.bytes_per_s, " B/s"),
+        show(r.config_age_ms.or(control.revision_age).map(duration)),
+        show(gate.running),
+        show(gate.queued),
+        show(gate.limit),
+        show(gate.latency_us.map(micros)),
+        show(r.budget.as_ref().and_then(budget)),
+        show(control.budget_percent.map(|left| format!("{left} %"))),
+        show(control.cpu_percent.map(|cpu| format!("{cpu:.1} %"))),
+        show(control.rss_mb.map(|mb| format!("{mb:.1} MB"))),
+        show(control.bytes_per_s.map(|bytes| format!("{bytes:.0} B/s"))),
     ]
 }
 
+fn budget(budget: &BudgetReport) -> Option<String> {
+    let spent = budget.spent_ms?;
+    Some(match budget.allowed_ms {
+        Some(allowed) => format!("{spent} of {allowed} ms"),
+        None => format!("{spent} ms"),
+    })
+}
+
 /// Names the nodes whose revision is behind the highest one.
-fn revisions(answers: &[Answer], reports: &[Option<StatusReport>]) -> String {
-    let Some(highest) = reports.iter().flatten().filter_map(|r| r.revision).max() else {
+fn revisions(answers: &[Status]) -> String {
+    let reports = answers.iter().flat_map(|a| &a.result);
+    let Some(highest) = reports.filter_map(|r| r.revision).max() else {
         return String::new();
     };
-    let behind = answers.iter().zip(reports).filter_map(|(answer, report)| {
-        let report = report.as_ref()?;
-        let name = report
-            .id
-            .as_ref()
-            .map_or_else(|| answer.node.to_string(), |id| id.to_string());
+    let behind = answers.iter().filter_map(|answer| {
+        let report = answer.result.as_ref().ok()?;
+        let node = || answer.node.to_string();
+        let name = report.id.as_ref().map_or_else(node, |id| id.to_string());
         match report.revision {
             Some(revision) if revision == highest => None,
             Some(revision) => Some(format!("{name} at {revision}")),
@@ -180,6 +175,38 @@
     }
 }
 
+/// Lists the revisions that nodes refused, with the first problem of each.
+fn rejected(reports: &[&StatusReport]) -> String {
+    let all = reports
+        .iter()
+        .flat_map(|r| &r.control)
+        .flat_map(|c| &c.rejected);
+    let first = all.map(|r| (r.revision, r.reason.lines().next().unwrap_or_default()));
+    let first: BTreeMap<u64, &str> = first.collect();
+    let lines = first
+        .iter()
+        .map(|(revision, reason)| format!("refused {revision}: {reason}\n"));
+    lines.collect()
+}
+
+/// Names the availability zones from which some node hears nothing.
+fn silent_zones(reports: &[&StatusReport]) -> String {
+    let mut zones: BTreeMap<&str, BTreeSet<String>> = BTreeMap::new();
+    for report in reports {
+        let silent = report.control.iter().flat_map(|c| &c.silent_zones);
+        for zone in silent {
+            zones
+                .entry(zone)
+                .or_default()
+                .insert(show(report.id.as_ref()));
+        }
+    }
+    let line = |(zone, ids): (&&str, &BTreeSet<String>)| {
+        format!("nothing is heard from {zone} at {}\n", list(ids))
+    };
+    zones.iter().map(line).collect()
+}
+
 /// Counts the instances that the nodes know by state, and names those that are not live.
 fn members(reports: &[&StatusReport]) -> String {
     let all = reports.iter().flat_map(|r| &r.members);
@@ -214,47 +241,59 @@
     format!("{}{place} {state}{heard}", member.id)
 }
 
-/// Lists the quarantined requests with the nodes that refuse them.
+/// Lists the requests that crashed backend servers with the nodes that know of them.
 fn quarantines(reports: &[&StatusReport]) -> String {
-    let mut by_print: BTreeMap<&str, (u64, BTreeSet<String>)> = BTreeMap::new();
+    let mut found: BTreeMap<(String, &str), (u64, BTreeSet<String>)> = BTreeMap::new();
     for report in reports {
         for quarantine in &report.quarantines {
-            let entry = by_print.entry(&quarantine.fingerprint).or_default();
+            let verdict = quarantine
+                .verdict
+                .as_deref()
+                .unwrap_or("quarantined")
+                .to_lowercase();
+            let entry = found.entry((verdict, &quarantine.fingerprint)).or_default();
             entry.0 = entry.0.max(quarantine.left_ms.unwrap_or(0));
             entry.1.insert(show(report.id.as_ref()));
         }
     }
-    let lines = by_print.iter().map(|(print, (left, nodes))| {
-        let nodes: Vec<&str> = nodes.iter().map(String::as_str).collect();
+    let lines = found.iter().map(|((verdict, fingerprint), (left, ids))| {
         let left = duration(*left);
         format!(
-            "quarantined: {print} for another {left} at {}\n",
-            nodes.join(", ")
+            "{verdict}: {fingerprint} for another {left} at {}\n",
+            list(ids)
         )
     });
     lines.collect()
 }
 
+fn list(ids: &BTreeSet<String>) -> String {
+    let ids: Vec<&str> = ids.iter().map(String::as_str).collect();
+    ids.join(", ")
+}
+
 fn counter_table(reports: &[&StatusReport]) -> String {
-    let names: BTreeSet<&str> = reports
-        .iter()
-        .flat_map(|r| r.counters.keys().map(|k| k.as_str()))
-        .collect();
+    let counters: Vec<BTreeMap<String, u64>> = reports.iter().map(|r| counters(r)).collect();
+    let names: BTreeSet<&String> = counters.iter().flat_map(BTreeMap::keys).collect();
     let ids = reports.iter().map(|r| show(r.id.as_ref()));
     let mut rows = vec![["COUNTER".to_owned()].into_iter().chain(ids).collect()];
     for name in names {
-        let values = reports.iter().map(|r| show(r.counters.get(name)));
-        rows.push([name.to_owned()].into_iter().chain(values).collect());
+        let values = counters.iter().map(|c| show(c.get(name)));
+        rows.push([name.clone()].into_iter().chain(values).collect());
     }
     format!("\n{}", table::render(&rows))
 }
 
-fn show(value: Option<impl ToString>) -> String {
-    value.map_or("-".to_owned(), |value| value.to_string())
+/// Returns the counters of a node and those of its control part.
+fn counters(report: &StatusReport) -> BTreeMap<String, u64> {
+    let own = report.counters.iter().map(|(k, v)| (k.to_string(), *v));
+    let control = report.control.iter().flat_map(|c| &c.counts);
+    own.chain(control.map(|(k, v)| (format!("control.{k}"), *v)))
+        .collect()
 }
 
-fn unit(value: Option<f64>, unit: &str) -> String {
-    value.map_or("-".to_owned(), |value| format!("{value:.1}{unit}"))
+/// Returns a value, or a hyphen for none.
+pub(crate) fn show(value: Option<impl ToString>) -> String {
+    value.map_or("-".to_owned(), |value| value.to_string())
 }
 
 /// Returns microseconds as milliseconds.
--- a/crates/ctl/src/status_report.rs
+++ b/crates/ctl/src/status_report.rs
@@ -12,18 +12,16 @@
     pub(crate) id: Option<CompactString>,
     pub(crate) service: Option<CompactString>,
     pub(crate) zone: Option<CompactString>,
-    pub(crate) region: Option<CompactString>,
     pub(crate) ready: Option<bool>,
     pub(crate) draining: Option<bool>,
     pub(crate) revision: Option<u64>,
     pub(crate) config_age_ms: Option<u64>,
-    pub(crate) instances_revision: Option<u64>,
-    pub(crate) gate: GateReport,
-    pub(crate) budget: BudgetReport,
-    pub(crate) control: ControlReport,
+    pub(crate) gate: Option<GateReport>,
+    pub(crate) budget: Option<BudgetReport>,
+    pub(crate) control: Option<ControlReport>,
     pub(crate) members: Vec<MemberReport>,
     pub(crate) quarantines: Vec<QuarantineReport>,
-    pub(crate) counters: BTreeMap<CompactString, f64>,
+    pub(crate) counters: BTreeMap<CompactString, u64>,
 }
 
 /// The load of a gate.
@@ -45,13 +43,26 @@
     pub(crate) allowed_ms: Option<f64>,
 }
 
-/// What a node spends on control.
+/// What a node spends on control, and what its control part knows.
 #[derive(Clone, Debug, Default, Deserialize)]
 #[serde(default)]
 pub(crate) struct ControlReport {
+    pub(crate) revision_age: Option<u64>,
+    pub(crate) budget_percent: Option<u64>,
     pub(crate) cpu_percent: Option<f64>,
     pub(crate) rss_mb: Option<f64>,
     pub(crate) bytes_per_s: Option<f64>,
+    pub(crate) silent_zones: Vec<CompactString>,
+    pub(crate) rejected: Vec<RejectedReport>,
+    pub(crate) counts: BTreeMap<CompactString, u64>,
+}
+
+/// A revision that a node refused.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(default)]
+pub(crate) struct RejectedReport {
+    pub(crate) revision: u64,
+    pub(crate) reason: String,
 }
 
 /// What a node knows of another instance.
@@ -65,18 +76,20 @@
     pub(crate) heard_ms: Option<u64>,
 }
 
-/// A request that is refused because it crashed backend servers.
+/// A request that was in flight when backend servers crashed.
 #[derive(Clone, Debug, Default, Deserialize)]
 #[serde(default)]
 pub(crate) struct QuarantineReport {
     pub(crate) fingerprint: CompactString,
+    pub(crate) verdict: Option<CompactString>,
     pub(crate) left_ms: Option<u64>,
 }
 
 impl StatusReport {
     /// Returns the state of the node in one word.
     pub(crate) fn state(&self) -> &'static str {
-        let leaving = self.draining == Some(true) || self.gate.leaving == Some(true);
+        let gate = self.gate.as_ref().and_then(|gate| gate.leaving);
+        let leaving = self.draining == Some(true) || gate == Some(true);
         match (leaving, self.ready) {
             (true, _) => "leaving",
             (false, Some(true)) => "ready",
--- a/crates/ctl/src/table.rs
+++ b/crates/ctl/src/table.rs
@@ -16,6 +16,21 @@
     rows.iter().map(|row| line(row, &widths)).collect()
 }
 
+/// Returns the rows without the columns in which no row but the titles says anything.
+pub(crate) fn without_empty(rows: Vec<Vec<String>>) -> Vec<Vec<String>> {
+    let columns = rows.first().map_or(0, Vec::len);
+    let says = |row: &Vec<String>, column: usize| {
+        row.len() == columns && row.get(column).is_some_and(|cell| cell != "-")
+    };
+    let is_kept = |column: usize| column < 2 || rows.iter().skip(1).any(|row| says(row, column));
+    let kept: Vec<bool> = (0..columns).map(is_kept).collect();
+    let filter = |row: Vec<String>| {
+        let cells = row.into_iter().zip(&kept).filter(|(_, kept)| **kept);
+        cells.map(|(cell, _)| cell).collect()
+    };
+    rows.into_iter().map(filter).collect()
+}
+
 fn line(row: &[String], widths: &[usize]) -> String {
     let cells = row.iter().zip(widths);
     let padded: Vec<String> = cells
--- a/crates/ctl/src/trace.rs
+++ b/crates/ctl/src/trace.rs
@@ -10,32 +10,25 @@
 use crate::client::{self, Answer};
 use crate::failure::Failure;
 use crate::format::{Format, to_json};
-use crate::status::micros;
+use crate::status::{micros, show};
 use crate::{cli, table};
 
 /// The most spans that are shown.
 const MAX_SPANS: usize = 1_000;
 
-/// What a node recorded of a call.
-#[derive(Clone, Debug, Default, Deserialize)]
-#[serde(default)]
-struct Trace {
-    spans: Vec<Span>,
-}
-
 /// One hop of a call. Every field but the identity may be missing.
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
 #[serde(default)]
 struct Span {
-    id: CompactString,
-    parent: Option<CompactString>,
+    span: CompactString,
+    parent: CompactString,
     name: CompactString,
     /// The instance that recorded the span.
     node: Option<CompactString>,
     /// The start by that instance's clock; never compared with another instance's.
     start_us: Option<u64>,
-    time_us: Option<u64>,
-    outcome: Option<String>,
+    took_us: Option<u64>,
+    notes: Vec<CompactString>,
 }
 
 /// Returns the subcommand.
@@ -79,26 +72,23 @@
     let trace = args.get_one::<String>("trace").cloned().unwrap_or_default();
     let path = format!("/trace?id={trace}");
     let answers = client::ask(&client::nodes(args), &path);
+    let answers: Vec<Answer<Vec<Span>>> = answers.iter().map(Answer::read).collect();
     let spans = merge(&answers);
     let report = match Format::of(args) {
         Format::Json => to_json(&json!({"trace": trace, "spans": spans})),
         Format::Text if spans.is_empty() => format!("trace {trace}: no node asked has a span\n"),
         Format::Text => format!("trace {trace}\n{}", tree(&spans)),
     };
-    match answers.iter().find_map(|a| a.failure(&report)) {
-        Some(failure) => Err(failure),
-        None => Ok(report),
-    }
+    client::finish(&answers, report)
 }
 
 /// Returns the spans of all nodes, each once.
-fn merge(answers: &[Answer]) -> Vec<Span> {
-    let values = answers.iter().filter_map(|a| a.result.as_ref().ok());
-    let traces = values.map(|v| serde_json::from_value::<Trace>(v.clone()).unwrap_or_default());
+fn merge(answers: &[Answer<Vec<Span>>]) -> Vec<Span> {
+    let all = answers.iter().flat_map(|a| &a.result).flatten();
     let mut spans: Vec<Span> = Vec::new();
-    for span in traces.flat_map(|trace| trace.spans).take(MAX_SPANS) {
-        if spans.iter().all(|known| known.id != span.id) {
-            spans.push(span);
+    for span in all.take(MAX_SPANS) {
+        if spans.iter().all(|known| known.span != span.span) {
+            spans.push(span.clone());
         }
     }
     spans
@@ -109,16 +99,15 @@
     let mut children: BTreeMap<&str, Vec<&Span>> = BTreeMap::new();
     let mut roots = Vec::new();
     for span in spans {
-        let parent = span.parent.as_deref();
-        match parent.filter(|id| spans.iter().any(|s| s.id == *id)) {
-            Some(parent) => children.entry(parent).or_default().push(span),
-            None => roots.push(span),
+        match spans.iter().any(|s| s.span == span.parent) {
+            true => children.entry(&span.parent).or_default().push(span),
+            false => roots.push(span),
         }
     }
     for siblings in children.values_mut() {
         siblings.sort_by_key(|s| (s.node.clone(), s.start_us));
     }
-    let mut rows = vec![table::row(["HOP", "INSTANCE", "TIME", "OUTCOME"])];
+    let mut rows = vec![table::row(["HOP", "INSTANCE", "TIME", "NOTES"])];
     for root in roots {
         push_rows(root, &children, "", "", &mut rows);
     }
@@ -136,12 +125,12 @@
 ) {
     rows.push(vec![
         format!("{lead}{}", span.name),
-        span.node.as_deref().unwrap_or("-").to_owned(),
-        span.time_us.map_or("-".to_owned(), micros),
-        span.outcome.clone().unwrap_or_default(),
+        show(span.node.as_ref()),
+        show(span.took_us.map(micros)),
+        span.notes.join(", "),
     ]);
     let inner = children
-        .get(span.id.as_str())
+        .get(span.span.as_str())
         .map_or(&[][..], Vec::as_slice);
     for (i, child) in inner.iter().enumerate() {
         let is_last = i + 1 == inner.len();
