--- a/crates/bench/src/platform.rs
+++ b/crates/bench/src/platform.rs
@@ -203,7 +203,6 @@
             App::new()
                 .state(self.clone())
                 .state(types::PayloadConfig::new(VALUE_BYTES))
-                .state(types::JsonConfig::default().limit(VALUE_BYTES))
                 .service((
                     web::resource("/v1/config").route(web::get().to(get_config)),
                     web::resource("/v1/instances").route(web::get().to(get_instances)),
@@ -295,9 +294,14 @@
     HttpResponse::Accepted().finish()
 }
 
-async fn post_mode(platform: types::State<Platform>, switch: types::Json<Switch>) -> HttpResponse {
-    platform.switch(*switch);
-    HttpResponse::Ok().finish()
+async fn post_mode(platform: types::State<Platform>, body: Bytes) -> HttpResponse {
+    match serde_json::from_slice(&body) {
+        Ok(switch) => {
+            platform.switch(switch);
+            HttpResponse::Ok().finish()
+        }
+        Err(error) => HttpResponse::BadRequest().body(error.to_string()),
+    }
 }
 
 async fn get_reads(platform: types::State<Platform>) -> HttpResponse {
--- a/crates/node/src/control/handle.rs
+++ b/crates/node/src/control/handle.rs
@@ -81,6 +81,11 @@
         self.shared.status()
     }
 
+    /// Returns whether the control part still runs.
+    pub fn is_running(&self) -> bool {
+        !self.commands.is_closed()
+    }
+
     /// Spreads a quarantine to the peers.
     pub fn spread(&self, entry: QuarantineEntry) {
         self.send(Command::Quarantine(entry));
--- a/crates/node/src/control/start.rs
+++ b/crates/node/src/control/start.rs
@@ -10,7 +10,7 @@
 use oriolering::Member;
 use snafu::{OptionExt, ResultExt};
 use tokio::sync::{mpsc, oneshot};
-use tokio::task::spawn_local;
+use tokio::task::{JoinSet, spawn_local};
 use tokio::time::sleep;
 
 use super::client;
@@ -72,27 +72,40 @@
     listener: TcpListener,
     mut commands: Commands,
 ) -> Option<oneshot::Sender<()>> {
-    match tokio::net::TcpListener::from_std(listener) {
-        Ok(listener) => spawn_local(server::run(Arc::clone(&shared), listener)),
+    let mut tasks = match tokio::net::TcpListener::from_std(listener) {
+        Ok(listener) => spawn_tasks(&shared, listener),
         Err(error) => {
             log::error!("the control part cannot listen: {error}");
             return None;
         }
     };
-    for kind in Kind::ALL {
-        spawn_local(read::run(Arc::clone(&shared), kind));
-        spawn_local(pull::run(Arc::clone(&shared), kind));
-    }
-    spawn_local(gossip::run_sync(Arc::clone(&shared)));
-    spawn_local(gossip::run_push(Arc::clone(&shared)));
-    spawn_local(run_meter(Arc::clone(&shared)));
-    spawn_local(run_members(Arc::clone(&shared)));
-    while let Some(command) = commands.recv().await {
+    loop {
+        let command = tokio::select! {
+            command = commands.recv() => command?,
+            ended = tasks.join_next() => {
+                log::error!("a task of the control part has ended: {ended:?}");
+                return None;
+            }
+        };
         if let Some(stopped) = obey(&shared, command) {
             return Some(stopped);
         }
     }
-    None
+}
+
+/// Starts the tasks that run until the control part ends.
+fn spawn_tasks(shared: &Arc<Shared>, listener: tokio::net::TcpListener) -> JoinSet<()> {
+    let mut tasks = JoinSet::new();
+    tasks.spawn_local(server::run(Arc::clone(shared), listener));
+    for kind in Kind::ALL {
+        tasks.spawn_local(read::run(Arc::clone(shared), kind));
+        tasks.spawn_local(pull::run(Arc::clone(shared), kind));
+    }
+    tasks.spawn_local(gossip::run_sync(Arc::clone(shared)));
+    tasks.spawn_local(gossip::run_push(Arc::clone(shared)));
+    tasks.spawn_local(run_meter(Arc::clone(shared)));
+    tasks.spawn_local(run_members(Arc::clone(shared)));
+    tasks
 }
 
 /// Carries out a command; returns where to report the end on the stop command.
--- a/crates/oriolering/src/roster.rs
+++ b/crates/oriolering/src/roster.rs
@@ -47,7 +47,7 @@
     departed: Option<Incarnation>,
     echoed: Option<Incarnation>,
     stale: bool,
-    heard: i64,
+    heard: Option<i64>,
 }
 
 impl Entry {
@@ -61,7 +61,7 @@
             departed: None,
             echoed: None,
             stale: false,
-            heard: i64::MIN,
+            heard: None,
         }
     }
 
@@ -87,11 +87,11 @@
     fn hear(&mut self, note: &MemberNote, heard: i64) -> bool {
         let known = self.member.incarnation;
         let replaced = known.is_some_and(|known| known != note.incarnation);
-        if replaced && heard <= self.heard {
+        if replaced && Some(heard) <= self.heard {
             return false;
         }
         self.member.incarnation = Some(note.incarnation);
-        self.heard = self.heard.max(heard);
+        self.heard = self.heard.max(Some(heard));
         let departed = note.leaving && self.departed != Some(note.incarnation);
         if departed {
             self.departed = Some(note.incarnation);
@@ -105,8 +105,8 @@
     }
 
     fn note(&self, now: Millis) -> Option<MemberNote> {
-        let age = now.0 as i64 - self.heard;
         let incarnation = self.member.incarnation?;
+        let age = now.0 as i64 - self.heard?;
         if age > i64::from(NOTE_AGE_MAX_MS) {
             return None;
         }
@@ -225,7 +225,7 @@
         let after = (now.0 as i64).saturating_sub_unsigned(age_ms);
         self.entries
             .iter()
-            .map(move |entry| (&entry.member, entry.heard >= after))
+            .map(move |entry| (&entry.member, entry.heard >= Some(after)))
     }
 
     /// Returns up to `count` random peers, most of them in the node's availability zone.
