--- a/crates/bench/tests/control.rs
+++ b/crates/bench/tests/control.rs
@@ -49,6 +49,7 @@
     let fleet = fleet(24);
     let first = fleet.publish(bundle(120, 1_000_000, 1), LIMIT).await;
     assert!(first.iter().all(Option::is_some), "{first:?}");
+    tokio::time::sleep(Duration::from_millis(2 * WATCH_MS)).await;
     let before: Vec<_> = fleet
         .nodes
         .iter()
@@ -56,10 +57,15 @@
         .collect();
     let second = fleet.publish(bundle(120, 1_000_000, 2), LIMIT).await;
     assert!(second.iter().all(Option::is_some), "{second:?}");
-    let cheap = fleet.nodes.iter().zip(&before).filter(|(node, before)| {
-        node.handle.status().received_bytes - before.received_bytes < 200_000
-    });
-    assert!(cheap.count() >= 12);
+    let relayed: Vec<_> = fleet
+        .nodes
+        .iter()
+        .zip(&before)
+        .filter(|(_, before)| !before.reader)
+        .map(|(node, before)| node.handle.status().received_bytes - before.received_bytes)
+        .collect();
+    assert_eq!(relayed.len(), 12);
+    assert!(relayed.iter().all(|bytes| *bytes < 100_000), "{relayed:?}");
     fleet.stop().await;
 }
 
