--- a/crates/oriolering/src/control_budget.rs
+++ b/crates/oriolering/src/control_budget.rs
@@ -47,14 +47,14 @@
         self.level.max(0) as u64 * 100 / self.size.max(1) as u64
     }
 
-    /// Adds the tokens gained since the last call and keeps the time of a token's rest.
+    /// Adds the tokens gained since the last call; the time of a part of a token is kept.
     fn refill(&mut self, now: Millis) {
         let gained = now.since(self.at).saturating_mul(self.rate) / 1000;
         if gained == 0 {
             return;
         }
         self.level = self.level.saturating_add_unsigned(gained).min(self.size);
-        self.at = now;
+        self.at = self.at + gained * 1000 / self.rate.max(1);
     }
 }
 
