Carry the cancellation of a call to the gate that runs it

Cause: a request that may not be repeated went on at the gate after its caller had given up, and held a slot; the whole-path test saw no slot freed. Ruled out: ending it when the connection from the ingress closes, because then the answer of a lost connection could not be collected. Change: the ingress sends the cancellation in so many words; the gate ends the run and closes the connection to the backend server. A refusal without another backend server to try keeps the words of the gate.

--- a/crates/node/src/admit.rs
+++ b/crates/node/src/admit.rs
@@ -2,6 +2,7 @@
 
 use std::rc::Rc;
 
+use futures_util::future::{Either, select};
 use ntex::http::Payload;
 use ntex::web::{HttpRequest, HttpResponse};
 use oriolering::{CallId, Cause, Fate, Millis, Offer, Refusal};
@@ -28,6 +29,7 @@
     match headers::text(request.headers(), oriolering::STEP) {
         Some("collect") => collect(&wire, &request, id).await,
         Some("reserve") => reserve(&wire, &request, id).await,
+        Some("cancel") => cancel(&wire, id),
         Some(_) => Reply::rejected(Cause::Invalid, 0).response(),
         None => run(wire, request, payload, id).await,
     }
@@ -57,6 +59,12 @@
     Reply::not_run(refusal).response_with(Some(load), Some(grant))
 }
 
+/// Cancels a call whose caller has gone.
+fn cancel(wire: &Wire, id: CallId) -> HttpResponse {
+    wire.cancels.borrow_mut().remove(id);
+    HttpResponse::NoContent().finish()
+}
+
 /// Admits a call whose body will follow once there is room for it.
 async fn reserve(wire: &Wire, request: &HttpRequest, id: CallId) -> HttpResponse {
     let offer = offer(wire, request, id);
@@ -120,8 +128,14 @@
     // A request that may not be repeated goes on when the ingress loses its connection, so
     // that the answer can be collected over a new one.
     let (sender, receiver) = tokio::sync::oneshot::channel();
+    let cancelled = wire.cancels.borrow_mut().register(id);
     ntex::rt::spawn(async move {
-        let answer = forward::run(wire, job, permit, request, payload).await;
+        let running = forward::run(Rc::clone(&wire), job, permit, request, payload);
+        let answer = match select(Box::pin(running), cancelled).await {
+            Either::Left((answer, _)) => answer,
+            Either::Right(_) => Reply::unknown(Cause::Cancelled, 0).response(),
+        };
+        wire.cancels.borrow_mut().remove(id);
         drop(alone);
         let _ = sender.send(answer);
     });
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -13,6 +13,7 @@
 };
 
 use crate::call::{Call, CallBody};
+use crate::cancel::Cancelled;
 use crate::directory::Target;
 use crate::headers;
 use crate::sessions::Issued;
@@ -74,6 +75,21 @@
     }
 }
 
+impl Running<'_> {
+    /// Tells the gate of an attempt that is dropped before it has ended.
+    fn cancel(&self) {
+        let Some(issued) = self.issued.filter(|_| self.result == Attempt::Cancelled) else {
+            return;
+        };
+        let cancelled = Cancelled {
+            target: self.target,
+            id: issued.id,
+        };
+        // The receiver lives as long as the thread of the data path.
+        let _ = self.wire.cancelled.send(cancelled);
+    }
+}
+
 impl Drop for Running<'_> {
     fn drop(&mut self) {
         let now = self.wire.node.clock.now();
@@ -81,6 +97,7 @@
         if let Some(issued) = self.issued {
             directory.settle(self.target.server, issued);
         }
+        self.cancel();
         directory.finish(now, self.service, self.target.server, self.result);
     }
 }
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -131,6 +131,7 @@
     let mut tried: SmallVec<[ServerKey; 4]> = SmallVec::new();
     let mut crashes = 0;
     let mut uncertain = false;
+    let mut last = None;
     let now = wire.node.clock.now();
     if let Some(route) = wire.node.directory.lock().route_mut(call.service) {
         route.retries.deposit(now);
@@ -139,7 +140,7 @@
         let now = wire.node.clock.now();
         let target = wire.node.directory.lock().pick(now, call.service, &tried);
         let Some(target) = target else {
-            return Err(nowhere(uncertain));
+            return Err(nowhere(uncertain, last));
         };
         tried.push(target.server);
         let number = tried.len() as u32;
@@ -155,6 +156,9 @@
             Reached::Answer(response) => return Ok(pass_on(wire, &call, response, span)),
             Reached::Missing(failure) => failure,
         };
+        if let Failure::Refused(refusal) = failure {
+            last = Some(refusal);
+        }
         uncertain |= matches!(failure, Failure::MayHaveRun | Failure::Crashed);
         crashes += u32::from(failure == Failure::Crashed);
         let state = AttemptState {
@@ -188,20 +192,21 @@
     match directory.route_mut(call.service) {
         Some(route) => next_step(failure, state, &mut route.retries, now),
         None => {
-            let reply = nowhere(state.uncertain);
+            let reply = nowhere(state.uncertain, None);
             Step::Answer(reply.outcome, reply.refusal)
         }
     }
 }
 
-/// The answer when there is no backend server left to try.
-fn nowhere(uncertain: bool) -> Reply {
+/// The answer when there is no backend server left to try; `last` is what a gate said.
+fn nowhere(uncertain: bool, last: Option<Refusal>) -> Reply {
+    let unreachable = Refusal {
+        cause: Cause::Unreachable,
+        retry_after: UNREADY_RETRY_MS,
+    };
     match uncertain {
         true => Reply::unknown(Cause::Unreachable, UNKNOWN_RETRY_MS),
-        false => Reply::not_run(Refusal {
-            cause: Cause::Unreachable,
-            retry_after: UNREADY_RETRY_MS,
-        }),
+        false => Reply::not_run(last.unwrap_or(unreachable)),
     }
 }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -15,6 +15,7 @@
 mod attempt;
 mod body;
 mod call;
+mod cancel;
 pub mod control;
 mod crash;
 mod directory;
--- a/crates/node/src/wire.rs
+++ b/crates/node/src/wire.rs
@@ -8,8 +8,10 @@
 
 use ntex::http::client::{Client, Connector};
 use ntex::time::{Millis, Seconds};
+use tokio::sync::mpsc;
 
 use crate::answers::Answers;
+use crate::cancel::{self, Cancelled, Cancels};
 use crate::reserved::Reserved;
 use crate::state::Node;
 
@@ -33,20 +35,29 @@
     /// Held by a request that was running when a backend server died. Suspects run one at a
     /// time, so that a second death shows which of them was the cause.
     pub(crate) suspects: Arc<tokio::sync::Mutex<()>>,
+    /// Running calls of the local gate that can be cancelled.
+    pub(crate) cancels: RefCell<Cancels>,
+    /// Takes attempts whose caller has gone.
+    pub(crate) cancelled: mpsc::UnboundedSender<Cancelled>,
     gates: RefCell<HashMap<SocketAddr, Client>>,
 }
 
 impl Wire {
     /// Builds the clients; this happens once, on the thread of the data path.
     pub(crate) fn new(node: Arc<Node>) -> Rc<Self> {
-        Rc::new(Self {
+        let (cancelled, receiver) = mpsc::unbounded_channel();
+        let wire = Rc::new(Self {
             node,
             backend: pooled(),
             answers: RefCell::default(),
             reserved: RefCell::default(),
             suspects: Arc::default(),
+            cancels: RefCell::default(),
+            cancelled,
             gates: RefCell::default(),
-        })
+        });
+        ntex::rt::spawn(cancel::run(Rc::clone(&wire), receiver));
+        wire
     }
 
     /// Returns the client whose connections lead to one gate.
