Raise the recursion limit of the packages that use the HTTP client

Cause: the release build overflowed the depth limit of layout queries in the bench package and the command, as it had in the node. Change: the limit is 256 there too.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,5 +1,8 @@
 //! Stand-ins, load generation and whole-path tests of oriolering.
 
+// The HTTP client's connector is a chain of generic services, too deep for the default limit.
+#![recursion_limit = "256"]
+
 mod backend;
 mod backend_fault;
 mod backend_state;
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -1,5 +1,8 @@
 //! The operators' command.
 
+// The HTTP client's connector is a chain of generic services, too deep for the default limit.
+#![recursion_limit = "256"]
+
 mod bundle;
 mod check;
 mod cli;
