Limit the size of a set and run the commands of the configuration page

Cause: 64,000 empty overlays of 1,000 services fit into one value and would fill a node's memory with effective settings. Ruled out: settings computed at each look-up, since a call looks its service up. Change: at most 500 services and 64 sites, and a test that runs every command of the page.

--- a/crates/ctl/tests/sessions/documents.rs
+++ b/crates/ctl/tests/sessions/documents.rs
@@ -1,4 +1,7 @@
-//! The documents that are generated from the program.
+//! The documents: what is generated from the program, and the commands in them.
+
+use std::fs;
+use std::process::Command;
 
 use crate::common::{root, run};
 use rstest::rstest;
@@ -11,7 +14,7 @@
 
 fn document(name: &str) -> String {
     let path = root().join("docs").join(name);
-    std::fs::read_to_string(path).unwrap()
+    fs::read_to_string(path).unwrap()
 }
 
 /// Returns the text between the markers of a generated table.
@@ -50,12 +53,36 @@
     assert!(blocks.len() >= 2, "the page shows a base and an overlay");
     let directory = tempfile::tempdir().unwrap();
     let text = |block: &str| block.split("```").next().unwrap_or_default().to_owned();
-    std::fs::create_dir(directory.path().join("overlays")).unwrap();
-    std::fs::write(directory.path().join("base.jsonc"), text(blocks[0])).unwrap();
+    fs::create_dir(directory.path().join("overlays")).unwrap();
+    fs::write(directory.path().join("base.jsonc"), text(blocks[0])).unwrap();
     let overlay = directory.path().join("overlays/yungay.jsonc");
-    std::fs::write(overlay, text(blocks[1])).unwrap();
+    fs::write(overlay, text(blocks[1])).unwrap();
     let path = directory.path().to_str().unwrap();
     let shown = printed(&["render", path, "--site", "yungay", "--service", "caja"]);
     assert!(shown.contains("  queue.length         12 "), "{shown}");
     assert!(shown.contains("  retry.percent        10 "), "{shown}");
 }
+
+/// Every command of the page is run as it stands there, in turn and in an empty directory.
+#[test]
+fn the_commands_of_the_page_succeed() {
+    let page = document("CONFIG.md");
+    let commands = page
+        .lines()
+        .filter_map(|l| l.strip_prefix("    oriolering "));
+    let commands: Vec<&str> = commands.collect();
+    assert!(commands.len() >= 4, "the page shows how a set is published");
+    let directory = tempfile::tempdir().unwrap();
+    let examples = directory.path().join("examples");
+    std::os::unix::fs::symlink(root().join("examples"), examples).unwrap();
+    for command in commands {
+        let (args, file) = command.split_once(" > ").unwrap_or((command, "output"));
+        let output = Command::new(env!("CARGO_BIN_EXE_oriolering"))
+            .args(args.split(' '))
+            .current_dir(directory.path())
+            .output()
+            .unwrap();
+        assert!(output.status.success(), "{command}: {output:?}");
+        fs::write(directory.path().join(file), output.stdout).unwrap();
+    }
+}
--- a/crates/oriolering/src/config/set.rs
+++ b/crates/oriolering/src/config/set.rs
@@ -13,14 +13,17 @@
 use crate::config::nearest::nearest;
 use crate::config::node::Node;
 use crate::config::reader::{self, join};
-use crate::config::shape::{Form, Shape, schema};
+use crate::config::shape::{Form, Shape, relax, schema};
 use crate::config::{Bundle, Place, Problems, Service, Settings, base::Base};
 
 /// The name of the base file in problems.
 pub(crate) const BASE_FILE: &str = "base.jsonc";
 
 /// The most services of a set.
-const MAX_SERVICES: u64 = 1_000;
+const MAX_SERVICES: u64 = 500;
+
+/// The most overlays of a set.
+const MAX_SITES: u64 = 64;
 
 /// A valid set of base and overlays.
 #[derive(Clone, Debug, PartialEq)]
@@ -39,6 +42,7 @@
     pub fn parse(bundle: &Bundle) -> Result<Self, Problems> {
         let mut problems = Problems::default();
         check_size(bundle.render().len(), &mut problems);
+        check_sites(bundle.overlays.len() as u64, &mut problems);
         if !problems.is_empty() {
             return Err(problems);
         }
@@ -101,30 +105,6 @@
     }
 }
 
-/// Lets every field of a schema be left out or null, but for `services` and the services.
-fn relax(schema: &mut Value) {
-    let Some(object) = schema.as_object_mut() else {
-        return;
-    };
-    object.remove("required");
-    object.remove("default");
-    for inner in ["additionalProperties", "items"] {
-        if let Some(inner) = object.get_mut(inner) {
-            relax(inner);
-        }
-    }
-    let Some(fields) = object.get_mut("properties").and_then(Value::as_object_mut) else {
-        return;
-    };
-    for (key, field) in fields {
-        relax(field);
-        if key != "services" {
-            let inner = field.take();
-            *field = serde_json::json!({"anyOf": [inner, {"type": "null"}]});
-        }
-    }
-}
-
 /// Returns the name of a site's overlay in problems.
 fn overlay_file(site: &str) -> String {
     format!("overlays/{site}.jsonc")
@@ -144,6 +124,16 @@
     Some(node)
 }
 
+fn check_sites(count: u64, problems: &mut Problems) {
+    if count > MAX_SITES {
+        let fault = Fault::High {
+            found: compact_str::format_compact!("a list of {count} sites"),
+            most: MAX_SITES,
+        };
+        problems.push(&Place::whole("bundle"), "overlays", fault);
+    }
+}
+
 fn check_count(services: &Node, problems: &mut Problems) {
     let count = services.entries().len() as u64;
     let found = compact_str::format_compact!("a list of {count} services");
--- a/crates/oriolering/src/config/shape.rs
+++ b/crates/oriolering/src/config/shape.rs
@@ -49,6 +49,30 @@
     settings.into_generator().into_root_schema_for::<T>()
 }
 
+/// Lets every field of a schema be left out or null, but for `services` and the services.
+pub(crate) fn relax(schema: &mut Value) {
+    let Some(object) = schema.as_object_mut() else {
+        return;
+    };
+    object.remove("required");
+    object.remove("default");
+    for inner in ["additionalProperties", "items"] {
+        if let Some(inner) = object.get_mut(inner) {
+            relax(inner);
+        }
+    }
+    let Some(fields) = object.get_mut("properties").and_then(Value::as_object_mut) else {
+        return;
+    };
+    for (key, field) in fields {
+        relax(field);
+        if key != "services" {
+            let inner = field.take();
+            *field = serde_json::json!({"anyOf": [inner, {"type": "null"}]});
+        }
+    }
+}
+
 impl Shape {
     /// Returns the shape of a type.
     pub(crate) fn of<T: JsonSchema>() -> Self {
--- a/crates/oriolering/tests/config.rs
+++ b/crates/oriolering/tests/config.rs
@@ -304,6 +304,22 @@
     assert!(Bundle::parse(&spaces).is_err());
 }
 
+#[rstest]
+#[case::services(
+    501,
+    0,
+    "base.jsonc:1:14: services is a list of 501 services; set it to at most 500"
+)]
+#[case::sites(1, 65, "bundle: overlays is a list of 65 sites; set it to at most 64")]
+#[case::most(500, 64, "none")]
+fn the_size_of_a_set_is_limited(#[case] services: u32, #[case] sites: u32, #[case] message: &str) {
+    let services: Vec<String> = (0..services).map(|i| format!("\"s{i}\": {{}}")).collect();
+    let base = format!("{{\"services\": {{{}}}}}", services.join(","));
+    let sites: Vec<String> = (0..sites).map(|i| format!("z{i}")).collect();
+    let overlays: Vec<(&str, &str)> = sites.iter().map(|site| (site.as_str(), "{}")).collect();
+    assert_eq!(problems(&base, &overlays), message);
+}
+
 #[test]
 fn problems_are_bounded() {
     let fields: Vec<String> = (0..60_000).map(|i| format!("\"f{i}\":1")).collect();
