Fail when the output cannot be written

Cause: a published file that was cut short by a full disk ended with exit code 0 or 1 by chance, and watching went on after its reader had gone; JSON was mixed with control codes while watching. Ruled out: treating a closed pipe as a failure, since a pager may end early. Change: exit code 1 with the cause when the output cannot be written, an end of watching when the reader has gone, plain JSON while watching, and the tests of the configuration only with its feature.

--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -16,7 +16,7 @@
 
 Exit codes:
   0  done
-  1  the set has problems
+  1  the set has problems, or the output cannot be written
   2  the command line is wrong
   3  a node could not be asked";
 
--- a/crates/ctl/src/failure.rs
+++ b/crates/ctl/src/failure.rs
@@ -5,8 +5,8 @@
 
 use snafu::Snafu;
 
-/// The exit code when a set has problems.
-const EXIT_PROBLEMS: u8 = 1;
+/// The exit code when a set has problems or the output cannot be written.
+pub(crate) const EXIT_PROBLEMS: u8 = 1;
 /// The exit code when the command line is wrong.
 const EXIT_USAGE: u8 = 2;
 /// The exit code when a node could not be asked.
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -17,21 +17,28 @@
 mod table;
 mod trace;
 
-use std::io::Write;
+use std::io::{self, ErrorKind, Write};
 use std::process::ExitCode;
 
 use clap::ArgMatches;
 
-use crate::failure::{Failure, UsageSnafu};
+use crate::failure::{EXIT_PROBLEMS, Failure, UsageSnafu};
 
 fn main() -> ExitCode {
     let matches = cli::command().get_matches();
-    match run(&matches) {
-        Ok(text) => print(&text),
-        Err(failure) => {
-            print(&failure.report());
-            eprint!("{}", failure.advice());
-            failure.exit_code()
+    let (text, advice, code) = match run(&matches) {
+        Ok(text) => (text, String::new(), ExitCode::SUCCESS),
+        Err(failure) => (failure.report(), failure.advice(), failure.exit_code()),
+    };
+    let printed = print(&text);
+    eprint!("{advice}");
+    match printed {
+        Ok(()) => code,
+        // A reader that went away early, such as a pager, is no failure.
+        Err(e) if e.kind() == ErrorKind::BrokenPipe => code,
+        Err(e) => {
+            eprintln!("error: the output cannot be written ({e}); write it elsewhere");
+            ExitCode::from(EXIT_PROBLEMS)
         }
     }
 }
@@ -63,12 +70,9 @@
     .fail()
 }
 
-/// Writes the output; a reader that went away early, such as a pager, is no failure.
-fn print(text: &str) -> ExitCode {
-    let mut out = std::io::stdout().lock();
-    match out.write_all(text.as_bytes()).and_then(|()| out.flush()) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(e) if e.kind() == std::io::ErrorKind::BrokenPipe => ExitCode::SUCCESS,
-        Err(_) => ExitCode::FAILURE,
-    }
+/// Writes to the standard output.
+fn print(text: &str) -> io::Result<()> {
+    let mut out = io::stdout().lock();
+    out.write_all(text.as_bytes())?;
+    out.flush()
 }
--- a/crates/ctl/src/status.rs
+++ b/crates/ctl/src/status.rs
@@ -61,12 +61,18 @@
         return once(args);
     };
     let count = args.get_one::<u64>("count").copied().unwrap_or(u64::MAX);
+    let clear = match Format::of(args) {
+        Format::Text => CLEAR,
+        Format::Json => "",
+    };
     for _ in 1..count {
         let text = once(args).unwrap_or_else(|failure| failure.report());
-        crate::print(&(CLEAR.to_owned() + &text));
+        if crate::print(&format!("{clear}{text}")).is_err() {
+            return Ok(String::new());
+        }
         thread::sleep(Duration::from_secs(*seconds));
     }
-    once(args).map(|text| CLEAR.to_owned() + &text)
+    once(args).map(|text| format!("{clear}{text}"))
 }
 
 fn once(args: &ArgMatches) -> Result<String, Failure> {
--- a/crates/ctl/tests/sessions/set_commands.rs
+++ b/crates/ctl/tests/sessions/set_commands.rs
@@ -95,3 +95,20 @@
         assert!(script.contains(command), "{command}");
     }
 }
+
+/// A published file is never cut short in silence.
+#[test]
+fn output_that_cannot_be_written_is_a_failure() {
+    let full = std::fs::OpenOptions::new()
+        .write(true)
+        .open("/dev/full")
+        .unwrap();
+    let status = std::process::Command::new(env!("CARGO_BIN_EXE_oriolering"))
+        .args(["bundle", "examples/rental"])
+        .current_dir(crate::common::root())
+        .stdout(full)
+        .stderr(std::process::Stdio::null())
+        .status()
+        .unwrap();
+    assert_eq!(status.code(), Some(1));
+}
--- a/crates/oriolering/tests/config.rs
+++ b/crates/oriolering/tests/config.rs
@@ -1,5 +1,7 @@
 //! Reading, merging and checking of sets.
 
+#![cfg(feature = "config")]
+
 use oriolering::config::{Bundle, MAX_BUNDLE_BYTES, Set};
 use rstest::rstest;
 
--- a/crates/oriolering/tests/config_arbitrary.rs
+++ b/crates/oriolering/tests/config_arbitrary.rs
@@ -1,5 +1,7 @@
 //! Sets of arbitrary content.
 
+#![cfg(feature = "config")]
+
 use oriolering::config::{Bundle, ProcessSettings, Set};
 use proptest::prelude::*;
 
--- a/crates/oriolering/tests/config_diff.rs
+++ b/crates/oriolering/tests/config_diff.rs
@@ -1,5 +1,7 @@
 //! Differences between sets by their effect.
 
+#![cfg(feature = "config")]
+
 use oriolering::config::{Bundle, Set, diff};
 
 const OLD: &str = r#"{
--- a/crates/oriolering/tests/config_process.rs
+++ b/crates/oriolering/tests/config_process.rs
@@ -1,5 +1,7 @@
 //! The settings of one process.
 
+#![cfg(feature = "config")]
+
 use oriolering::config::{LogLevel, ProcessSettings};
 use rstest::rstest;
 
