--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -6,6 +6,7 @@
 mod bound;
 mod call;
 mod caller;
+pub mod control_fleet;
 mod echo;
 mod fleet;
 mod history;
