--- a/crates/ctl/src/explain.rs
+++ b/crates/ctl/src/explain.rs
@@ -128,6 +128,7 @@
 
 fn candidate_row(c: &Candidate, is_chosen: bool) -> Vec<String> {
     let hint = c.hint.clone().unwrap_or_default();
+    let latency = c.latency_us.or(hint.latency_us);
     let local = c.local.map(|local| if local { "yes" } else { "no" });
     vec![
         if is_chosen { "*" } else { "" }.to_owned(),
@@ -139,7 +140,7 @@
         show(hint.running),
         show(hint.queued),
         show(hint.limit),
-        show(c.latency_us.or(hint.latency_us).map(micros)),
+        show(latency.filter(|us| *us > 0).map(micros)),
         show(c.age_ms.map(duration)),
         show(c.reason.as_ref()),
     ]
--- a/crates/ctl/src/status.rs
+++ b/crates/ctl/src/status.rs
@@ -141,7 +141,7 @@
         show(gate.running),
         show(gate.queued),
         show(gate.limit),
-        show(gate.latency_us.map(micros)),
+        show(gate.latency_us.filter(|us| *us > 0).map(micros)),
         show(r.budget.as_ref().and_then(budget)),
         show(control.budget_percent.map(|left| format!("{left} %"))),
         show(control.cpu_percent.map(|cpu| format!("{cpu:.1} %"))),
--- a/crates/oriolering/tests/config_arbitrary.rs
+++ b/crates/oriolering/tests/config_arbitrary.rs
@@ -2,7 +2,7 @@
 
 #![cfg(feature = "config")]
 
-use oriolering::config::{Bundle, ProcessSettings, Set};
+use oriolering::config::{Bundle, ProcessSettings, Set, diff};
 use proptest::prelude::*;
 
 /// A text that comes near to a set: JSON punctuation, real names and stray bytes.
@@ -127,4 +127,20 @@
             }
         }
     }
+
+    /// A difference is reported exactly when the settings of some site differ.
+    #[test]
+    fn differences_are_those_of_the_effective_settings(
+        old in prop::collection::vec(overlay(), 0..3),
+        new in prop::collection::vec(overlay(), 0..3),
+    ) {
+        let base = "{\"services\": {\"rack\": {}, \"caja\": {}}}";
+        if let (Ok(old), Ok(new)) = (Set::parse(&set(base, &old)), Set::parse(&set(base, &new))) {
+            let sites = || old.sites().chain(new.sites());
+            let differs = sites().any(|site| old.site(site) != new.site(site));
+            prop_assert_eq!(diff(&old, &new).is_empty(), !differs);
+            prop_assert!(diff(&old, &old).is_empty());
+            prop_assert_eq!(diff(&old, &new).len(), diff(&new, &old).len());
+        }
+    }
 }
