Take plain lists of a schema for choices as well

Cause: a choice whose variants lost their descriptions would be accepted as any text. Ruled out: relying on the descriptions, which only the linter requires. Change: both forms of a choice are read, and a test that every field has limits, a unit where it is a number, a default and a description.

--- a/crates/oriolering/src/config/shape.rs
+++ b/crates/oriolering/src/config/shape.rs
@@ -186,9 +186,13 @@
     }
 }
 
-/// Returns the texts among which a value is chosen.
+/// Returns the texts among which a value is chosen: constants with a description each, or a
+/// plain list.
 fn scan_choices(schema: &Value) -> Option<Vec<CompactString>> {
-    let described = schema["oneOf"].as_array();
-    let names = described.map(|all| all.iter().filter_map(|one| one["const"].as_str()));
-    names.map(|names| names.map(CompactString::from).collect())
+    let described = schema["oneOf"].as_array().into_iter().flatten();
+    let described = described.filter_map(|one| one["const"].as_str());
+    let listed = schema["enum"].as_array().into_iter().flatten();
+    let names = described.chain(listed.filter_map(Value::as_str));
+    let names: Vec<CompactString> = names.map(CompactString::from).collect();
+    (!names.is_empty()).then_some(names)
 }
--- a/crates/oriolering/tests/config.rs
+++ b/crates/oriolering/tests/config.rs
@@ -373,3 +373,18 @@
         assert!(!service.shed.not_run, "{}", service.name);
     }
 }
+
+#[test]
+fn every_field_is_described_and_limited() {
+    for field in Set::fields() {
+        assert!(!field.effect.is_empty(), "{}", field.path);
+        assert!(!field.default.is_empty(), "{}", field.path);
+        assert_ne!(field.limits, "a text", "{}", field.path);
+        assert_eq!(
+            field.kind == "whole number",
+            !field.unit.is_empty(),
+            "{}",
+            field.path
+        );
+    }
+}
