Try a connection again that a dying backend server accepted

Cause: of three backend servers that died of one request, two deaths were noticed. A process that is ending may still accept a connection and reset it; the probe took the accepted connection for life. A close alone is not taken for a death, as a backend server at its limit of connections may do the same. Change: a connection that does not stay open for 20 ms is tried again, up to three times. More causes are being sought.

--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -11,6 +11,8 @@
 use crate::state::Node;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
+const CONNECT_TRIES: u32 = 3;
+const OPEN_TIME: Duration = Duration::from_millis(20);
 const RETRY_INTERVAL: Duration = Duration::from_millis(100);
 
 /// What is known of the local backend server.
@@ -57,10 +59,26 @@
     log::info!("backend server accepts connections again; the limit ramps up");
 }
 
-/// Returns whether the address accepts a connection; only a refusal counts as a death.
+/// Returns whether the address accepts connections; only a refusal counts as a death.
+///
+/// A process that is ending may still accept for a moment, and resets what it accepted; so a
+/// connection that does not stay open is tried again.
 async fn accepts(address: SocketAddr) -> bool {
-    match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
-        Ok(Err(error)) => error.kind() != ErrorKind::ConnectionRefused,
+    for _ in 0..CONNECT_TRIES {
+        match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
+            Ok(Err(error)) => return error.kind() != ErrorKind::ConnectionRefused,
+            Ok(Ok(stream)) if stays_open(&stream).await => return true,
+            Ok(Ok(_)) => {}
+            Err(_) => return true,
+        }
+    }
+    true
+}
+
+async fn stays_open(stream: &TcpStream) -> bool {
+    let mut byte = [0];
+    match timeout(OPEN_TIME, stream.peek(&mut byte)).await {
+        Ok(Ok(0) | Err(_)) => false,
         Ok(Ok(_)) | Err(_) => true,
     }
 }
