Notice a pause by overdue answers instead of by the age of each request

The list of send times matched an answer to the request of the nearest age, so a latency that was not taken at the very end, a cancelled or a refused request left an old entry behind, and that backend server looked late for good. Change: no list. With n requests in flight an answer is expected each typical latency / n; each overdue one beyond two counts as a request in flight. choice_bench passes the latency up to the end that the ingress sees.

--- a/crates/oriolering/examples/choice_bench/run.rs
+++ b/crates/oriolering/examples/choice_bench/run.rs
@@ -265,6 +265,12 @@
             idempotent,
             ..
         } = self.requests[request];
+        let latency_us = now - self.tries[t].sent;
+        let end = match end {
+            Attempt::Served { .. } => Attempt::Served { latency_us },
+            Attempt::Failed { .. } => Attempt::Failed { latency_us },
+            Attempt::Refused | Attempt::Silent | Attempt::Cancelled => end,
+        };
         let key = ServerKey(server as u32);
         let ms = Millis(now / 1000);
         self.choosers[ingress].hint(ms, key, hint);
--- a/crates/oriolering/src/adaptive.rs
+++ b/crates/oriolering/src/adaptive.rs
@@ -11,8 +11,6 @@
 
 /// How many times the typical latency still counts as typical.
 const SAME_RATIO: f64 = 1.5;
-/// What a request in flight counts more for each typical latency that it is late.
-const LATE_WEIGHT: f64 = 0.5;
 /// The share of the slots up to which the own availability zone is preferred.
 const LOCAL_SHARE: f64 = 0.6;
 
@@ -61,7 +59,7 @@
 
     /// Returns the estimated requests at a backend server.
     pub(crate) fn load(&self, server: &Server) -> f64 {
-        f64::from(server.inflight()) + server.others(self.now, self.typical.others)
+        f64::from(server.inflight) + server.others(self.now, self.typical.others)
     }
 
     pub(crate) fn is_local(&self, server: &Server) -> bool {
@@ -77,7 +75,7 @@
         let mut load = 0.0;
         let mut slots = 0.0;
         for server in some.iter().map(|&i| &self.servers[i]) {
-            load += f64::from(server.inflight()) + server.others(self.now, mean).max(mean);
+            load += f64::from(server.inflight) + server.others(self.now, mean).max(mean);
             slots += f64::from(server.limit()) * self.share(server);
         }
         load < slots * LOCAL_SHARE
@@ -119,8 +117,8 @@
     }
 
     fn cost(&self, server: &Server) -> f64 {
-        let own = f64::from(server.inflight());
-        let late = LATE_WEIGHT * self.typical.lateness(self.now, server);
+        let own = f64::from(server.inflight);
+        let late = self.typical.overdue(self.now, server);
         let slots = f64::from(server.limit()) * self.share(server);
         let slowness = (self.typical.slowness(self.now, server) / SAME_RATIO).max(1.0);
         (own + late + self.excess(server) + 1.0) / slots * slowness
--- a/crates/oriolering/src/attempt.rs
+++ b/crates/oriolering/src/attempt.rs
@@ -5,12 +5,12 @@
 pub enum Attempt {
     /// The backend server answered well.
     Served {
-        /// The time from sending to the answer, in microseconds.
+        /// The time from the pick to the answer, in microseconds.
         latency_us: u64,
     },
     /// The backend server answered with an error or broke the answer off.
     Failed {
-        /// The time from sending to the failure, in microseconds.
+        /// The time from the pick to the failure, in microseconds.
         latency_us: u64,
     },
     /// The gate refused the request as not run.
--- a/crates/oriolering/src/choice.rs
+++ b/crates/oriolering/src/choice.rs
@@ -45,7 +45,7 @@
                 None => self.servers.push(Server::new(now, candidate)),
             }
         }
-        self.servers.retain(|s| !s.gone || s.inflight() > 0);
+        self.servers.retain(|s| !s.gone || s.inflight > 0);
         let live: Vec<Candidate> = candidates.iter().copied().filter(|c| !c.leaving).collect();
         let ChoiceSettings {
             node, zone, subset, ..
@@ -111,7 +111,7 @@
             server.finish(now, result);
             judge(server, now, picks, ramp, &typical, result);
         }
-        self.servers.retain(|s| !s.gone || s.inflight() > 0);
+        self.servers.retain(|s| !s.gone || s.inflight > 0);
     }
 
     /// Returns what is known of each backend server and why it would be chosen or not.
@@ -131,7 +131,7 @@
     }
 
     fn pick_least(&self, rng: &mut impl Rng, open: &[usize]) -> Option<usize> {
-        pick_lowest(rng, open, |i| f64::from(self.servers[i].inflight()))
+        pick_lowest(rng, open, |i| f64::from(self.servers[i].inflight))
     }
 }
 
--- a/crates/oriolering/src/explain.rs
+++ b/crates/oriolering/src/explain.rs
@@ -60,7 +60,7 @@
         subset: server.used,
         zone: server.candidate.zone,
         local: view.is_local(server),
-        inflight: server.inflight(),
+        inflight: server.inflight,
         hint: server.heard.map(|heard| heard.hint),
         age_ms: server.heard.map(|heard| view.now.since(heard.at)),
         latency_us: server.latency.map(|us| us as u64),
--- a/crates/oriolering/src/pool.rs
+++ b/crates/oriolering/src/pool.rs
@@ -1,7 +1,5 @@
 //! What one ingress knows of each backend server of a service.
 
-use std::collections::VecDeque;
-
 use crate::attempt::Attempt;
 use crate::clock::Millis;
 use crate::keys::{ServerKey, ZoneKey};
@@ -71,8 +69,10 @@
     backoff: u64,
     /// The number of the last pick that chose it.
     pub(crate) last: u64,
-    /// The send times of the requests in flight, oldest first.
-    sent: VecDeque<Millis>,
+    /// The requests in flight from this ingress.
+    pub(crate) inflight: u32,
+    /// When one of them last ended, or the first was sent.
+    progress: Millis,
 }
 
 impl Server {
@@ -90,7 +90,8 @@
             rest: now,
             backoff: MIN_REST_MS,
             last: 0,
-            sent: VecDeque::new(),
+            inflight: 0,
+            progress: now,
         }
     }
 
@@ -107,10 +108,6 @@
         self.gone = false;
     }
 
-    pub(crate) fn inflight(&self) -> u32 {
-        self.sent.len() as u32
-    }
-
     pub(crate) fn limit(&self) -> u32 {
         let heard = self.heard.map(|heard| heard.hint.limit);
         heard.filter(|&limit| limit > 0).unwrap_or(DEFAULT_LIMIT)
@@ -122,12 +119,15 @@
     }
 
     pub(crate) fn start(&mut self, now: Millis) {
-        self.sent.push_back(now);
+        if self.inflight == 0 {
+            self.progress = now;
+        }
+        self.inflight += 1;
     }
 
     pub(crate) fn hear(&mut self, now: Millis, hint: LoadHint) {
         let total = hint.running.saturating_add(hint.queued);
-        let others = total.saturating_sub(self.inflight());
+        let others = total.saturating_sub(self.inflight);
         self.heard = Some(Heard {
             at: now,
             hint,
@@ -136,31 +136,28 @@
     }
 
     pub(crate) fn finish(&mut self, now: Millis, result: Attempt) {
+        self.inflight = self.inflight.saturating_sub(1);
         match result {
             Attempt::Served { latency_us } => {
-                self.forget_sent(now, latency_us / 1000);
                 self.failures *= 1.0 - FAILURE_WEIGHT;
                 self.learn_latency(latency_us as f64);
                 self.answered = now;
                 self.rest = now;
                 self.backoff = MIN_REST_MS;
             }
-            Attempt::Failed { latency_us } => {
-                self.forget_sent(now, latency_us / 1000);
+            Attempt::Failed { .. } => {
                 self.failures += (1.0 - self.failures) * FAILURE_WEIGHT;
             }
             Attempt::Silent => {
-                self.sent.pop_front();
                 self.failures += (1.0 - self.failures) * SILENCE_WEIGHT;
+                return;
             }
             Attempt::Refused => {
-                self.sent.pop_back();
                 self.back_off(now);
             }
-            Attempt::Cancelled => {
-                self.sent.pop_back();
-            }
+            Attempt::Cancelled => return,
         }
+        self.progress = now;
     }
 
     /// Returns the requests there of other ingresses, given their mean over all servers.
@@ -176,11 +173,13 @@
         weight * f64::from(heard.others) + (1.0 - weight) * mean
     }
 
-    /// Returns the sum over the requests in flight of how many times `typical` milliseconds
-    /// each is late.
-    pub(crate) fn lateness(&self, now: Millis, typical: f64) -> f64 {
-        let late = |&sent: &Millis| (now.since(sent) as f64 / typical - 1.0).max(0.0);
-        self.sent.iter().map(late).sum()
+    /// Returns the milliseconds for which requests have been in flight without any end.
+    pub(crate) fn silence(&self, now: Millis) -> u64 {
+        if self.inflight == 0 {
+            0
+        } else {
+            now.since(self.progress)
+        }
     }
 
     /// Forgets what made it a suspect.
@@ -217,12 +216,4 @@
             None => latency,
         });
     }
-
-    /// Drops the send time nearest to `age` milliseconds ago.
-    fn forget_sent(&mut self, now: Millis, age: u64) {
-        let nearest = (0..self.sent.len()).min_by_key(|&i| now.since(self.sent[i]).abs_diff(age));
-        if let Some(i) = nearest {
-            self.sent.remove(i);
-        }
-    }
 }
--- a/crates/oriolering/src/typical.rs
+++ b/crates/oriolering/src/typical.rs
@@ -11,6 +11,8 @@
 const REPORT_RATIO: f64 = 3.0;
 /// How many times the typical latency an answer of a suspect may take to count as good.
 const GOOD_RATIO: f64 = 2.0;
+/// How many answers may be overdue by chance.
+const USUAL_OVERDUE: f64 = 2.0;
 /// The time in which a slow answer fades, in milliseconds.
 const FADE_MS: f64 = 1000.0;
 /// How far the share of failures must lie above the typical one to make a suspect.
@@ -36,7 +38,7 @@
         let used = || servers.iter().filter(|s| s.used);
         let heard = || used().filter_map(|s| s.heard);
         Self {
-            own: mean(used().map(|s| f64::from(s.inflight()))),
+            own: mean(used().map(|s| f64::from(s.inflight))),
             others: mean(heard().map(|h| f64::from(h.others))),
             latency: median(used().filter_map(|s| s.latency)),
             reported: median(heard().map(|h| f64::from(h.hint.latency_us))),
@@ -78,12 +80,17 @@
         }
     }
 
-    /// Returns how late the requests in flight are, in typical latencies.
-    pub(crate) fn lateness(&self, now: Millis, server: &Server) -> f64 {
-        match self.latency {
-            Some(latency) if latency > 0.0 => server.lateness(now, latency / 1000.0),
-            Some(_) | None => 0.0,
-        }
+    /// Returns how many answers of a backend server are overdue.
+    ///
+    /// With some requests in flight an answer is expected in the typical latency divided by
+    /// their number. A longer silence tells of a pause long before any single request is late.
+    pub(crate) fn overdue(&self, now: Millis, server: &Server) -> f64 {
+        let Some(latency) = self.latency.filter(|&latency| latency > 0.0) else {
+            return 0.0;
+        };
+        let silence_us = server.silence(now) as f64 * 1000.0;
+        let expected = silence_us * f64::from(server.inflight) / latency;
+        (expected - USUAL_OVERDUE).max(0.0)
     }
 
     fn reports_slow(&self, server: &Server) -> bool {
--- a/crates/oriolering/tests/choice.rs
+++ b/crates/oriolering/tests/choice.rs
@@ -214,6 +214,39 @@
     assert_eq!(class_of(&chooser, Millis(1000), 0), Class::Cold);
 }
 
+#[test]
+fn silence_of_one_turns_requests_to_the_others() {
+    let mut chooser = chooser(Policy::Adaptive, &candidates(2));
+    drive(&mut chooser, 0, 100, |_| SERVED);
+    let mut rng = rng();
+    for _ in 0..4 {
+        chooser.pick(Millis(100), &mut rng, &[]);
+    }
+    chooser.finish(Millis(130), ServerKey(1), SERVED);
+    for _ in 0..4 {
+        assert_eq!(chooser.pick(Millis(130), &mut rng, &[]), Some(ServerKey(1)));
+    }
+}
+
+#[test]
+fn cancelled_requests_leave_nothing_behind() {
+    let mut chooser = chooser(Policy::Adaptive, &candidates(2));
+    let mut rng = rng();
+    for ms in 0..1000 {
+        let now = Millis(ms);
+        chooser.pick(now, &mut rng, &[]);
+        let server = chooser.pick(now, &mut rng, &[]).expect("two are open");
+        chooser.finish(now, server, Attempt::Cancelled);
+        if ms % 2 == 1 {
+            for i in 0..2 {
+                chooser.finish(now, ServerKey(i), SERVED);
+            }
+        }
+    }
+    let counts = drive(&mut chooser, 1000, 2000, |_| SERVED);
+    assert!(counts[0].abs_diff(counts[1]) <= 10, "{counts:?}");
+}
+
 #[test]
 fn fast_failures_do_not_attract_requests() {
     let mut chooser = chooser(Policy::Adaptive, &candidates(5));
