--- a/crates/node/src/control/server.rs
+++ b/crates/node/src/control/server.rs
@@ -20,7 +20,7 @@
 use super::message::{
     ANSWER_BYTES, Beat, Content, DIGESTS_MAX, FRAME_BYTES, Kind, Manifest, Peer, Refused,
 };
-use super::state::Shared;
+use super::state::{Guest, Shared};
 use super::usage::Counted;
 
 /// Connections that are served at once.
@@ -150,9 +150,14 @@
         fence: bool,
     ) -> Result<Fate, Refused> {
         self.shared.usage.message();
+        let guest = Guest {
+            id: from,
+            ip: self.ip,
+            grant: id.grant,
+        };
         let mut state = self.shared.state();
-        let known = state.roster.admit(&from, self.ip).is_some();
-        if !known && !state.is_guest(&from, self.ip) {
+        let known = state.roster.admit(&guest.id, self.ip).is_some();
+        if !known && !state.guests.contains(&guest) {
             state.counts.strangers += 1;
             return Err(Refused::Stranger);
         }
@@ -165,11 +170,19 @@
         let now = self.shared.clock.now();
         let mut state = self.shared.state();
         let known = state.roster.admit(&from, self.ip).is_some();
-        if !known && !state.admit_guest(now, &from, self.ip) {
+        if !known && !state.opens.take(now, 1) {
             state.counts.strangers += 1;
             return Err(Refused::Stranger);
         }
         drop(state);
-        Ok((self.shared.hooks.open)())
+        let grant = (self.shared.hooks.open)();
+        if !known {
+            self.shared.state().add_guest(Guest {
+                id: from,
+                ip: self.ip,
+                grant,
+            });
+        }
+        Ok(grant)
     }
 }
--- a/crates/node/src/control/start.rs
+++ b/crates/node/src/control/start.rs
@@ -27,7 +27,9 @@
 
 /// How often the use of the processor and of the network is debited.
 const METER_MS: u64 = 1_000;
-/// How often the members are handed on after changes.
+/// How often the runtime checks its own thread; nothing here asks for the result.
+const PING_MS: usize = 3_600_000;
+/// How long changes of members are collected before they are handed on.
 const MEMBERS_MS: u64 = 50;
 
 type Commands = mpsc::UnboundedReceiver<Command>;
@@ -59,7 +61,10 @@
 }
 
 fn run(shared: Arc<Shared>, listener: TcpListener, commands: Commands) {
-    let system = System::build().name("control").ping_interval(0).finish();
+    let system = System::build()
+        .name("control")
+        .ping_interval(PING_MS)
+        .finish();
     let stopped = system.block_on(serve(shared, listener, commands));
     if let Some(stopped) = stopped {
         let _ = stopped.send(());
@@ -164,6 +169,7 @@
 /// Hands the members on after each change.
 async fn run_members(shared: Arc<Shared>) {
     loop {
+        shared.heard.notified().await;
         sleep(Duration::from_millis(MEMBERS_MS)).await;
         let changed: Option<Arc<[Member]>> = shared.state().roster.take_changed();
         if let Some(members) = changed {
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -7,7 +7,7 @@
 
 use compact_str::CompactString;
 use oriolering::{
-    Bucket, Clock, ControlBudget, Document, Head, Incarnation, Member, MemberNote, Millis,
+    Bucket, Clock, ControlBudget, Document, Grant, Head, Incarnation, Member, MemberNote, Millis,
     QuarantineEntry, Relay, Roster, Spread, Standing, Work, is_reader,
 };
 use parking_lot::{Mutex, MutexGuard};
@@ -37,6 +37,14 @@
 /// A newer value that a peer holds.
 pub(crate) type Offer = (Head, SocketAddr);
 
+/// A stranger with the session that it opened here.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Guest {
+    pub(crate) id: CompactString,
+    pub(crate) ip: IpAddr,
+    pub(crate) grant: Grant,
+}
+
 /// The state behind the lock.
 pub(crate) struct State {
     pub(crate) relays: [Relay; 2],
@@ -46,7 +54,7 @@
     pub(crate) roster: Roster,
     pub(crate) spread: Spread,
     pub(crate) budget: ControlBudget,
-    pub(crate) guests: VecDeque<(CompactString, IpAddr)>,
+    pub(crate) guests: VecDeque<Guest>,
     pub(crate) opens: Bucket,
     pub(crate) news: Vec<MemberNote>,
     pub(crate) fresh: bool,
@@ -65,6 +73,7 @@
     pub(crate) incarnation: Incarnation,
     pub(crate) offered: [Notify; 2],
     pub(crate) flush: Notify,
+    pub(crate) heard: Notify,
     pub(crate) changed: watch::Sender<u64>,
     pub(crate) left: AtomicBool,
     state: Mutex<State>,
@@ -100,6 +109,7 @@
             incarnation,
             offered: [Notify::new(), Notify::new()],
             flush: Notify::new(),
+            heard: Notify::new(),
             changed: watch::Sender::new(0),
             left: AtomicBool::new(false),
             state: Mutex::new(state),
@@ -134,6 +144,7 @@
         state.roster.hear(self.clock.now(), &note);
         state.news.push(note);
         drop(state);
+        self.heard.notify_one();
         self.flush.notify_one();
     }
 
@@ -197,6 +208,7 @@
         state.fresh |= !fresh.is_empty();
         let urgent = !state.news.is_empty() || state.fresh;
         drop(state);
+        self.heard.notify_one();
         if urgent {
             self.flush.notify_one();
         }
@@ -235,6 +247,7 @@
             (self.hooks.configured)(value);
         }
         self.changed.send_modify(|version| *version += 1);
+        self.heard.notify_one();
         self.flush.notify_one();
         true
     }
@@ -332,22 +345,11 @@
         }
     }
 
-    /// Returns whether a stranger may open a session, and remembers it.
-    pub(crate) fn admit_guest(&mut self, now: Millis, id: &CompactString, ip: IpAddr) -> bool {
-        if !self.opens.take(now, 1) {
-            return false;
-        }
+    /// Remembers that a stranger holds `grant`.
+    pub(crate) fn add_guest(&mut self, guest: Guest) {
         if self.guests.len() >= GUESTS_MAX {
             self.guests.pop_front();
         }
-        self.guests.push_back((id.clone(), ip));
-        true
-    }
-
-    /// Returns whether a stranger opened a session here.
-    pub(crate) fn is_guest(&self, id: &CompactString, ip: IpAddr) -> bool {
-        self.guests
-            .iter()
-            .any(|guest| guest.0 == *id && guest.1 == ip)
+        self.guests.push_back(guest);
     }
 }
