Test a start of all nodes at once and two contents of one revision

Cause: the bound on reads at a start of the whole fleet and the rule for equal revisions with different content were not proved over real connections. Ruled out: one service for both nodes, by which the second node takes the first one's content before it reads its own. Change: two tests; the measuring program reports the least bytes of a node too.

--- a/crates/bench/examples/fleet.rs
+++ b/crates/bench/examples/fleet.rs
@@ -14,6 +14,8 @@
 /// The time after which every watch from before a cut has ended.
 const WATCH: Duration = Duration::from_secs(26);
 const CHANGES: u64 = 10;
+/// The time between two changes: thirteen times as often as 1,300 a day.
+const GAP: Duration = Duration::from_secs(5);
 const PAGE_BYTES: u64 = 4096;
 
 fn main() -> io::Result<()> {
@@ -120,16 +122,16 @@
         row.add("idle reads/s", count as f64 / self.window.as_secs_f64());
     }
 
-    /// Publishes one change of a field each second.
+    /// Publishes one change of a field every few seconds.
     async fn measure_changes(&self, fleet: &Fleet, row: &mut Row) {
         let before = Used::of(fleet);
         let mut times = Vec::new();
         for edit in 1..=CHANGES {
-            let next = tokio::time::Instant::now() + Duration::from_secs(1);
+            let next = tokio::time::Instant::now() + GAP;
             times.extend(fleet.publish(self.value(edit), LIMIT).await);
             tokio::time::sleep_until(next).await;
         }
-        row.rates("1 change/s", &before, &Used::of(fleet));
+        row.rates("changes", &before, &Used::of(fleet));
         times.sort_by_key(|time| time.unwrap_or(Duration::MAX));
         row.times("one field", &times);
     }
@@ -252,27 +254,30 @@
         let cpu = rates(&before.cpu_us, &after.cpu_us);
         let bytes = rates(&before.bytes, &after.bytes);
         let messages = rates(&before.messages, &after.messages);
-        let names: [&'static str; 5] = match name {
+        let names: [&'static str; 6] = match name {
             "idle" => [
                 "idle CPU us/s mean",
                 "idle CPU us/s max",
+                "idle B/s min",
                 "idle B/s mean",
                 "idle B/s max",
                 "idle msg/s mean",
             ],
             _ => [
-                "1/s CPU us/s mean",
-                "1/s CPU us/s max",
-                "1/s B/s mean",
-                "1/s B/s max",
-                "1/s msg/s mean",
+                "changes CPU us/s mean",
+                "changes CPU us/s max",
+                "changes B/s min",
+                "changes B/s mean",
+                "changes B/s max",
+                "changes msg/s mean",
             ],
         };
         self.add(names[0], mean(&cpu));
         self.add(names[1], last(&cpu));
-        self.add(names[2], mean(&bytes));
-        self.add(names[3], last(&bytes));
-        self.add(names[4], mean(&messages));
+        self.add(names[2], bytes.first().copied().unwrap_or(f64::NAN));
+        self.add(names[3], mean(&bytes));
+        self.add(names[4], last(&bytes));
+        self.add(names[5], mean(&messages));
     }
 }
 
--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -320,7 +320,12 @@
     value.map(|_| ()).map_err(|error| error.to_string())
 }
 
-fn serve(platform: Platform, listener: TcpListener) -> io::Result<()> {
+/// Runs a stand-in on a thread of its own.
+///
+/// # Errors
+///
+/// Returns an error when the thread cannot be started.
+pub fn serve(platform: Platform, listener: TcpListener) -> io::Result<()> {
     thread::Builder::new()
         .name("platform".to_owned())
         .spawn(move || ntex::rt::System::new("platform").block_on(platform.serve(listener)))?;
--- a/crates/bench/tests/control.rs
+++ b/crates/bench/tests/control.rs
@@ -1,10 +1,13 @@
 //! The control parts of a small fleet over real connections.
 
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use oriolering::{CallId, Fate, Grant, Incarnation, QuarantineEntry};
-use oriolering_bench::fleet::{Fleet, INVALID, Node, Shape, bundle, list};
-use oriolering_bench::platform::{Mode, Scope, Switch};
+use oriolering_bench::fleet::{self, Fleet, INVALID, Node, Shape, bundle, list};
+use oriolering_bench::platform::{Mode, Platform, Scope, Switch};
 use oriolering_node::control::ControlSettings;
 
 const WATCH_MS: u64 = 300;
@@ -240,3 +243,58 @@
     assert_eq!(*gate.record.fenced.lock(), [9]);
     fleet.stop().await;
 }
+
+#[tokio::test]
+async fn a_fleet_that_starts_at_once_reads_each_value_a_few_times() {
+    let shape = Shape {
+        nodes: 24,
+        zones: 4,
+        services: 3,
+        tune: |settings| settings.start_ms = 50,
+    };
+    let fleet = Fleet::start(shape).unwrap();
+    fleet.publish(bundle(3, 20_000, 1), LIMIT).await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let reads = fleet.platform.reads();
+    assert!(reads.instances <= 24 + 12, "{reads:?}");
+    assert!(reads.config <= 24 + 12, "{reads:?}");
+    fleet.stop().await;
+}
+
+#[tokio::test]
+async fn two_contents_of_one_revision_are_counted_and_kept() {
+    static OTHER: OnceLock<SocketAddr> = OnceLock::new();
+    static JOINED: AtomicBool = AtomicBool::new(false);
+    let other = Platform::new(0);
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    OTHER.set(listener.local_addr().unwrap()).unwrap();
+    fleet::serve(other.clone(), listener).unwrap();
+    let shape = Shape {
+        nodes: 2,
+        zones: 2,
+        services: 1,
+        tune: |settings| {
+            tune(settings);
+            if settings.me.id == "node-1" {
+                settings.platform = OTHER.get().copied().unwrap();
+            }
+            let platform = settings.platform;
+            settings.reach = Some(Arc::new(move |to| {
+                to == platform || JOINED.load(Ordering::Relaxed)
+            }));
+        },
+    };
+    let fleet = Fleet::start(shape).unwrap();
+    let members: Vec<_> = fleet.nodes.iter().map(|node| node.member.clone()).collect();
+    other.list(list(&members));
+    fleet.platform.publish(bundle(1, 20_000, 1));
+    other.publish(bundle(1, 20_000, 2));
+    assert!(fleet.until(LIMIT, |node| node.in_force(1).is_some()).await);
+    JOINED.store(true, Ordering::Relaxed);
+    let counted = |node: &Node| node.handle.status().ignored.conflicts > 0;
+    assert!(fleet.until(LIMIT, counted).await);
+    for node in &fleet.nodes {
+        assert_eq!(node.record.configured.lock().len(), 1);
+    }
+    fleet.stop().await;
+}
