Let an empty node ask its peers before it believes the service

Cause: a new node that read a stale service put the older value in force and then the newer one of its peers: seen at the first node of the new test, with revisions 1 and 2 in force 23 ms and 4 ms apart. Change: an empty node that knows peers takes nothing from the service until one of three answered or three rounds failed, and nothing below what a peer offers; without a list of instances it waits half of its longest wait at least.

--- a/crates/bench/examples/fleet.rs
+++ b/crates/bench/examples/fleet.rs
@@ -143,6 +143,7 @@
             mode,
             delay_ms: 0,
             scope: Scope::Config,
+            behind: 0,
         };
         fleet.platform.switch(switch(Mode::Stale));
         let held = fleet.nodes[0].handle.status().revision;
--- a/crates/bench/src/platform.rs
+++ b/crates/bench/src/platform.rs
@@ -28,7 +28,7 @@
     Up,
     /// Answers 503.
     Down,
-    /// Keeps serving what was newest when this mode was set.
+    /// Keeps serving what was newest when this mode was set, or a value before it.
     Stale,
     /// Serves the newest value and the one before in turn, whatever the reader holds.
     Flap,
@@ -58,6 +58,9 @@
     /// What it is set for.
     #[serde(default)]
     pub scope: Scope,
+    /// How many revisions behind the newest a stale value lies.
+    #[serde(default)]
+    pub behind: usize,
 }
 
 /// The reads so far, a watch as one.
@@ -99,7 +102,7 @@
     fn switch(&mut self, switch: Switch) {
         self.mode = switch.mode;
         self.delay_ms = switch.delay_ms;
-        self.frozen = self.history.last().cloned();
+        self.frozen = self.history.iter().rev().nth(switch.behind).cloned();
     }
 
     /// Returns the answer for a reader that holds `after`, or `None` when it has to wait.
--- a/crates/bench/tests/control.rs
+++ b/crates/bench/tests/control.rs
@@ -9,6 +9,7 @@
 use oriolering_bench::fleet::{self, Fleet, INVALID, Node, Shape, bundle, list};
 use oriolering_bench::platform::{Mode, Platform, Scope, Switch};
 use oriolering_node::control::ControlSettings;
+use rstest::rstest;
 
 const WATCH_MS: u64 = 300;
 const LIMIT: Duration = Duration::from_secs(9);
@@ -35,12 +36,17 @@
         mode,
         delay_ms: 0,
         scope: Scope::All,
+        behind: 0,
     }
 }
 
+#[rstest]
+#[case::alone(1)]
+#[case::pair(2)]
+#[case::today(13)]
 #[tokio::test]
-async fn every_node_takes_a_change() {
-    let fleet = fleet(13);
+async fn every_node_takes_a_change(#[case] nodes: usize) {
+    let fleet = fleet(nodes);
     for edit in 0..3 {
         let times = fleet.publish(bundle(3, 20_000, edit), LIMIT).await;
         assert!(times.iter().all(Option::is_some), "{times:?}");
@@ -298,3 +304,22 @@
     }
     fleet.stop().await;
 }
+
+#[tokio::test]
+async fn a_new_node_puts_nothing_older_in_force_than_its_peers_hold() {
+    let mut fleet = fleet(13);
+    fleet.publish(bundle(3, 20_000, 1), LIMIT).await;
+    fleet.publish(bundle(3, 20_000, 2), LIMIT).await;
+    fleet.platform.switch(Switch {
+        scope: Scope::Config,
+        behind: 1,
+        ..switch(Mode::Stale)
+    });
+    for ix in 0..13 {
+        fleet.replace(ix).await.unwrap();
+        assert!(fleet.until(LIMIT, |node| node.in_force(2).is_some()).await);
+        let revisions = fleet.nodes[ix].record.configured.lock().clone();
+        assert_eq!(revisions[0].0, 2, "{revisions:?}");
+    }
+    fleet.stop().await;
+}
--- a/crates/node/src/control/gossip.rs
+++ b/crates/node/src/control/gossip.rs
@@ -2,8 +2,10 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use futures_util::future::join_all;
 use oriolering::Work;
 use rand::Rng;
 use rand::seq::IndexedRandom;
@@ -18,6 +20,8 @@
 const COLLECT_MS: u64 = 20;
 /// The peers that a node asks as soon as it knows some.
 const FIRST_PEERS: usize = 3;
+/// How often a node asks its first peers when none of them answers.
+const ASK_ROUNDS: usize = 3;
 /// How often a node without peers looks for them.
 const LONELY_MS: u64 = 100;
 /// The mean time between exchanges when the budget is low, as a multiple.
@@ -25,9 +29,14 @@
 
 /// Exchanges beats with a random peer time and again.
 pub(crate) async fn run_sync(shared: Arc<Shared>) {
-    while !first(&shared).await {
-        sleep(Duration::from_millis(LONELY_MS)).await;
+    for _ in 0..ASK_ROUNDS {
+        find_peers(&shared).await;
+        if ask(&shared).await {
+            break;
+        }
     }
+    shared.asked.store(true, Ordering::Relaxed);
+    shared.changed.send_modify(|version| *version += 1);
     loop {
         let mean = shared.settings.sync_ms;
         let ms = rand::rng().random_range(mean / 2..=mean + mean / 2);
@@ -43,29 +52,35 @@
     }
 }
 
-/// Asks several peers at once; returns whether the list of instances named any.
-async fn first(shared: &Arc<Shared>) -> bool {
-    let peers = shared.state().roster.peers(FIRST_PEERS, &mut rand::rng());
-    if peers.is_empty() {
+/// Waits until the list of instances names peers, and asks the seeds for it meanwhile.
+async fn find_peers(shared: &Shared) {
+    while shared.state().roster.peers(1, &mut rand::rng()).is_empty() {
         let seed = shared.settings.seeds.choose(&mut rand::rng()).copied();
         if let Some(seed) = seed {
             sync(shared, seed).await;
         }
-        return false;
-    }
-    for peer in peers {
-        let shared = Arc::clone(shared);
-        spawn_local(async move { sync(&shared, peer).await });
+        sleep(Duration::from_millis(LONELY_MS)).await;
     }
-    true
 }
 
-async fn sync(shared: &Shared, peer: SocketAddr) {
+/// Asks several peers at once; returns whether one answered.
+async fn ask(shared: &Shared) -> bool {
+    let peers = shared.state().roster.peers(FIRST_PEERS, &mut rand::rng());
+    let exchanges = peers.into_iter().map(|peer| sync(shared, peer));
+    join_all(exchanges).await.contains(&true)
+}
+
+/// Exchanges beats with `peer`; returns whether it answered.
+async fn sync(shared: &Shared, peer: SocketAddr) -> bool {
     match client::sync(shared, peer, shared.beat()).await {
-        Ok(beat) if beat.is_valid() => shared.take_in(beat, peer),
+        Ok(beat) if beat.is_valid() => {
+            shared.take_in(beat, peer);
+            return true;
+        }
         Ok(_) => shared.state().counts.invalid += 1,
         Err(_) => shared.state().counts.peer_errors += 1,
     }
+    false
 }
 
 /// Pushes news to a few random peers whenever there is some.
--- a/crates/node/src/control/pull.rs
+++ b/crates/node/src/control/pull.rs
@@ -34,6 +34,7 @@
             }
             Err(_) => shared.state().counts.peer_errors += 1,
         }
+        shared.state().pulling[kind.index()] = 0;
     }
 }
 
--- a/crates/node/src/control/read.rs
+++ b/crates/node/src/control/read.rs
@@ -12,6 +12,8 @@
 use super::platform::{HEAD_BYTES, Platform, Read, ReadError};
 use super::state::Shared;
 
+/// The wait of an empty node for its peers.
+const ASK_MS: u64 = 100;
 /// The wait of a read that the node's limit holds back.
 const LIMIT_MS: u64 = 1_000;
 
@@ -51,7 +53,7 @@
             platform: Platform::new(shared.settings.platform),
             limit: ReadLimit::new(now),
             head: Head::default(),
-            due: now + jitter(0, first_wait(shared, kind)),
+            due: now + jitter(first_wait(shared, kind) / 2, first_wait(shared, kind)),
         }
     }
 
@@ -64,6 +66,9 @@
             self.head = head;
             self.due = now + jitter(settings.idle_ms / 2, settings.idle_ms * 3 / 2);
         }
+        if self.has_to_ask() && self.due > now {
+            return Plan::Wait { ms: ASK_MS };
+        }
         if self.shared.is_reader(self.kind) {
             return Plan::Read {
                 wait_ms: settings.watch_ms,
@@ -75,6 +80,28 @@
         }
     }
 
+    /// Returns whether an empty node has yet to ask its peers, who may hold a later
+    /// configuration than a stale service.
+    fn has_to_ask(&self) -> bool {
+        let asked = self.shared.asked.load(Ordering::Relaxed);
+        if asked || !self.is_empty() {
+            return false;
+        }
+        let me = &self.shared.settings.me.id;
+        let state = self.shared.state();
+        state.roster.iter().any(|member| member.id != *me)
+    }
+
+    /// Returns whether a peer offers an empty node more than what it read.
+    fn is_outbid(&self, revision: u64) -> bool {
+        self.is_empty() && self.shared.state().is_outbid(self.kind, revision)
+    }
+
+    fn is_empty(&self) -> bool {
+        let head = self.shared.state().relays[self.kind.index()].head();
+        self.kind == Kind::Configuration && head.revision == 0
+    }
+
     /// Waits for `ms` or until a value of either kind changes.
     async fn wait(&self, ms: u64) {
         let mut changed = self.shared.changed.subscribe();
@@ -150,6 +177,10 @@
         let bytes = HEAD_BYTES + read.text.len() as u64;
         usage.received.fetch_add(bytes, Ordering::Relaxed);
         usage.message();
+        if self.has_to_ask() || self.is_outbid(read.revision) {
+            pause(ASK_MS).await;
+            return;
+        }
         match Document::new(read.revision, &read.text) {
             Ok(document) => {
                 self.shared.install(self.kind, document).await;
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -51,6 +51,7 @@
     pub(crate) since: [Millis; 2],
     pub(crate) seen: [u64; 2],
     pub(crate) offers: [SmallVec<[Offer; OFFERS_MAX]>; 2],
+    pub(crate) pulling: [u64; 2],
     pub(crate) roster: Roster,
     pub(crate) spread: Spread,
     pub(crate) budget: ControlBudget,
@@ -76,6 +77,7 @@
     pub(crate) heard: Notify,
     pub(crate) changed: watch::Sender<u64>,
     pub(crate) left: AtomicBool,
+    pub(crate) asked: AtomicBool,
     state: Mutex<State>,
 }
 
@@ -89,6 +91,7 @@
             since: [now; 2],
             seen: [0; 2],
             offers: Default::default(),
+            pulling: [0; 2],
             roster: Roster::new(&settings.me),
             spread: Spread::default(),
             budget: ControlBudget::new(settings.bytes_rate, settings.cpu_rate, now),
@@ -112,6 +115,7 @@
             heard: Notify::new(),
             changed: watch::Sender::new(0),
             left: AtomicBool::new(false),
+            asked: AtomicBool::new(false),
             state: Mutex::new(state),
         }
     }
@@ -316,7 +320,16 @@
         if offers.is_empty() {
             return None;
         }
-        Some(offers.remove(0))
+        let offer = offers.remove(0);
+        self.pulling[ix] = offer.0.revision;
+        Some(offer)
+    }
+
+    /// Returns whether a peer offers a value above `revision` that is not in force yet.
+    pub(crate) fn is_outbid(&self, kind: Kind, revision: u64) -> bool {
+        let ix = kind.index();
+        let mut offers = self.offers[ix].iter();
+        self.pulling[ix] > revision || offers.any(|(head, _)| head.revision > revision)
     }
 
     /// Counts a conflict and logs the first of each revision.
