Notice the death of a backend server that came back unseen

Cause: a backend server that died twice within 350 ms was counted once; it had come back between two looks of 100 ms, so the second loss found it marked as down already. The probe also tried again at once, while the dying process still accepted. Change: a connection lost after a request was sent counts also when the backend server is marked as down; the probe waits 20 ms between its tries. The bench needs a deeper limit of type queries in release builds.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,5 +1,7 @@
 //! Stand-ins, load generation and whole-path tests of oriolering.
 
+#![recursion_limit = "256"]
+
 mod backend;
 mod backend_fault;
 mod backend_state;
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -146,7 +146,7 @@
     match missing {
         Missing::Unsent => {
             permit.finish(Finish::NotSent);
-            watch::lost(&wire.node);
+            watch::lost(&wire.node, false);
             admit::refuse(
                 wire,
                 Refusal {
@@ -156,7 +156,7 @@
             )
         }
         Missing::Lost => {
-            watch::lost(&wire.node);
+            watch::lost(&wire.node, true);
             permit.finish(Finish::Lost);
             unknown(wire, Cause::Unreachable)
         }
@@ -192,7 +192,7 @@
     let left = job.deadline.since(wire.node.clock.now()).max(1);
     let body = within(left, read(&mut response, length)).await;
     let Some(Some(body)) = body else {
-        watch::lost(&wire.node);
+        watch::lost(&wire.node, true);
         permit.finish(Finish::Lost);
         return unknown(&wire, Cause::Unreachable);
     };
@@ -261,7 +261,7 @@
             permit.finish(finish(status, start));
         }
         Ending::Cut => {
-            watch::lost(&node);
+            watch::lost(&node, true);
             permit.finish(Finish::Lost);
         }
     };
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -27,14 +27,20 @@
     Down,
 }
 
-/// Notes that a connection to the backend server was lost or refused, and finds out whether
-/// the backend server has died.
+/// Notes that a connection to the backend server was lost after a request was `sent`, or was
+/// refused, and finds out whether the backend server has died.
 ///
 /// The requests that were running then are the suspects of that death.
-pub(crate) fn lost(node: &Arc<Node>) {
+pub(crate) fn lost(node: &Arc<Node>, sent: bool) {
     {
         let mut watch = node.watch.lock();
-        if *watch != Watch::Up {
+        let news = match *watch {
+            Watch::Up => true,
+            Watch::Probing => false,
+            // What was sent reached a backend server that had come back unseen.
+            Watch::Down => sent,
+        };
+        if !news {
             return;
         }
         *watch = Watch::Probing;
@@ -68,7 +74,7 @@
         match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
             Ok(Err(error)) => return error.kind() != ErrorKind::ConnectionRefused,
             Ok(Ok(stream)) if stays_open(&stream).await => return true,
-            Ok(Ok(_)) => {}
+            Ok(Ok(_)) => sleep(OPEN_TIME).await,
             Err(_) => return true,
         }
     }
