--- /dev/null
+++ b/crates/bench/tests/proofs_silent.rs
@@ -0,0 +1,61 @@
+//! Connections that go silent for good, are cut or are slow, while new ones work.
+
+use oriolering_bench::{Fleet, FleetPlan, Mix, Trial, block_on, seed_or};
+use rstest::rstest;
+use serde_json::json;
+
+const LATE_MS: u64 = 1_500;
+
+#[derive(Clone, Copy, Debug)]
+enum Harm {
+    Silence,
+    Cut,
+    Delay,
+}
+
+fn harm(fleet: &Fleet, harm: Harm) {
+    for member in &fleet.members {
+        for relay in [&member.gate_relay, &member.backend_relay]
+            .into_iter()
+            .flatten()
+        {
+            match harm {
+                Harm::Silence => relay.silence(),
+                Harm::Cut => relay.cut(),
+                Harm::Delay => relay.delay(30),
+            }
+        }
+    }
+}
+
+#[rstest]
+#[case::gate_silent(Harm::Silence, true, false, 31)]
+#[case::backend_silent(Harm::Silence, false, true, 32)]
+#[case::both_silent(Harm::Silence, true, true, 33)]
+#[case::gate_cut(Harm::Cut, true, false, 34)]
+#[case::backend_cut(Harm::Cut, false, true, 35)]
+#[case::both_slow(Harm::Delay, true, true, 36)]
+fn no_outcome_is_false(
+    #[case] kind: Harm,
+    #[case] gates: bool,
+    #[case] backends: bool,
+    #[case] seed: u64,
+) {
+    block_on(async move {
+        let mut plan = FleetPlan::new("caja", 3).settings(json!({ "deadline_ms": 1_500 }));
+        plan.relay_gates = gates;
+        plan.relay_backends = backends;
+        let trial = Trial::start(&plan, &Mix::new(200.0, 6), seed_or(seed))
+            .await
+            .unwrap();
+        for _ in 0..2 {
+            trial.wait(2_000).await;
+            harm(&trial.fleet, kind);
+        }
+        let (_, verdict) = trial.finish(LATE_MS).await.unwrap();
+        verdict.assert_kept(&format!(
+            "{kind:?}, gates {gates}, backend servers {backends}"
+        ));
+        assert!(verdict.answered() > 0.9, "{}", verdict.report);
+    });
+}
