Let silence fade as evidence, and let a leaving report hold

Cause: a long request alone in flight, such as an upload, is silent too. At little load every backend server but the last that answered looked overdue: with four long requests in flight 400 of 400 further requests went to one of four backend servers (the new test without the change). A late report could also undo that a backend server is leaving. Change: overdue answers fade over eight typical latencies of silence. Leaving holds until a new incarnation, and the first list with one forgets all that was known. Conclusion: each of the four now gets at least 80 of the 400.

--- a/crates/oriolering/src/pool.rs
+++ b/crates/oriolering/src/pool.rs
@@ -32,7 +32,7 @@
     pub zone: ZoneKey,
     /// Whether it takes no new work.
     pub leaving: bool,
-    /// Whether this is the first list with a new incarnation.
+    /// Whether this list is the first with a new incarnation; all that was known is forgotten.
     pub fresh: bool,
 }
 
@@ -97,12 +97,12 @@
 
     /// Takes over what the list of members says now.
     pub(crate) fn refresh(&mut self, now: Millis, candidate: Candidate) {
-        if candidate.fresh && !self.candidate.fresh {
-            self.heard = None;
-            self.latency = None;
-            self.failures = 0.0;
-            self.standing = Standing::new(now, true);
-            self.slow = None;
+        if candidate.fresh {
+            *self = Self {
+                last: self.last,
+                inflight: self.inflight,
+                ..Self::new(now, candidate)
+            };
         }
         self.candidate = candidate;
         self.gone = false;
@@ -125,7 +125,9 @@
         self.inflight += 1;
     }
 
-    pub(crate) fn hear(&mut self, now: Millis, hint: LoadHint) {
+    /// Takes a report; one that it is leaving holds until a new incarnation.
+    pub(crate) fn hear(&mut self, now: Millis, mut hint: LoadHint) {
+        hint.leaving |= self.is_leaving();
         let total = hint.running.saturating_add(hint.queued);
         let others = total.saturating_sub(self.inflight);
         self.heard = Some(Heard {
--- a/crates/oriolering/src/typical.rs
+++ b/crates/oriolering/src/typical.rs
@@ -13,6 +13,8 @@
 const GOOD_RATIO: f64 = 2.0;
 /// How many answers may be overdue by chance.
 const USUAL_OVERDUE: f64 = 2.0;
+/// The typical latencies of silence in which it fades as evidence.
+const OVERDUE_FADE: f64 = 8.0;
 /// The time in which a slow answer fades, in milliseconds.
 const FADE_MS: f64 = 1000.0;
 /// How far the share of failures must lie above the typical one to make a suspect.
@@ -84,13 +86,16 @@
     ///
     /// With some requests in flight an answer is expected in the typical latency divided by
     /// their number. A longer silence tells of a pause long before any single request is late.
+    /// It fades, because a long request alone in flight is silent too, and only further requests
+    /// can show that others are answered.
     pub(crate) fn overdue(&self, now: Millis, server: &Server) -> f64 {
         let Some(latency) = self.latency.filter(|&latency| latency > 0.0) else {
             return 0.0;
         };
-        let silence_us = server.silence(now) as f64 * 1000.0;
-        let expected = silence_us * f64::from(server.inflight) / latency;
-        (expected - USUAL_OVERDUE).max(0.0)
+        let silence = server.silence(now) as f64 * 1000.0 / latency;
+        let expected = silence * f64::from(server.inflight);
+        let fade = (-silence / OVERDUE_FADE).exp();
+        (expected - USUAL_OVERDUE).max(0.0) * fade
     }
 
     fn reports_slow(&self, server: &Server) -> bool {
--- a/crates/oriolering/tests/choice.rs
+++ b/crates/oriolering/tests/choice.rs
@@ -158,7 +158,16 @@
     };
     chooser.hint(Millis(0), ServerKey(0), leaving);
     assert_eq!(drive(&mut chooser, 0, 100, |_| SERVED), [0, 100]);
-    assert_eq!(class_of(&chooser, Millis(100), 0), Class::Leaving);
+    chooser.hint(Millis(100), ServerKey(0), hint(3));
+    assert_eq!(
+        class_of(&chooser, Millis(100), 0),
+        Class::Leaving,
+        "late report"
+    );
+    let mut list = candidates(2);
+    list[0].fresh = true;
+    chooser.update(Millis(100), &list);
+    assert_eq!(class_of(&chooser, Millis(100), 0), Class::Ramping);
 }
 
 #[test]
@@ -228,6 +237,24 @@
     }
 }
 
+#[test]
+fn long_requests_do_not_concentrate_the_others() {
+    let mut chooser = chooser(Policy::Adaptive, &candidates(4));
+    drive(&mut chooser, 0, 100, |_| SERVED);
+    let mut rng = rng();
+    for _ in 0..4 {
+        chooser.pick(Millis(100), &mut rng, &[]);
+    }
+    let mut counts = [0; 4];
+    for i in 1..=400 {
+        let now = Millis(100 + i * 100);
+        let server = chooser.pick(now, &mut rng, &[]).expect("all are open");
+        counts[server.0 as usize] += 1;
+        chooser.finish(now, server, SERVED);
+    }
+    assert!(counts.iter().all(|&n| n >= 80), "{counts:?}");
+}
+
 #[test]
 fn cancelled_requests_leave_nothing_behind() {
     let mut chooser = chooser(Policy::Adaptive, &candidates(2));
