Let a single long answer weigh little

Change: an answer counts at most 10 times the median latency, and latency counts against a backend server only beyond twice the median instead of 1.5 times.

--- a/crates/oriolering/src/adaptive.rs
+++ b/crates/oriolering/src/adaptive.rs
@@ -10,7 +10,7 @@
 use crate::typical::Typical;
 
 /// How many times the typical latency still counts as typical.
-const SAME_RATIO: f64 = 1.5;
+const SAME_RATIO: f64 = 2.0;
 /// The share of the slots up to which the own availability zone is preferred.
 const LOCAL_SHARE: f64 = 0.6;
 
--- a/crates/oriolering/src/choice.rs
+++ b/crates/oriolering/src/choice.rs
@@ -108,7 +108,7 @@
         let ramp = self.settings.ramp;
         let typical = Typical::of(&self.servers);
         if let Some(server) = self.find(server) {
-            server.finish(now, result);
+            server.finish(now, result, typical.latency);
             judge(server, now, picks, ramp, &typical, result);
         }
         self.servers.retain(|s| !s.gone || s.inflight > 0);
--- a/crates/oriolering/src/pool.rs
+++ b/crates/oriolering/src/pool.rs
@@ -8,6 +8,8 @@
 
 /// The weight of one answer in the mean latency.
 const LATENCY_WEIGHT: f64 = 0.1;
+/// How many times the typical latency a single answer counts at most.
+const CUT_RATIO: f64 = 10.0;
 /// The weight of one answer in the share of failures.
 const FAILURE_WEIGHT: f64 = 0.25;
 /// The weight of one silence in the share of failures.
@@ -137,12 +139,13 @@
         });
     }
 
-    pub(crate) fn finish(&mut self, now: Millis, result: Attempt) {
+    /// Ends a request in flight, given the typical latency of all backend servers.
+    pub(crate) fn finish(&mut self, now: Millis, result: Attempt, typical: Option<f64>) {
         self.inflight = self.inflight.saturating_sub(1);
         match result {
             Attempt::Served { latency_us } => {
                 self.failures *= 1.0 - FAILURE_WEIGHT;
-                self.learn_latency(latency_us as f64);
+                self.learn_latency(latency_us as f64, typical);
                 self.answered = now;
                 self.rest = now;
                 self.backoff = MIN_REST_MS;
@@ -212,7 +215,10 @@
         self.backoff = (self.backoff * 2).min(MAX_REST_MS);
     }
 
-    fn learn_latency(&mut self, latency: f64) {
+    /// Takes a latency into the mean, cut off so that a single long request weighs little.
+    fn learn_latency(&mut self, latency: f64, typical: Option<f64>) {
+        let most = typical.map_or(f64::INFINITY, |typical| typical * CUT_RATIO);
+        let latency = latency.min(most);
         self.latency = Some(match self.latency {
             Some(mean) => mean + (latency - mean) * LATENCY_WEIGHT,
             None => latency,
--- a/crates/oriolering/tests/choice.rs
+++ b/crates/oriolering/tests/choice.rs
@@ -274,6 +274,19 @@
     assert!(counts[0].abs_diff(counts[1]) <= 10, "{counts:?}");
 }
 
+#[test]
+fn single_long_answer_costs_little() {
+    let mut chooser = chooser(Policy::Adaptive, &candidates(5));
+    drive(&mut chooser, 0, 100, |_| SERVED);
+    let others = [1, 2, 3, 4].map(ServerKey);
+    let server = chooser.pick(Millis(100), &mut rng(), &others);
+    assert_eq!(server, Some(ServerKey(0)));
+    let latency_us = 5_000_000;
+    chooser.finish(Millis(100), ServerKey(0), Attempt::Served { latency_us });
+    let counts = drive(&mut chooser, 100, 5100, |_| SERVED);
+    assert!(counts[0] >= 950, "{counts:?}");
+}
+
 #[test]
 fn fast_failures_do_not_attract_requests() {
     let mut chooser = chooser(Policy::Adaptive, &candidates(5));
