--- a/crates/oriolering/src/pool.rs
+++ b/crates/oriolering/src/pool.rs
@@ -8,6 +8,8 @@
 
 /// The weight of one answer in the mean latency.
 const LATENCY_WEIGHT: f64 = 0.1;
+/// How many times the typical latency a single answer counts at most.
+const CUT_RATIO: f64 = 10.0;
 /// The weight of one answer in the share of failures.
 const FAILURE_WEIGHT: f64 = 0.25;
 /// The weight of one silence in the share of failures.
@@ -32,7 +34,7 @@
     pub zone: ZoneKey,
     /// Whether it takes no new work.
     pub leaving: bool,
-    /// Whether this is the first list with a new incarnation.
+    /// Whether this list is the first with a new incarnation; all that was known is forgotten.
     pub fresh: bool,
 }
 
@@ -97,12 +99,12 @@
 
     /// Takes over what the list of members says now.
     pub(crate) fn refresh(&mut self, now: Millis, candidate: Candidate) {
-        if candidate.fresh && !self.candidate.fresh {
-            self.heard = None;
-            self.latency = None;
-            self.failures = 0.0;
-            self.standing = Standing::new(now, true);
-            self.slow = None;
+        if candidate.fresh {
+            *self = Self {
+                last: self.last,
+                inflight: self.inflight,
+                ..Self::new(now, candidate)
+            };
         }
         self.candidate = candidate;
         self.gone = false;
@@ -125,7 +127,9 @@
         self.inflight += 1;
     }
 
-    pub(crate) fn hear(&mut self, now: Millis, hint: LoadHint) {
+    /// Takes a report; one that it is leaving holds until a new incarnation.
+    pub(crate) fn hear(&mut self, now: Millis, mut hint: LoadHint) {
+        hint.leaving |= self.is_leaving();
         let total = hint.running.saturating_add(hint.queued);
         let others = total.saturating_sub(self.inflight);
         self.heard = Some(Heard {
@@ -135,12 +139,13 @@
         });
     }
 
-    pub(crate) fn finish(&mut self, now: Millis, result: Attempt) {
+    /// Ends a request in flight, given the typical latency of all backend servers.
+    pub(crate) fn finish(&mut self, now: Millis, result: Attempt, typical: Option<f64>) {
         self.inflight = self.inflight.saturating_sub(1);
         match result {
             Attempt::Served { latency_us } => {
                 self.failures *= 1.0 - FAILURE_WEIGHT;
-                self.learn_latency(latency_us as f64);
+                self.learn_latency(latency_us as f64, typical);
                 self.answered = now;
                 self.rest = now;
                 self.backoff = MIN_REST_MS;
@@ -210,7 +215,10 @@
         self.backoff = (self.backoff * 2).min(MAX_REST_MS);
     }
 
-    fn learn_latency(&mut self, latency: f64) {
+    /// Takes a latency into the mean, cut off so that a single long request weighs little.
+    fn learn_latency(&mut self, latency: f64, typical: Option<f64>) {
+        let most = typical.map_or(f64::INFINITY, |typical| typical * CUT_RATIO);
+        let latency = latency.min(most);
         self.latency = Some(match self.latency {
             Some(mean) => mean + (latency - mean) * LATENCY_WEIGHT,
             None => latency,
