Read short answers whole at the ingress, and let an empty gate say not run

Ruled out: taking calls from anybody while the list is empty. Change: a gate without a list refuses as not run; an ingress reads short answers to their end before the head is passed on, and collects one that breaks off; a leaving report holds for 3 s and not for good, since the endpoint behind it may mislead; a new incarnation is told to the choice; the gate and the backend hop have spans; status carries counters, explain the choice.

--- a/crates/node/src/admit.rs
+++ b/crates/node/src/admit.rs
@@ -14,13 +14,22 @@
 use crate::timer::sleep;
 use crate::wire::Wire;
 
+/// The refusal of a gate that does not know its peers yet.
+const UNREADY: Refusal = Refusal {
+    cause: Cause::Unready,
+    retry_after: 500,
+};
 const COLLECT_POLL_MS: u64 = 5;
 
 /// Serves a request of an ingress.
 pub(crate) async fn serve(wire: Rc<Wire>, request: HttpRequest, payload: Payload) -> HttpResponse {
-    if !is_peer(&wire, &request) {
-        wire.node.metrics.strangers.add(1, &[]);
-        return Reply::rejected(Cause::Invalid, 0).response();
+    match standing(&wire, &request) {
+        Standing::Peer => {}
+        Standing::Unready => return Reply::not_run(UNREADY).response(),
+        Standing::Stranger => {
+            wire.node.metrics.strangers.add(1, &[]);
+            return Reply::rejected(Cause::Invalid, 0).response();
+        }
     }
     let id = headers::text(request.headers(), oriolering::CALL_ID).and_then(CallId::decode);
     let Some(id) = id else {
@@ -35,16 +44,30 @@
     }
 }
 
-/// Returns whether the request comes from an address of the platform's list.
-fn is_peer(wire: &Wire, request: &HttpRequest) -> bool {
+/// How the sender of a request stands with this gate.
+enum Standing {
+    /// Its address is in the platform's list.
+    Peer,
+    /// There is no list yet.
+    Unready,
+    /// Its address is not in the list.
+    Stranger,
+}
+
+/// Looks up the sender of a request in the platform's list.
+fn standing(wire: &Wire, request: &HttpRequest) -> Standing {
     let Some(peer) = request.peer_addr() else {
-        return false;
+        return Standing::Stranger;
     };
     let directory = wire.node.directory.lock();
-    directory
-        .members()
-        .iter()
-        .any(|member| member.gate.ip() == peer.ip())
+    let members = directory.members();
+    if members.is_empty() {
+        return Standing::Unready;
+    }
+    match members.iter().any(|m| m.gate.ip() == peer.ip()) {
+        true => Standing::Peer,
+        false => Standing::Stranger,
+    }
 }
 
 /// Opens a session for an ingress that has none, and says so in a refusal.
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -3,15 +3,18 @@
 use std::cell::Cell;
 use std::rc::Rc;
 
+use ntex::http::Method;
 use ntex::http::body::Body;
 use ntex::http::client::error::{ConnectError, SendRequestError};
 use ntex::http::client::{ClientRequest, ClientResponse};
 use ntex::http::header::{HeaderMap, HeaderName, HeaderValue};
+use ntex::util::Bytes;
 use opentelemetry_sdk::trace::Span;
 use oriolering::{
     Attempt, Cause, Failure, Fate, Grant, LoadHint, Millis, Outcome, Refusal, ServiceKey,
 };
 
+use crate::body;
 use crate::call::{Call, CallBody};
 use crate::cancel::Cancelled;
 use crate::directory::Target;
@@ -32,11 +35,19 @@
 /// How an attempt ended.
 pub(crate) enum Reached {
     /// The backend server answered.
-    Answer(Box<ClientResponse>),
+    Answer(Box<Answered>),
     /// There is no answer.
     Missing(Failure),
 }
 
+/// An answer of a backend server.
+pub(crate) struct Answered {
+    /// The head, and the body while it is a stream.
+    pub(crate) response: ClientResponse,
+    /// The body of a short answer, read to its end.
+    pub(crate) body: Option<Bytes>,
+}
+
 /// Where an attempt goes and what came before it.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Plan {
@@ -109,7 +120,7 @@
     let reached = exchange(wire, call, &mut running, plan, parent).await;
     let latency_us = start.elapsed().as_micros() as u64;
     running.set_result(match &reached {
-        Reached::Answer(response) if response.status().is_server_error() => {
+        Reached::Answer(answer) if answer.response.status().is_server_error() => {
             Attempt::Failed { latency_us }
         }
         Reached::Answer(_) => Attempt::Served { latency_us },
@@ -138,6 +149,7 @@
         let mut span = wire.node.traces.outgoing("attempt", parent, &mut headers);
         traces::note(&mut span, "gate", target.address.gate.to_string());
         let reached = send(wire, call, target, issued, headers).await;
+        let reached = complete(wire, call, target, issued, reached).await;
         let stale = matches!(
             reached,
             Reached::Missing(Failure::Refused(Refusal {
@@ -396,6 +408,51 @@
     }
 }
 
+/// Reads a short answer to its end, so that one that breaks off can be collected.
+async fn complete(
+    wire: &Wire,
+    call: &Call,
+    target: Target,
+    issued: Issued,
+    reached: Reached,
+) -> Reached {
+    if let Reached::Missing(_) = reached {
+        return reached;
+    }
+    let reached = read_short(wire, call, reached).await;
+    let Reached::Missing(_) = reached else {
+        return reached;
+    };
+    match inquire(wire, target, issued).await {
+        Some(Fate::Running | Fate::Done) if !call.idempotent => {
+            let collected = collect(wire, call, target, issued).await;
+            read_short(wire, call, collected).await
+        }
+        Some(_) | None => reached,
+    }
+}
+
+/// Reads the body of an answer that is short; one that breaks off is missing.
+async fn read_short(wire: &Wire, call: &Call, reached: Reached) -> Reached {
+    let Reached::Answer(mut answer) = reached else {
+        return reached;
+    };
+    let length = headers::number(answer.response.headers(), "content-length");
+    let most = call.settings.buffer.answer_bytes;
+    let Some(length) = length.filter(|l| *l <= most && call.method() != Method::HEAD) else {
+        return Reached::Answer(answer);
+    };
+    let left = call.left(wire.node.clock.now()).max(GRACE_MS);
+    let reading = body::read(&mut answer.response, length);
+    match within(left, reading).await.flatten() {
+        Some(body) => {
+            answer.body = Some(body);
+            Reached::Answer(answer)
+        }
+        None => Reached::Missing(Failure::MayHaveRun),
+    }
+}
+
 /// Reads what the gate says in the headers of an answer.
 fn read_word(wire: &Wire, call: &Call, target: Target, response: ClientResponse) -> Reached {
     let headers = response.headers();
@@ -406,7 +463,8 @@
     }
     learn_grant(wire, target, headers);
     let Some(outcome) = headers::text(headers, oriolering::OUTCOME) else {
-        return Reached::Answer(Box::new(response));
+        let body = None;
+        return Reached::Answer(Box::new(Answered { response, body }));
     };
     let cause = headers::text(headers, oriolering::REASON).and_then(Cause::parse);
     let retry_after = headers::number(headers, oriolering::RETRY_AFTER_MS).unwrap_or(0);
--- a/crates/node/src/body.rs
+++ b/crates/node/src/body.rs
@@ -7,12 +7,13 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 
-use futures_util::Stream;
+use futures_util::{Stream, StreamExt};
 use ntex::http::Payload;
 use ntex::http::body::{BodySize, MessageBody};
+use ntex::http::client::ClientResponse;
 use ntex::http::error::PayloadError;
 use ntex::io::IoRef;
-use ntex::util::Bytes;
+use ntex::util::{Bytes, BytesMut};
 use oriolering::{Clock, Millis};
 
 /// The longest time between two chunks of an answer.
@@ -179,3 +180,21 @@
         }
     }
 }
+
+/// Reads a body of `length` bytes to its end; `None` when it ends early or goes on.
+///
+/// Reading the end gives the connection back to the pool.
+pub(crate) async fn read(response: &mut ClientResponse, length: u64) -> Option<Bytes> {
+    let length = length as usize;
+    let mut body = BytesMut::with_capacity(length);
+    while body.len() < length {
+        match response.next().await {
+            Some(Ok(chunk)) => body.extend_from_slice(&chunk),
+            Some(Err(_)) | None => return None,
+        }
+    }
+    if length > 0 && response.next().await.is_some() {
+        return None;
+    }
+    Some(body.freeze())
+}
--- a/crates/node/src/directory.rs
+++ b/crates/node/src/directory.rs
@@ -7,7 +7,7 @@
 use oriolering::config::{Service, Settings};
 use oriolering::{
     Attempt, Candidate, ChoiceSettings, Chooser, Explanation, Grant, Hedge, LoadHint, Member,
-    Millis, RetryBudget, ServerKey, ServiceKey, ZoneKey,
+    Millis, Policy, RetryBudget, ServerKey, ServiceKey, ZoneKey,
 };
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -36,6 +36,7 @@
     servers: Servers,
     members: Arc<[Member]>,
     zones: Vec<CompactString>,
+    fresh: Vec<ServerKey>,
     rng: SmallRng,
 }
 
@@ -48,6 +49,16 @@
     pub(crate) zone: CompactString,
 }
 
+/// How a call would be sent now.
+pub(crate) struct Explained {
+    /// The policy in force.
+    pub(crate) policy: Policy,
+    /// The backend server that a call would go to.
+    pub(crate) chosen: Option<ServerKey>,
+    /// What is known of each backend server.
+    pub(crate) candidates: Vec<Explanation>,
+}
+
 /// A backend server that was picked for one attempt.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Target {
@@ -67,6 +78,7 @@
             servers: Servers::default(),
             members: Arc::from([]),
             zones: Vec::new(),
+            fresh: Vec::new(),
             rng: SmallRng::seed_from_u64(seed),
         }
     }
@@ -91,8 +103,9 @@
     /// Takes up a new list of members.
     pub(crate) fn set_members(&mut self, now: Millis, members: Arc<[Member]>) {
         self.members = members;
-        self.servers.update(&self.members);
+        self.fresh = self.servers.update(&self.members);
         self.refresh(now);
+        self.fresh.clear();
     }
 
     /// Returns the members that the choice works with.
@@ -173,9 +186,14 @@
     }
 
     /// Explains how a call of a service would be sent now.
-    pub(crate) fn explain(&self, now: Millis, service: ServiceKey) -> Vec<Explanation> {
-        let route = self.routes.get(service.0 as usize);
-        route.map_or_else(Vec::new, |route| route.chooser.explain(now))
+    pub(crate) fn explain(&self, now: Millis, service: ServiceKey) -> Option<Explained> {
+        let route = self.routes.get(service.0 as usize)?;
+        let mut trial = route.chooser.clone();
+        Some(Explained {
+            policy: route.settings.choice.policy,
+            chosen: trial.pick(now, &mut self.rng.clone(), &[]),
+            candidates: route.chooser.explain(now),
+        })
     }
 
     /// Returns the id of the backend server at `key`.
@@ -228,7 +246,7 @@
                 name: xxh3_64(member.id.as_bytes()),
                 zone: by_id[member.id.as_str()],
                 leaving: member.leaving,
-                fresh: false,
+                fresh: self.fresh.contains(&server),
             });
         }
         for (route, list) in self.routes.iter_mut().zip(&lists) {
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -7,19 +7,21 @@
 use ntex::http::client::{ClientRequest, ClientResponse};
 use ntex::http::header::HeaderMap;
 use ntex::http::{Payload, StatusCode};
-use ntex::util::{Bytes, BytesMut};
+use ntex::util::Bytes;
 use ntex::web::{HttpRequest, HttpResponse};
+use opentelemetry_sdk::trace::Span;
 use oriolering::config::Service;
 use oriolering::{CallId, Cause, Finish, Millis, Refusal};
 
 use crate::admit;
 use crate::answers::Answer;
 use crate::attempt::is_unsent;
-use crate::body::{Ending, Upload, WholeBody};
+use crate::body::{self, Ending, Upload, WholeBody};
 use crate::headers;
 use crate::permit::Permit;
 use crate::reply::Reply;
 use crate::timer::within;
+use crate::traces;
 use crate::watch;
 use crate::wire::Wire;
 
@@ -67,18 +69,25 @@
     request: HttpRequest,
     payload: Payload,
 ) -> HttpResponse {
-    let outgoing = outgoing(&wire, &request);
+    let mut span = wire.node.traces.incoming("gate", request.headers());
+    let (outgoing, mut hop) = outgoing(&wire, &request, &span);
     if let Err(refusal) = permit.dispatch() {
+        traces::note(&mut span, "reason", refusal.cause.as_str());
         return admit::refuse(&wire, refusal);
     }
     let start = std::time::Instant::now();
-    match send(&wire, &job, outgoing, &request, payload).await {
+    let sent = send(&wire, &job, outgoing, &request, payload).await;
+    if let Ok(response) = &sent {
+        traces::note(&mut hop, "status", i64::from(response.status().as_u16()));
+    }
+    drop(hop);
+    match sent {
         Err(missing) => failed(&wire, permit, missing),
         Ok(response) => answer(wire, job, permit, request, response, start).await,
     }
 }
 
-fn outgoing(wire: &Wire, request: &HttpRequest) -> ClientRequest {
+fn outgoing(wire: &Wire, request: &HttpRequest, parent: &Span) -> (ClientRequest, Span) {
     let target = request
         .uri()
         .path_and_query()
@@ -88,8 +97,10 @@
         .backend
         .request(request.method().clone(), uri)
         .no_decompress();
-    *outgoing.headers_mut() = headers::end_to_end(request.headers());
-    outgoing
+    let mut headers = headers::end_to_end(request.headers());
+    let span = wire.node.traces.outgoing("backend", parent, &mut headers);
+    *outgoing.headers_mut() = headers;
+    (outgoing, span)
 }
 
 async fn send(
@@ -190,8 +201,8 @@
     let status = response.status();
     let headers = headers::end_to_end(response.headers());
     let left = job.deadline.since(wire.node.clock.now()).max(1);
-    let body = within(left, read(&mut response, length)).await;
-    let Some(Some(body)) = body else {
+    let reading = body::read(&mut response, length.unwrap_or(0));
+    let Some(body) = within(left, reading).await.flatten() else {
         watch::lost(&wire.node, true);
         permit.finish(Finish::Lost);
         return unknown(&wire, Cause::Unreachable);
@@ -221,23 +232,6 @@
     built
 }
 
-async fn read(response: &mut ClientResponse, length: Option<u64>) -> Option<Bytes> {
-    use futures_util::StreamExt;
-    let length = length.unwrap_or(0) as usize;
-    let mut body = BytesMut::with_capacity(length);
-    while body.len() < length {
-        match response.next().await {
-            Some(Ok(chunk)) => body.extend_from_slice(&chunk),
-            Some(Err(_)) | None => return None,
-        }
-    }
-    // The end of the stream gives the connection back to the pool.
-    if length > 0 && response.next().await.is_some() {
-        return None;
-    }
-    Some(body.freeze())
-}
-
 fn stream(
     wire: &Wire,
     job: &Job,
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -3,7 +3,6 @@
 use std::rc::Rc;
 
 use futures_util::StreamExt;
-use ntex::http::client::ClientResponse;
 use ntex::http::{Method, Payload};
 use ntex::util::{Bytes, BytesMut};
 use ntex::web::{HttpRequest, HttpResponse};
@@ -11,7 +10,7 @@
 use oriolering::{AttemptState, Cause, Failure, Refusal, ServerKey, Step, next_step};
 use smallvec::SmallVec;
 
-use crate::attempt::{Plan, Reached};
+use crate::attempt::{Answered, Plan, Reached};
 use crate::body::{Ending, Upload, WholeBody};
 use crate::call::{Call, CallBody};
 use crate::filters::{self, route};
@@ -153,7 +152,7 @@
             crashes,
         };
         let failure = match hedge::run(wire, &call, first, &mut tried, span).await {
-            Reached::Answer(response) => return Ok(pass_on(wire, &call, response, span)),
+            Reached::Answer(answer) => return Ok(pass_on(wire, &call, *answer, span)),
             Reached::Missing(failure) => failure,
         };
         if let Failure::Refused(refusal) = failure {
@@ -211,12 +210,8 @@
 }
 
 /// Passes the answer of the backend server on to the caller.
-fn pass_on(
-    wire: &Rc<Wire>,
-    call: &Call,
-    response: Box<ClientResponse>,
-    span: &mut Span,
-) -> HttpResponse {
+fn pass_on(wire: &Rc<Wire>, call: &Call, answer: Answered, span: &mut Span) -> HttpResponse {
+    let Answered { response, body } = answer;
     traces::note(span, "status", i64::from(response.status().as_u16()));
     let mut builder = HttpResponse::build(response.status());
     forward::copy(&mut builder, &headers::end_to_end(response.headers()));
@@ -224,12 +219,15 @@
     if call.method() == Method::HEAD || length == Some(0) {
         return builder.finish();
     }
+    if let Some(body) = body {
+        return builder.body(body);
+    }
     let reader = call.request.io().cloned();
     let node = wire.node.clone();
     let ended = move |ending| match ending {
         Ending::Whole => {}
         Ending::Cut => node.metrics.cuts.add(1, &[]),
     };
-    let body = WholeBody::new(*response, length, reader, ended);
+    let body = WholeBody::new(response, length, reader, ended);
     builder.body(ntex::http::body::Body::from_message(body))
 }
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -1,14 +1,33 @@
 //! Counters of the node, as opentelemetry instruments read by a scrape.
 
+use std::collections::BTreeMap;
+
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Histogram, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use oriolering::{Cause, Outcome};
+use prometheus::proto::{Metric, MetricType};
 use prometheus::{Encoder, Registry, TextEncoder};
 
 /// A counter whose value can also be read for the status page.
 pub(crate) type Count = Counter<u64>;
 
+/// The label that the exporter adds to every metric.
+const SCOPE_LABEL: &str = "otel_scope_name";
+
+/// Returns the name of a metric with the values of its labels in braces.
+fn label(name: &str, metric: &Metric) -> String {
+    let labels = metric
+        .get_label()
+        .iter()
+        .filter(|pair| pair.name() != SCOPE_LABEL);
+    let values: Vec<&str> = labels.map(|pair| pair.value()).collect();
+    match values.is_empty() {
+        true => name.to_owned(),
+        false => format!("{name}{{{}}}", values.join(",")),
+    }
+}
+
 /// All instruments of a node.
 pub(crate) struct Metrics {
     registry: Registry,
@@ -105,6 +124,24 @@
             .add(1, &[KeyValue::new("reason", cause.as_str())]);
     }
 
+    /// Returns the counters by name and labels.
+    pub(crate) fn counters(&self) -> BTreeMap<String, u64> {
+        let families = self.registry.gather();
+        let counters = families
+            .iter()
+            .filter(|f| f.get_field_type() == MetricType::COUNTER);
+        let pairs = counters.flat_map(|family| {
+            let metrics = family.get_metric().iter();
+            metrics.map(|metric| {
+                (
+                    label(family.name(), metric),
+                    metric.get_counter().get_value() as u64,
+                )
+            })
+        });
+        pairs.collect()
+    }
+
     /// Returns all instruments in the Prometheus text format.
     pub(crate) fn scrape(&self) -> String {
         let mut text = Vec::new();
--- a/crates/node/src/servers.rs
+++ b/crates/node/src/servers.rs
@@ -53,14 +53,25 @@
         }
     }
 
-    /// Takes up a new list of members.
-    pub(crate) fn update(&mut self, members: &[Member]) {
+    /// Takes up a new list of members; returns those that have become a new incarnation.
+    pub(crate) fn update(&mut self, members: &[Member]) -> Vec<ServerKey> {
+        let before: Vec<_> = self
+            .list
+            .iter()
+            .map(|server| server.member.incarnation)
+            .collect();
         for server in &mut self.list {
             server.gone = true;
         }
         for member in members {
             self.place(member);
         }
+        let is_fresh = |(ix, server): &(usize, &Server)| {
+            let known = before.get(*ix).copied().flatten();
+            known.is_some() && known != server.member.incarnation
+        };
+        let servers = self.list.iter().enumerate().filter(is_fresh);
+        servers.map(|(ix, _)| ServerKey(ix as u32)).collect()
     }
 
     /// Walks the keys and records of the servers that are listed.
--- a/crates/node/src/status.rs
+++ b/crates/node/src/status.rs
@@ -1,7 +1,9 @@
 //! What a node says about itself.
 
+use std::collections::BTreeMap;
+
 use compact_str::CompactString;
-use oriolering::{Explanation, LoadHint, Member, Millis, Verdict};
+use oriolering::{Explanation, LoadHint, Member, Millis, Policy, Verdict};
 use serde::Serialize;
 
 use crate::control::ControlStatus;
@@ -24,6 +26,7 @@
     control: Option<ControlStatus>,
     members: Vec<MemberStatus>,
     quarantines: Vec<Quarantined>,
+    counters: BTreeMap<String, u64>,
 }
 
 /// What may be and has been spent on measuring, in milliseconds of work in one second.
@@ -54,6 +57,8 @@
 #[derive(Debug, Serialize)]
 pub(crate) struct Explained {
     service: CompactString,
+    policy: Policy,
+    chosen: Option<CompactString>,
     candidates: Vec<ExplainedServer>,
 }
 
@@ -83,6 +88,7 @@
         control: node.control().map(|control| control.status()),
         members,
         quarantines,
+        counters: node.metrics.counters(),
     }
 }
 
@@ -116,8 +122,10 @@
     let now = node.clock.now();
     let mut directory = node.directory.lock();
     let key = directory.service(service)?;
-    let explanations = directory.explain(now, key);
-    let candidates = explanations
+    let explained = directory.explain(now, key)?;
+    let chosen = explained.chosen.map(|server| directory.server_id(server));
+    let candidates = explained
+        .candidates
         .into_iter()
         .map(|explanation| ExplainedServer {
             id: directory.server_id(explanation.server),
@@ -126,6 +134,8 @@
         .collect();
     Some(Explained {
         service: service.into(),
+        policy: explained.policy,
+        chosen,
         candidates,
     })
 }
--- a/crates/oriolering/src/pool.rs
+++ b/crates/oriolering/src/pool.rs
@@ -38,6 +38,9 @@
     pub fresh: bool,
 }
 
+/// How long a report that a backend server is leaving holds, in milliseconds.
+const LEAVE_HOLD_MS: u64 = 3_000;
+
 /// A report of a gate with the time it came.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Heard {
@@ -69,6 +72,8 @@
     pub(crate) rest: Millis,
     /// For how long it is avoided after its next refusal.
     backoff: u64,
+    /// When its gate last reported that it is leaving.
+    left: Option<Millis>,
     /// The number of the last pick that chose it.
     pub(crate) last: u64,
     /// The requests in flight from this ingress.
@@ -91,6 +96,7 @@
             slow: None,
             rest: now,
             backoff: MIN_REST_MS,
+            left: None,
             last: 0,
             inflight: 0,
             progress: now,
@@ -115,8 +121,9 @@
         heard.filter(|&limit| limit > 0).unwrap_or(DEFAULT_LIMIT)
     }
 
-    pub(crate) fn is_leaving(&self) -> bool {
-        let told = self.heard.is_some_and(|heard| heard.hint.leaving);
+    /// Returns whether it takes no new work, by the list or by a report that still holds.
+    pub(crate) fn is_leaving(&self, now: Millis) -> bool {
+        let told = self.left.is_some_and(|at| now.since(at) < LEAVE_HOLD_MS);
         self.candidate.leaving || told
     }
 
@@ -127,9 +134,13 @@
         self.inflight += 1;
     }
 
-    /// Takes a report; one that it is leaving holds until a new incarnation.
-    pub(crate) fn hear(&mut self, now: Millis, mut hint: LoadHint) {
-        hint.leaving |= self.is_leaving();
+    /// Takes a report; one that it is leaving holds for a while, whatever comes late.
+    ///
+    /// It does not hold for good, because the endpoint behind it may have misled.
+    pub(crate) fn hear(&mut self, now: Millis, hint: LoadHint) {
+        if hint.leaving {
+            self.left = Some(now);
+        }
         let total = hint.running.saturating_add(hint.queued);
         let others = total.saturating_sub(self.inflight);
         self.heard = Some(Heard {
--- a/crates/oriolering/tests/choice.rs
+++ b/crates/oriolering/tests/choice.rs
@@ -170,6 +170,19 @@
     assert_eq!(class_of(&chooser, Millis(100), 0), Class::Ramping);
 }
 
+#[test]
+fn leaving_hint_that_misled_is_forgotten() {
+    let mut chooser = chooser(Policy::Adaptive, &candidates(2));
+    let leaving = LoadHint {
+        leaving: true,
+        ..hint(3)
+    };
+    chooser.hint(Millis(0), ServerKey(0), leaving);
+    assert_eq!(drive(&mut chooser, 2_900, 2_910, |_| SERVED), [0, 10]);
+    let counts = drive(&mut chooser, 3_100, 3_200, |_| SERVED);
+    assert!(counts[0] > 0, "{counts:?}");
+}
+
 #[test]
 fn new_incarnation_gets_a_growing_share() {
     let mut list = candidates(2);
