--- a/crates/bench/tests/control.rs
+++ b/crates/bench/tests/control.rs
@@ -323,3 +323,21 @@
     }
     fleet.stop().await;
 }
+
+#[tokio::test]
+async fn nodes_find_a_service_that_comes_up_after_them() {
+    let mut fleet = fleet(4);
+    fleet.publish(bundle(3, 20_000, 1), LIMIT).await;
+    fleet.platform.switch(switch(Mode::Down));
+    for ix in 0..4 {
+        fleet.nodes[ix].handle.clone().stop().await;
+    }
+    for ix in 0..4 {
+        fleet.nodes[ix] = fleet.node(fleet.nodes[ix].member.clone()).unwrap();
+    }
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    assert!(fleet.nodes.iter().all(|node| node.in_force(1).is_none()));
+    fleet.platform.switch(switch(Mode::Up));
+    assert!(fleet.until(LIMIT, |node| node.in_force(1).is_some()).await);
+    fleet.stop().await;
+}
--- a/crates/node/src/control/read.rs
+++ b/crates/node/src/control/read.rs
@@ -64,7 +64,7 @@
         let head = self.shared.state().relays[self.kind.index()].head();
         if head != self.head {
             self.head = head;
-            self.due = now + jitter(settings.idle_ms / 2, settings.idle_ms * 3 / 2);
+            self.due = now + self.interval();
         }
         if self.has_to_ask() && self.due > now {
             return Plan::Wait { ms: ASK_MS };
@@ -102,6 +102,15 @@
         self.kind == Kind::Configuration && head.revision == 0
     }
 
+    /// Returns the time to the next read of a node that is no reader; short while it has no value.
+    fn interval(&self) -> u64 {
+        let settings = &self.shared.settings;
+        if self.head.revision == 0 {
+            return jitter(settings.empty_ms / 2, settings.empty_ms);
+        }
+        jitter(settings.idle_ms / 2, settings.idle_ms * 3 / 2)
+    }
+
     /// Waits for `ms` or until a value of either kind changes.
     async fn wait(&self, ms: u64) {
         let mut changed = self.shared.changed.subscribe();
@@ -113,8 +122,7 @@
 
     async fn read(&mut self, wait_ms: u64) {
         let now = self.shared.clock.now();
-        let settings = &self.shared.settings;
-        self.due = now + jitter(settings.idle_ms / 2, settings.idle_ms * 3 / 2);
+        self.due = now + self.interval();
         if !self.limit.take(now) {
             pause(jitter(LIMIT_MS / 2, LIMIT_MS * 3 / 2)).await;
             return;
