Test that a used-up budget sheds all but news

Cause: the budget was debited and read, but no run showed what is shed. Ruled out: a clock set by hand; the fleet runs over real connections, so the rate is set to 10 bytes a second instead. Change: a test that quarantines stay with their node and exchanges are left out while a leaving mark and a new configuration still reach all of 24 nodes.

--- a/crates/bench/tests/control.rs
+++ b/crates/bench/tests/control.rs
@@ -341,3 +341,37 @@
     assert!(fleet.until(LIMIT, |node| node.in_force(1).is_some()).await);
     fleet.stop().await;
 }
+
+#[tokio::test]
+async fn a_budget_that_is_used_up_sheds_all_but_news() {
+    let shape = Shape {
+        nodes: 24,
+        zones: 4,
+        services: 3,
+        tune: |settings| {
+            tune(settings);
+            settings.bytes_rate = 10;
+        },
+    };
+    let fleet = Fleet::start(shape).unwrap();
+    fleet.publish(bundle(3, 20_000, 1), LIMIT).await;
+    let spent = |node: &Node| node.handle.status().budget_percent == 0;
+    assert!(fleet.until(LIMIT, spent).await);
+    fleet.nodes[0].handle.spread(QuarantineEntry {
+        fingerprint: 42,
+        left_ms: 60_000,
+    });
+    let held_back =
+        |node: &Node| node.member.id != "node-0" || node.handle.status().counts.shed_gossip > 0;
+    assert!(fleet.until(LIMIT, held_back).await);
+    fleet.nodes[1].handle.leave();
+    let known = |node: &Node| node.view("node-1").is_some_and(|member| member.leaving);
+    assert!(fleet.until(Duration::from_secs(3), known).await);
+    let times = fleet.publish(bundle(3, 20_000, 2), LIMIT).await;
+    assert!(times.iter().all(Option::is_some), "{times:?}");
+    let quarantined = |node: &&Node| !node.record.quarantined.lock().is_empty();
+    assert_eq!(fleet.nodes.iter().filter(quarantined).count(), 0);
+    let shed = |node: &Node| node.handle.status().counts.shed_sync > 0;
+    assert!(fleet.until(LIMIT, shed).await);
+    fleet.stop().await;
+}
