Make no suspects of distant or of first serving backend servers

For a service that answers in less than a millisecond the way to another availability zone made its backend servers look like stragglers; and while most gates had served nothing yet and reported a latency of zero, those that had served were slower than three times zero. Change: slow means beyond the ratio and 5 ms, and a report without a latency is left out.

--- a/crates/oriolering/src/typical.rs
+++ b/crates/oriolering/src/typical.rs
@@ -3,12 +3,14 @@
 use smallvec::SmallVec;
 
 use crate::clock::Millis;
-use crate::pool::Server;
+use crate::pool::{Heard, Server};
 
 /// How many times the typical latency seen here makes a suspect.
 const SLOW_RATIO: f64 = 4.0;
 /// How many times the typical reported latency makes a suspect.
 const REPORT_RATIO: f64 = 3.0;
+/// How far a latency must lie above the typical one to count as slow, in microseconds.
+const SLOW_GAP_US: f64 = 5_000.0;
 /// How many times the typical latency an answer of a suspect may take to count as good.
 const GOOD_RATIO: f64 = 2.0;
 /// How many answers may be overdue by chance.
@@ -43,7 +45,7 @@
             own: mean(used().map(|s| f64::from(s.inflight))),
             others: mean(heard().map(|h| f64::from(h.others))),
             latency: median(used().filter_map(|s| s.latency)),
-            reported: median(heard().map(|h| f64::from(h.hint.latency_us))),
+            reported: median(heard().filter_map(|h| reported_latency(&h))),
             failures: median(used().map(|s| s.failures)).unwrap_or(0.0),
         }
     }
@@ -55,13 +57,16 @@
 
     /// Returns whether a backend server is far slower than the others.
     pub(crate) fn is_slow(&self, server: &Server) -> bool {
-        self.ratio(server) > SLOW_RATIO || self.reports_slow(server)
+        let seen = server.latency.zip(self.latency);
+        let is_slow = seen.is_some_and(|(own, typical)| is_beyond(own, typical, SLOW_RATIO));
+        is_slow || self.reports_slow(server)
     }
 
     /// Returns whether an answer of a suspect counts as good.
     pub(crate) fn is_good(&self, server: &Server, latency_us: u64) -> bool {
-        let limit = self.latency.unwrap_or(f64::INFINITY) * GOOD_RATIO;
-        latency_us as f64 <= limit && !self.reports_slow(server)
+        let latency = latency_us as f64;
+        let is_slow = |typical| is_beyond(latency, typical, GOOD_RATIO);
+        !self.latency.is_some_and(is_slow) && !self.reports_slow(server)
     }
 
     /// Returns how far a backend server's latency counts against it, as a multiple of the
@@ -99,13 +104,26 @@
     }
 
     fn reports_slow(&self, server: &Server) -> bool {
-        let (Some(heard), Some(reported)) = (server.heard, self.reported) else {
-            return false;
-        };
-        f64::from(heard.hint.latency_us) > reported * REPORT_RATIO
+        let own = server.heard.and_then(|heard| reported_latency(&heard));
+        let reported = own.zip(self.reported);
+        reported.is_some_and(|(own, typical)| is_beyond(own, typical, REPORT_RATIO))
     }
 }
 
+/// Returns whether a latency lies beyond both the ratio and the gap.
+///
+/// The gap leaves room for the way to another availability zone, which is long beside the time
+/// that a fast service takes.
+fn is_beyond(latency: f64, typical: f64, ratio: f64) -> bool {
+    latency > typical * ratio && latency > typical + SLOW_GAP_US
+}
+
+/// Returns the latency in a report, or `None` when the gate has served nothing yet.
+fn reported_latency(heard: &Heard) -> Option<f64> {
+    let latency = heard.hint.latency_us;
+    (latency > 0).then_some(f64::from(latency))
+}
+
 fn mean(values: impl Iterator<Item = f64>) -> f64 {
     let (sum, count) = values.fold((0.0, 0.0), |(sum, count), v| (sum + v, count + 1.0));
     if count > 0.0 { sum / count } else { 0.0 }
--- a/crates/oriolering/tests/choice.rs
+++ b/crates/oriolering/tests/choice.rs
@@ -274,6 +274,40 @@
     assert!(counts[0].abs_diff(counts[1]) <= 10, "{counts:?}");
 }
 
+#[test]
+fn distance_makes_no_straggler_of_a_fast_service() {
+    let mut chooser = chooser(Policy::Adaptive, &candidates(5));
+    let answer = |server| match server {
+        ServerKey(0) => Attempt::Served { latency_us: 2300 },
+        ServerKey(_) => Attempt::Served { latency_us: 400 },
+    };
+    let mut rng = rng();
+    let others = [1, 2, 3, 4].map(ServerKey);
+    for ms in 0..1000 {
+        let now = Millis(ms);
+        for exclude in [&others[..], &[]] {
+            let server = chooser.pick(now, &mut rng, exclude).expect("all are open");
+            chooser.finish(now, server, answer(server));
+        }
+    }
+    assert_eq!(class_of(&chooser, Millis(1000), 0), Class::Cold);
+}
+
+#[test]
+fn gates_that_served_nothing_yet_make_no_suspect_of_the_others() {
+    let mut chooser = chooser(Policy::Adaptive, &candidates(5));
+    for i in 0..5 {
+        let latency_us = if i == 0 { 10_000 } else { 0 };
+        let hint = LoadHint {
+            latency_us,
+            ..hint(1)
+        };
+        chooser.hint(Millis(0), ServerKey(i), hint);
+    }
+    drive(&mut chooser, 0, 1000, |_| SERVED);
+    assert_eq!(class_of(&chooser, Millis(1000), 0), Class::Cold);
+}
+
 #[test]
 fn single_long_answer_costs_little() {
     let mut chooser = chooser(Policy::Adaptive, &candidates(5));
