--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -8,7 +8,7 @@
 use ntex::util::{Bytes, BytesMut};
 use ntex::web::{HttpRequest, HttpResponse};
 use opentelemetry_sdk::trace::Span;
-use oriolering::{AttemptState, Cause, Failure, Refusal, ServerKey, Step, next_step};
+use oriolering::{AttemptState, Cause, Failure, Outcome, Refusal, ServerKey, Step, next_step};
 use smallvec::SmallVec;
 
 use crate::attempt::{Plan, Reached};
@@ -26,6 +26,8 @@
 const WHOLE_BODY_BYTES: usize = 64 * 1_024;
 /// When to come back to a node that has no configuration yet.
 const UNREADY_RETRY_MS: u32 = 500;
+/// When to come back after a refusal that names no time.
+const NOT_RUN_RETRY_MS: u32 = 100;
 /// When to come back after a call with an unknown outcome.
 const UNKNOWN_RETRY_MS: u32 = 1_000;
 
@@ -172,12 +174,28 @@
         match decide(wire, &call, failure, &state) {
             Step::Elsewhere => {}
             Step::Answer(outcome, refusal) => {
+                let refusal = completed(outcome, refusal, state.left_ms);
                 return Err(Reply { outcome, refusal });
             }
         }
     }
 }
 
+/// Adds what a final word leaves open: that the deadline has passed, and when to come back.
+fn completed(outcome: Outcome, mut refusal: Refusal, left_ms: u64) -> Refusal {
+    if outcome == Outcome::Unknown && left_ms == 0 {
+        refusal.cause = Cause::Deadline;
+    }
+    if refusal.retry_after == 0 {
+        refusal.retry_after = match outcome {
+            Outcome::NotRun => NOT_RUN_RETRY_MS,
+            Outcome::Unknown => UNKNOWN_RETRY_MS,
+            Outcome::Rejected => 0,
+        };
+    }
+    refusal
+}
+
 /// A body that was handed to an attempt cannot be sent again.
 fn attempt_limit(call: &Call) -> u32 {
     match call.is_taken() {
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use ntex::http::KeepAlive;
+use ntex::http::{ConnectionType, KeepAlive};
 use ntex::time::Seconds;
 use ntex::web::{self, App, HttpRequest, HttpResponse, HttpServer, types};
 use tokio::signal::unix::{SignalKind, signal};
@@ -105,13 +105,20 @@
     wire: types::State<Rc<Wire>>,
 ) -> HttpResponse {
     let wire = Rc::clone(&wire);
+    let node = Arc::clone(&wire.node);
     let local = request.app_config().local_addr();
-    let card = &wire.node.card;
-    if local == card.gate {
+    let card = &node.card;
+    let mut response = if local == card.gate {
         admit::serve(wire, request, payload.into_inner()).await
     } else if local == card.admin {
         admin::serve(&wire, &request)
     } else {
         ingress::serve(wire, request, payload.into_inner()).await
+    };
+    if node.is_draining() {
+        // Callers open their next connection elsewhere before the listeners close.
+        let head = response.head_mut();
+        head.set_connection_type(ConnectionType::Close);
     }
+    response
 }
