--- a/crates/bench/tests/docs.rs
+++ b/crates/bench/tests/docs.rs
@@ -108,8 +108,7 @@
     for level in ["error", "warn", "info", "debug", "trace"] {
         let call = format!("log::{level}!(");
         for rest in source.split(&call).skip(1) {
-            let end = rest.find(");").expect("the macro ends");
-            let text = rest[..end].rsplit('"').nth(1).expect("the line has a text");
+            let text = scan_literal(rest).expect("the line has a text");
             events.insert(vec![level.to_owned(), text.to_owned()]);
         }
     }
