Read the list soon again while it does not name this node

Cause: a node that read the list before it was named in it was no reader and waited for up to three minutes; a fleet of four was not ready in 20 s. Change: such a node reads again within the interval of an empty one; names in the tests and examples follow the joined entry and module.

--- a/crates/bench/examples/control_parts.rs
+++ b/crates/bench/examples/control_parts.rs
@@ -8,7 +8,7 @@
     Assembly, Document, Incarnation, Member, MemberNote, Millis, Relay, Roster, VALUE_BYTES,
     is_reader,
 };
-use oriolering_bench::fleet::{bundle, list};
+use oriolering_bench::control_fleet::{bundle, list};
 
 const NODES: usize = 2_700;
 const ZONES: usize = 15;
--- a/crates/bench/tests/control.rs
+++ b/crates/bench/tests/control.rs
@@ -369,7 +369,12 @@
     assert!(fleet.until(LIMIT, spent).await);
     fleet.nodes[0].handle.spread(QuarantineEntry {
         fingerprint: 42,
-        left_ms: 60_000,
+        crash: Crash {
+            gate: Incarnation(1),
+            number: 1,
+        },
+        verdict: Verdict::Quarantined,
+        remaining: 60_000,
     });
     let held_back =
         |node: &Node| node.member.id != "node-0" || node.handle.status().counts.shed_gossip > 0;
--- a/crates/node/src/control/read.rs
+++ b/crates/node/src/control/read.rs
@@ -102,10 +102,17 @@
         self.kind == Kind::Configuration && head.revision == 0
     }
 
-    /// Returns the time to the next read of a node that is no reader; short while it has no value.
+    /// Returns whether the list does not name this node yet.
+    fn is_unlisted(&self) -> bool {
+        let state = self.shared.state();
+        self.kind == Kind::Instances && state.roster.get(&self.shared.settings.me.id).is_none()
+    }
+
+    /// Returns the time to the next read of a node that is no reader; short while it has no
+    /// value, or waits to be listed itself.
     fn interval(&self) -> u64 {
         let settings = &self.shared.settings;
-        if self.head.revision == 0 {
+        if self.head.revision == 0 || self.is_unlisted() {
             return jitter(settings.empty_ms / 2, settings.empty_ms);
         }
         jitter(settings.idle_ms / 2, settings.idle_ms * 3 / 2)
