--- a/crates/bench/src/trial.rs
+++ b/crates/bench/src/trial.rs
@@ -135,6 +135,11 @@
     /// Returns the error of a start.
     pub async fn start(plan: &FleetPlan, mix: &Mix, seed: u64) -> io::Result<Self> {
         let fleet = Fleet::start(plan).await?;
+        Ok(Self::attach(fleet, mix, seed))
+    }
+
+    /// Starts the load on a fleet that runs.
+    pub fn attach(fleet: Fleet, mix: &Mix, seed: u64) -> Self {
         let arrivals = mix.arrivals(&fleet, seed);
         let (sender, calls) = oneshot::channel();
         ntex::rt::spawn(async move {
@@ -143,7 +148,7 @@
             // The receiver is gone when the proof has failed already.
             let _ = sender.send(calls);
         });
-        Ok(Self { fleet, calls })
+        Self { fleet, calls }
     }
 
     /// Lets the load run for `ms`.
