--- a/crates/bench/tests/control.rs
+++ b/crates/bench/tests/control.rs
@@ -1,10 +1,15 @@
 //! The control parts of a small fleet over real connections.
 
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
-use oriolering_bench::control_fleet::{Fleet, INVALID, Shape, bundle};
-use oriolering_bench::platform::{Mode, Scope, Switch};
+use oriolering::{CallId, Crash, Fate, Grant, Incarnation, QuarantineEntry, Verdict};
+use oriolering_bench::control_fleet::{self as fleet, Fleet, INVALID, Node, Shape, bundle, list};
+use oriolering_bench::platform::{Mode, Platform, Scope, Switch};
 use oriolering_node::control::ControlSettings;
+use rstest::rstest;
 
 const WATCH_MS: u64 = 300;
 const LIMIT: Duration = Duration::from_secs(9);
@@ -31,12 +36,17 @@
         mode,
         delay_ms: 0,
         scope: Scope::All,
+        behind: 0,
     }
 }
 
+#[rstest]
+#[case::alone(1)]
+#[case::pair(2)]
+#[case::today(13)]
 #[tokio::test]
-async fn every_node_takes_a_change() {
-    let fleet = fleet(13);
+async fn every_node_takes_a_change(#[case] nodes: usize) {
+    let fleet = fleet(nodes);
     for edit in 0..3 {
         let times = fleet.publish(bundle(3, 20_000, edit), LIMIT).await;
         assert!(times.iter().all(Option::is_some), "{times:?}");
@@ -124,14 +134,10 @@
             .await
     );
     fleet.nodes[3].handle.leave();
-    let known = |node: &oriolering_bench::control_fleet::Node| {
-        node.view("node-3").is_some_and(|member| member.leaving)
-    };
+    let known = |node: &Node| node.view("node-3").is_some_and(|member| member.leaving);
     assert!(fleet.until(Duration::from_secs(3), known).await);
     fleet.replace(3).await.unwrap();
-    let back = |node: &oriolering_bench::control_fleet::Node| {
-        node.view("node-3").is_some_and(|member| !member.leaving)
-    };
+    let back = |node: &Node| node.view("node-3").is_some_and(|member| !member.leaving);
     assert!(fleet.until(LIMIT, back).await);
     fleet.stop().await;
 }
@@ -153,3 +159,177 @@
     assert!(after.config - reads.config < 60, "{reads:?} {after:?}");
     fleet.stop().await;
 }
+
+#[tokio::test]
+async fn a_quarantine_reaches_every_node_once() {
+    let fleet = fleet(24);
+    assert!(
+        fleet
+            .until(LIMIT, |node| node.record.members.lock().len() == 24)
+            .await
+    );
+    let entry = QuarantineEntry {
+        fingerprint: 42,
+        crash: Crash {
+            gate: Incarnation(1),
+            number: 1,
+        },
+        verdict: Verdict::Quarantined,
+        remaining: 60_000,
+    };
+    fleet.nodes[0].handle.spread(entry);
+    let heard =
+        |node: &Node| node.member.id == "node-0" || !node.record.quarantined.lock().is_empty();
+    assert!(fleet.until(LIMIT, heard).await);
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    for node in &fleet.nodes[1..] {
+        let heard = node.record.quarantined.lock().clone();
+        assert_eq!(heard.len(), 1, "{heard:?}");
+        assert!(heard[0].remaining <= entry.remaining);
+    }
+    fleet.stop().await;
+}
+
+#[tokio::test]
+async fn a_member_that_the_list_places_elsewhere_is_a_stranger() {
+    let mut fleet = fleet(13);
+    assert!(
+        fleet
+            .until(LIMIT, |node| node.record.members.lock().len() == 13)
+            .await
+    );
+    let mut elsewhere: Vec<_> = fleet.nodes.iter().map(|node| node.member.clone()).collect();
+    elsewhere[0].control.set_ip([127, 0, 0, 99].into());
+    fleet.platform.list(list(&elsewhere));
+    let moved = |node: &Node| {
+        let view = node.view("node-0");
+        view.is_some_and(|member| member.control == elsewhere[0].control)
+    };
+    assert!(fleet.until(LIMIT, moved).await);
+    let entry = QuarantineEntry {
+        fingerprint: 42,
+        crash: Crash {
+            gate: Incarnation(1),
+            number: 1,
+        },
+        verdict: Verdict::Quarantined,
+        remaining: 60_000,
+    };
+    let liar = fleet.nodes.remove(0);
+    let gate = fleet.nodes[0].member.control;
+    let id = CallId {
+        grant: Grant {
+            gate: Incarnation(1),
+            number: 1,
+        },
+        seq: 1,
+    };
+    liar.handle.spread(entry);
+    liar.handle.leave();
+    assert!(liar.handle.inquire(gate, id, true, 1_000).await.is_err());
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    for node in &fleet.nodes {
+        assert!(node.record.quarantined.lock().is_empty());
+        assert!(node.record.fenced.lock().is_empty());
+    }
+    liar.handle.stop().await;
+    fleet.stop().await;
+}
+
+#[tokio::test]
+async fn a_listed_peer_may_inquire() {
+    let fleet = fleet(8);
+    assert!(
+        fleet
+            .until(LIMIT, |node| node.record.members.lock().len() == 8)
+            .await
+    );
+    let gate = &fleet.nodes[1];
+    let grant = fleet.nodes[0]
+        .handle
+        .open(gate.member.control, 1_000)
+        .await
+        .unwrap();
+    let id = CallId { grant, seq: 9 };
+    let fate = fleet.nodes[0]
+        .handle
+        .inquire(gate.member.control, id, true, 1_000)
+        .await;
+    assert_eq!(fate.unwrap(), Fate::Fenced);
+    assert_eq!(*gate.record.fenced.lock(), [9]);
+    fleet.stop().await;
+}
+
+#[tokio::test]
+async fn a_fleet_that_starts_at_once_reads_each_value_a_few_times() {
+    let shape = Shape {
+        nodes: 24,
+        zones: 4,
+        services: 3,
+        tune: |settings| settings.start_ms = 50,
+    };
+    let fleet = Fleet::start(shape).unwrap();
+    fleet.publish(bundle(3, 20_000, 1), LIMIT).await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let reads = fleet.platform.reads();
+    assert!(reads.instances <= 24 + 12, "{reads:?}");
+    assert!(reads.config <= 24 + 12, "{reads:?}");
+    fleet.stop().await;
+}
+
+#[tokio::test]
+async fn two_contents_of_one_revision_are_counted_and_kept() {
+    static OTHER: OnceLock<SocketAddr> = OnceLock::new();
+    static JOINED: AtomicBool = AtomicBool::new(false);
+    let other = Platform::new(0);
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    OTHER.set(listener.local_addr().unwrap()).unwrap();
+    fleet::serve(other.clone(), listener).unwrap();
+    let shape = Shape {
+        nodes: 2,
+        zones: 2,
+        services: 1,
+        tune: |settings| {
+            tune(settings);
+            if settings.me.id == "node-1" {
+                settings.platform = OTHER.get().copied().unwrap();
+            }
+            let platform = settings.platform;
+            settings.reach = Some(Arc::new(move |to| {
+                to == platform || JOINED.load(Ordering::Relaxed)
+            }));
+        },
+    };
+    let fleet = Fleet::start(shape).unwrap();
+    let members: Vec<_> = fleet.nodes.iter().map(|node| node.member.clone()).collect();
+    other.list(list(&members));
+    fleet.platform.publish(bundle(1, 20_000, 1));
+    other.publish(bundle(1, 20_000, 2));
+    assert!(fleet.until(LIMIT, |node| node.in_force(1).is_some()).await);
+    JOINED.store(true, Ordering::Relaxed);
+    let counted = |node: &Node| node.handle.status().ignored.conflicts > 0;
+    assert!(fleet.until(LIMIT, counted).await);
+    for node in &fleet.nodes {
+        assert_eq!(node.record.configured.lock().len(), 1);
+    }
+    fleet.stop().await;
+}
+
+#[tokio::test]
+async fn a_new_node_puts_nothing_older_in_force_than_its_peers_hold() {
+    let mut fleet = fleet(13);
+    fleet.publish(bundle(3, 20_000, 1), LIMIT).await;
+    fleet.publish(bundle(3, 20_000, 2), LIMIT).await;
+    fleet.platform.switch(Switch {
+        scope: Scope::Config,
+        behind: 1,
+        ..switch(Mode::Stale)
+    });
+    for ix in 0..13 {
+        fleet.replace(ix).await.unwrap();
+        assert!(fleet.until(LIMIT, |node| node.in_force(2).is_some()).await);
+        let revisions = fleet.nodes[ix].record.configured.lock().clone();
+        assert_eq!(revisions[0].0, 2, "{revisions:?}");
+    }
+    fleet.stop().await;
+}
--- a/crates/ctl/src/status.rs
+++ b/crates/ctl/src/status.rs
@@ -61,12 +61,18 @@
         return once(args);
     };
     let count = args.get_one::<u64>("count").copied().unwrap_or(u64::MAX);
+    let clear = match Format::of(args) {
+        Format::Text => CLEAR,
+        Format::Json => "",
+    };
     for _ in 1..count {
         let text = once(args).unwrap_or_else(|failure| failure.report());
-        crate::print(&(CLEAR.to_owned() + &text));
+        if crate::print(&format!("{clear}{text}")).is_err() {
+            return Ok(String::new());
+        }
         thread::sleep(Duration::from_secs(*seconds));
     }
-    once(args).map(|text| CLEAR.to_owned() + &text)
+    once(args).map(|text| format!("{clear}{text}"))
 }
 
 fn once(args: &ArgMatches) -> Result<String, Failure> {
@@ -135,7 +141,7 @@
         show(gate.running),
         show(gate.queued),
         show(gate.limit),
-        show(gate.latency_us.map(micros)),
+        show(gate.latency_us.filter(|us| *us > 0).map(micros)),
         show(r.budget.as_ref().and_then(budget)),
         show(control.budget_percent.map(|left| format!("{left} %"))),
         show(control.cpu_percent.map(|cpu| format!("{cpu:.1} %"))),
--- a/crates/oriolering/src/config/shape.rs
+++ b/crates/oriolering/src/config/shape.rs
@@ -51,6 +51,30 @@
     settings.into_generator().into_root_schema_for::<T>()
 }
 
+/// Lets every field of a schema be left out or null, but for `services` and the services.
+pub(crate) fn relax(schema: &mut Value) {
+    let Some(object) = schema.as_object_mut() else {
+        return;
+    };
+    object.remove("required");
+    object.remove("default");
+    for inner in ["additionalProperties", "items"] {
+        if let Some(inner) = object.get_mut(inner) {
+            relax(inner);
+        }
+    }
+    let Some(fields) = object.get_mut("properties").and_then(Value::as_object_mut) else {
+        return;
+    };
+    for (key, field) in fields {
+        relax(field);
+        if key != "services" {
+            let inner = field.take();
+            *field = serde_json::json!({"anyOf": [inner, {"type": "null"}]});
+        }
+    }
+}
+
 impl Shape {
     /// Returns the shape of a type.
     pub(crate) fn of<T: JsonSchema>() -> Self {
@@ -162,9 +186,13 @@
     }
 }
 
-/// Returns the texts among which a value is chosen.
+/// Returns the texts among which a value is chosen: constants with a description each, or a
+/// plain list.
 fn scan_choices(schema: &Value) -> Option<Vec<CompactString>> {
-    let described = schema["oneOf"].as_array();
-    let names = described.map(|all| all.iter().filter_map(|one| one["const"].as_str()));
-    names.map(|names| names.map(CompactString::from).collect())
+    let described = schema["oneOf"].as_array().into_iter().flatten();
+    let described = described.filter_map(|one| one["const"].as_str());
+    let listed = schema["enum"].as_array().into_iter().flatten();
+    let names = described.chain(listed.filter_map(Value::as_str));
+    let names: Vec<CompactString> = names.map(CompactString::from).collect();
+    (!names.is_empty()).then_some(names)
 }
