Let the gate refuse while its backend server's health is bad

Cause: bad health only rode on answers as a report.

Ruled out: telling the peers of bad health as of a leaving node, since that is sticky for the incarnation of the node and the backend server may stay.

Change: the gate refuses as not run, which is final, while the last poll says leaving, and forgets it when the backend server has died and come back. An ingress believes a report of leaving for 3 s against later reports; after that a request is due, which the gate refuses or takes. The stand-in backend server records when its health was asked for. The proof of revisions has a file of its own.

--- a/crates/bench/src/backend.rs
+++ b/crates/bench/src/backend.rs
@@ -44,6 +44,7 @@
             .state(state.clone())
             .route("/_health", web::get().to(health))
             .route("/_load", web::get().to(load))
+            .route("/_polls", web::get().to(polls))
             .route("/_runs", web::get().to(runs))
             .route("/_fault", web::post().to(set_fault))
             .default_service(web::to(work))
@@ -58,12 +59,18 @@
 }
 
 async fn health(state: Shared) -> HttpResponse {
+    state.note_poll();
     match state.fault().drain {
         true => HttpResponse::ServiceUnavailable().body("draining\n"),
         false => HttpResponse::Ok().body("ok\n"),
     }
 }
 
+async fn polls(state: Shared) -> HttpResponse {
+    let polls = state.polls.lock().clone();
+    HttpResponse::Ok().json(&polls)
+}
+
 async fn load(state: Shared) -> HttpResponse {
     HttpResponse::Ok().json(&state.reported())
 }
--- a/crates/bench/src/backend_state.rs
+++ b/crates/bench/src/backend_state.rs
@@ -5,7 +5,7 @@
 use std::io::Write;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use compact_str::CompactString;
 use parking_lot::Mutex;
@@ -84,6 +84,8 @@
     pub(crate) settings: BackendSettings,
     pub(crate) permits: Arc<Semaphore>,
     pub(crate) runs: Mutex<Runs>,
+    /// When the health was asked for, in milliseconds since the epoch.
+    pub(crate) polls: Mutex<Vec<u64>>,
     pub(crate) running: AtomicU32,
     pub(crate) queued: AtomicU32,
     fault: Mutex<(Fault, Instant)>,
@@ -98,6 +100,7 @@
         Self {
             permits: Arc::new(Semaphore::new(settings.slots as usize)),
             runs: Mutex::default(),
+            polls: Mutex::default(),
             running: AtomicU32::new(0),
             queued: AtomicU32::new(0),
             fault: Mutex::new((Fault::default(), Instant::now())),
@@ -108,6 +111,13 @@
         }
     }
 
+    /// Notes that the health was asked for now.
+    pub(crate) fn note_poll(&self) {
+        let since = SystemTime::now().duration_since(UNIX_EPOCH);
+        let ms = since.unwrap_or_default().as_millis() as u64;
+        self.polls.lock().push(ms);
+    }
+
     pub(crate) fn fault(&self) -> Fault {
         self.fault.lock().0
     }
--- a/crates/bench/tests/proofs_leave.rs
+++ b/crates/bench/tests/proofs_leave.rs
@@ -150,6 +150,40 @@
     verdict.assert_kept("returned");
 }
 
+/// Sends calls one after another at the nodes beside the other backend servers.
+async fn send_elsewhere(fleet: &Fleet, name: &str, count: usize) {
+    let caller = Caller::new(Instant::now());
+    for number in 0..count {
+        let entry = 1 + number % (fleet.members.len() - 1);
+        let nonce = format_compact!("{name}-{number}");
+        let to = fleet.members[entry].ingress;
+        let request = Request::new(to, "bitacora", "GET", &nonce);
+        assert_eq!(caller.send(&request).await.told, Told::Answer, "{nonce}");
+    }
+}
+
+#[ntex::main]
+#[test]
+async fn bad_health_stops_work_of_nodes_that_heard_nothing_and_good_health_returns_it() {
+    let fleet = Fleet::start(&plan(3)).await.unwrap();
+    tokio::time::sleep(Duration::from_millis(MEASURING_MS)).await;
+    mark(&fleet, Mark::Health).await;
+    tokio::time::sleep(Duration::from_millis(LEAVE_MS)).await;
+    send_elsewhere(&fleet, "leaving", 60).await;
+    let during = runs_of(&fleet, 0);
+    assert!(fleet.members[0].set_fault(Fault::default()).await);
+    let end = Instant::now() + Duration::from_millis(RETURN_MS);
+    let mut round = 0;
+    while runs_of(&fleet, 0) == during && Instant::now() < end {
+        send_elsewhere(&fleet, &format!("good-{round}"), 10).await;
+        round += 1;
+    }
+    let after = runs_of(&fleet, 0);
+    println!("{during} runs while leaving, {} after", after - during);
+    assert_eq!(during, 0, "new work {LEAVE_MS} ms after the health was bad");
+    assert!(after > during, "no work after the health was good again");
+}
+
 /// Callers enter at another service, so what they are told is not about its listeners.
 #[ntex::main]
 #[test]
--- a/crates/bench/tests/proofs_config.rs
+++ b/crates/bench/tests/proofs_revisions.rs
@@ -1,4 +1,4 @@
-//! An accepted configuration is in force at every node within seconds and never reverts.
+//! The revisions that nodes say are in force never go down and reach the newest in time.
 
 use std::cell::RefCell;
 use std::rc::Rc;
--- a/crates/node/src/poll.rs
+++ b/crates/node/src/poll.rs
@@ -1,7 +1,6 @@
 //! Polls the health endpoint of the local backend server within the measuring budget.
 
 use std::rc::Rc;
-use std::sync::atomic::Ordering;
 
 use ntex::http::StatusCode;
 use oriolering::{Budget, BudgetSettings, Millis};
@@ -68,8 +67,9 @@
         return;
     };
     let leaving = response.status() == StatusCode::SERVICE_UNAVAILABLE;
-    let before = wire.node.backend_leaving.swap(leaving, Ordering::Relaxed);
-    if before != leaving {
+    let now = wire.node.clock.now();
+    let changed = wire.node.admission.lock().gate.report_leaving(now, leaving);
+    if changed {
         log::info!(leaving = leaving; "backend server changed its health");
     }
 }
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -46,8 +46,6 @@
     pub(crate) watch: Mutex<Watch>,
     /// What may be spent on measuring the local backend server.
     pub(crate) budget: Mutex<Budget>,
-    /// Whether the backend server's health endpoint says that it is leaving.
-    pub(crate) backend_leaving: AtomicBool,
     /// Counters and gauges.
     pub(crate) metrics: Metrics,
     /// Spans of recent calls.
@@ -75,7 +73,6 @@
             quarantine: Mutex::new(Quarantine::new(quarantine_settings(&own), incarnation)),
             watch: Mutex::new(Watch::default()),
             budget: Mutex::new(poll::budget(own.measure.budget_ms)),
-            backend_leaving: AtomicBool::new(false),
             metrics: Metrics::new(),
             traces: Traces::new(&card.id),
             control: OnceLock::new(),
@@ -130,9 +127,7 @@
 
     /// Returns the load of the local backend server as it is told to ingresses.
     pub(crate) fn load(&self) -> LoadHint {
-        let mut load = self.admission.lock().gate.load(self.clock.now());
-        load.leaving |= self.backend_leaving.load(Ordering::Relaxed);
-        load
+        self.admission.lock().gate.load(self.clock.now())
     }
 
     /// Returns the settings of the local backend server's service.
--- a/crates/oriolering/src/adaptive.rs
+++ b/crates/oriolering/src/adaptive.rs
@@ -26,7 +26,7 @@
 
 impl<'a> View<'a> {
     pub(crate) fn new(now: Millis, settings: &'a ChoiceSettings, servers: &'a [Server]) -> Self {
-        let used = || servers.iter().filter(|s| s.used && !s.is_leaving());
+        let used = || servers.iter().filter(|s| s.used && !s.is_leaving(now));
         let suspects = used().filter(|s| s.standing.is_suspect()).count();
         Self {
             now,
--- a/crates/oriolering/src/choice.rs
+++ b/crates/oriolering/src/choice.rs
@@ -68,7 +68,7 @@
     ) -> Option<ServerKey> {
         let open: SmallVec<[usize; 16]> = (0..self.servers.len())
             .filter(|&i| self.servers[i].used && !self.servers[i].gone)
-            .filter(|&i| !self.servers[i].is_leaving())
+            .filter(|&i| !self.servers[i].is_leaving(now))
             .filter(|&i| !exclude.contains(&self.servers[i].candidate.server))
             .collect();
         let i = match self.settings.policy {
--- a/crates/oriolering/src/explain.rs
+++ b/crates/oriolering/src/explain.rs
@@ -71,7 +71,7 @@
 }
 
 fn class_of(view: &View<'_>, server: &Server) -> Class {
-    if server.is_leaving() {
+    if server.is_leaving(view.now) {
         return Class::Leaving;
     }
     match server.standing {
--- a/crates/oriolering/src/gate.rs
+++ b/crates/oriolering/src/gate.rs
@@ -58,6 +58,7 @@
     pause: Pause,
     refused: VecDeque<Ticket>,
     leaving: bool,
+    server_leaving: bool,
     now: Millis,
 }
 
@@ -76,6 +77,7 @@
             pause: Pause::default(),
             refused: VecDeque::new(),
             leaving: false,
+            server_leaving: false,
             now,
         }
     }
@@ -221,7 +223,7 @@
 
     /// Returns the load of the backend server.
     pub fn load(&self, now: Millis) -> LoadHint {
-        self.server.load(now, self.queue.len(), self.leaving)
+        self.server.load(now, self.queue.len(), self.is_leaving())
     }
 
     /// Returns the fingerprints of the calls that the backend server runs now.
@@ -235,6 +237,15 @@
         self.leaving = true;
     }
 
+    /// Takes what the backend server says of itself, and returns whether that has changed.
+    ///
+    /// While it is leaving no new calls are taken, as after [`Self::drain`].
+    pub fn report_leaving(&mut self, now: Millis, leaving: bool) -> bool {
+        self.observe(now);
+        let before = std::mem::replace(&mut self.server_leaving, leaving);
+        before != leaving
+    }
+
     /// Returns whether no call waits, holds a slot or has an event to come.
     pub fn is_idle(&self) -> bool {
         self.calls.len() == 0
@@ -243,6 +254,7 @@
     /// Starts over with the lowest limit, since the backend server is a new incarnation.
     pub fn restart(&mut self, now: Millis) {
         self.observe(now);
+        self.server_leaving = false;
         self.server.restart(now, self.settings.ramp);
     }
 
@@ -273,7 +285,7 @@
 
     /// Finds a slot or a place in the queue for an admitted call.
     fn place(&mut self, now: Millis, offer: Offer) -> Decision {
-        if self.leaving {
+        if self.is_leaving() {
             return Decision::Refuse(self.refusal(now, Cause::Leaving));
         }
         if offer.deadline <= now {
@@ -346,6 +358,10 @@
         }
     }
 
+    fn is_leaving(&self) -> bool {
+        self.leaving || self.server_leaving
+    }
+
     fn has_slot(&self, now: Millis) -> bool {
         self.server.has_slot(now) && self.pause.settles(now).is_none()
     }
--- a/crates/oriolering/src/pool.rs
+++ b/crates/oriolering/src/pool.rs
@@ -18,6 +18,8 @@
 const MIN_REST_MS: u64 = 10;
 /// The longest time for which it is avoided after refusals in a row, in milliseconds.
 const MAX_REST_MS: u64 = 1000;
+/// How long a report that it is leaving holds against later ones, in milliseconds.
+const LEAVING_MS: u64 = 3_000;
 /// The slots assumed for a backend server that has not reported its limit.
 const DEFAULT_LIMIT: u32 = 12;
 /// The shortest time in which a report loses its weight.
@@ -56,6 +58,8 @@
     /// Whether the list no longer has it while requests are still in flight.
     pub(crate) gone: bool,
     pub(crate) heard: Option<Heard>,
+    /// When a report last said that it is leaving.
+    left: Option<Millis>,
     /// The mean latency of its answers here, in microseconds.
     pub(crate) latency: Option<f64>,
     /// When the last good answer came.
@@ -84,6 +88,7 @@
             used: false,
             gone: false,
             heard: None,
+            left: None,
             latency: None,
             answered: now,
             failures: 0.0,
@@ -115,8 +120,8 @@
         heard.filter(|&limit| limit > 0).unwrap_or(DEFAULT_LIMIT)
     }
 
-    pub(crate) fn is_leaving(&self) -> bool {
-        let told = self.heard.is_some_and(|heard| heard.hint.leaving);
+    pub(crate) fn is_leaving(&self, now: Millis) -> bool {
+        let told = self.left.is_some_and(|at| now.since(at) < LEAVING_MS);
         self.candidate.leaving || told
     }
 
@@ -127,9 +132,14 @@
         self.inflight += 1;
     }
 
-    /// Takes a report; one that it is leaving holds until a new incarnation.
-    pub(crate) fn hear(&mut self, now: Millis, mut hint: LoadHint) {
-        hint.leaving |= self.is_leaving();
+    /// Takes a report.
+    ///
+    /// One that it is leaving holds for a while, as a late report may say otherwise. After that
+    /// a request is due: its gate refuses it, or the backend server has stayed after all.
+    pub(crate) fn hear(&mut self, now: Millis, hint: LoadHint) {
+        if hint.leaving {
+            self.left = Some(now);
+        }
         let total = hint.running.saturating_add(hint.queued);
         let others = total.saturating_sub(self.inflight);
         self.heard = Some(Heard {
