--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -3,15 +3,14 @@
 use std::rc::Rc;
 
 use futures_util::StreamExt;
-use ntex::http::client::ClientResponse;
 use ntex::http::{Method, Payload};
 use ntex::util::{Bytes, BytesMut};
 use ntex::web::{HttpRequest, HttpResponse};
 use opentelemetry_sdk::trace::Span;
-use oriolering::{AttemptState, Cause, Failure, Refusal, ServerKey, Step, next_step};
+use oriolering::{AttemptState, Cause, Failure, Outcome, Refusal, ServerKey, Step, next_step};
 use smallvec::SmallVec;
 
-use crate::attempt::{Plan, Reached};
+use crate::attempt::{Answered, Plan, Reached};
 use crate::body::{Ending, Upload, WholeBody};
 use crate::call::{Call, CallBody};
 use crate::filters::{self, route};
@@ -26,6 +25,8 @@
 const WHOLE_BODY_BYTES: usize = 64 * 1_024;
 /// When to come back to a node that has no configuration yet.
 const UNREADY_RETRY_MS: u32 = 500;
+/// When to come back after a refusal that names no time.
+const NOT_RUN_RETRY_MS: u32 = 100;
 /// When to come back after a call with an unknown outcome.
 const UNKNOWN_RETRY_MS: u32 = 1_000;
 
@@ -153,7 +154,7 @@
             crashes,
         };
         let failure = match hedge::run(wire, &call, first, &mut tried, span).await {
-            Reached::Answer(response) => return Ok(pass_on(wire, &call, response, span)),
+            Reached::Answer(answer) => return Ok(pass_on(wire, &call, *answer, span)),
             Reached::Missing(failure) => failure,
         };
         if let Failure::Refused(refusal) = failure {
@@ -172,12 +173,28 @@
         match decide(wire, &call, failure, &state) {
             Step::Elsewhere => {}
             Step::Answer(outcome, refusal) => {
+                let refusal = completed(outcome, refusal, state.left_ms);
                 return Err(Reply { outcome, refusal });
             }
         }
     }
 }
 
+/// Adds what a final word leaves open: that the deadline has passed, and when to come back.
+fn completed(outcome: Outcome, mut refusal: Refusal, left_ms: u64) -> Refusal {
+    if outcome == Outcome::Unknown && left_ms == 0 {
+        refusal.cause = Cause::Deadline;
+    }
+    if refusal.retry_after == 0 {
+        refusal.retry_after = match outcome {
+            Outcome::NotRun => NOT_RUN_RETRY_MS,
+            Outcome::Unknown => UNKNOWN_RETRY_MS,
+            Outcome::Rejected => 0,
+        };
+    }
+    refusal
+}
+
 /// A body that was handed to an attempt cannot be sent again.
 fn attempt_limit(call: &Call) -> u32 {
     match call.is_taken() {
@@ -211,12 +228,8 @@
 }
 
 /// Passes the answer of the backend server on to the caller.
-fn pass_on(
-    wire: &Rc<Wire>,
-    call: &Call,
-    response: Box<ClientResponse>,
-    span: &mut Span,
-) -> HttpResponse {
+fn pass_on(wire: &Rc<Wire>, call: &Call, answer: Answered, span: &mut Span) -> HttpResponse {
+    let Answered { response, body } = answer;
     traces::note(span, "status", i64::from(response.status().as_u16()));
     let mut builder = HttpResponse::build(response.status());
     forward::copy(&mut builder, &headers::end_to_end(response.headers()));
@@ -224,12 +237,15 @@
     if call.method() == Method::HEAD || length == Some(0) {
         return builder.finish();
     }
+    if let Some(body) = body {
+        return builder.body(body);
+    }
     let reader = call.request.io().cloned();
     let node = wire.node.clone();
     let ended = move |ending| match ending {
         Ending::Whole => {}
         Ending::Cut => node.metrics.cuts.add(1, &[]),
     };
-    let body = WholeBody::new(*response, length, reader, ended);
+    let body = WholeBody::new(response, length, reader, ended);
     builder.body(ntex::http::body::Body::from_message(body))
 }
--- a/crates/oriolering/src/pool.rs
+++ b/crates/oriolering/src/pool.rs
@@ -18,8 +18,6 @@
 const MIN_REST_MS: u64 = 10;
 /// The longest time for which it is avoided after refusals in a row, in milliseconds.
 const MAX_REST_MS: u64 = 1000;
-/// How long a report that it is leaving holds against later ones, in milliseconds.
-const LEAVING_MS: u64 = 3_000;
 /// The slots assumed for a backend server that has not reported its limit.
 const DEFAULT_LIMIT: u32 = 12;
 /// The shortest time in which a report loses its weight.
@@ -40,6 +38,9 @@
     pub fresh: bool,
 }
 
+/// How long a report that a backend server is leaving holds, in milliseconds.
+const LEAVE_HOLD_MS: u64 = 3_000;
+
 /// A report of a gate with the time it came.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Heard {
@@ -58,8 +59,6 @@
     /// Whether the list no longer has it while requests are still in flight.
     pub(crate) gone: bool,
     pub(crate) heard: Option<Heard>,
-    /// When a report last said that it is leaving.
-    left: Option<Millis>,
     /// The mean latency of its answers here, in microseconds.
     pub(crate) latency: Option<f64>,
     /// When the last good answer came.
@@ -73,6 +72,8 @@
     pub(crate) rest: Millis,
     /// For how long it is avoided after its next refusal.
     backoff: u64,
+    /// When its gate last reported that it is leaving.
+    left: Option<Millis>,
     /// The number of the last pick that chose it.
     pub(crate) last: u64,
     /// The requests in flight from this ingress.
@@ -88,7 +89,6 @@
             used: false,
             gone: false,
             heard: None,
-            left: None,
             latency: None,
             answered: now,
             failures: 0.0,
@@ -96,6 +96,7 @@
             slow: None,
             rest: now,
             backoff: MIN_REST_MS,
+            left: None,
             last: 0,
             inflight: 0,
             progress: now,
@@ -120,8 +121,9 @@
         heard.filter(|&limit| limit > 0).unwrap_or(DEFAULT_LIMIT)
     }
 
+    /// Returns whether it takes no new work, by the list or by a report that still holds.
     pub(crate) fn is_leaving(&self, now: Millis) -> bool {
-        let told = self.left.is_some_and(|at| now.since(at) < LEAVING_MS);
+        let told = self.left.is_some_and(|at| now.since(at) < LEAVE_HOLD_MS);
         self.candidate.leaving || told
     }
 
@@ -132,10 +134,9 @@
         self.inflight += 1;
     }
 
-    /// Takes a report.
+    /// Takes a report; one that it is leaving holds for a while, whatever comes late.
     ///
-    /// One that it is leaving holds for a while, as a late report may say otherwise. After that
-    /// a request is due: its gate refuses it, or the backend server has stayed after all.
+    /// It does not hold for good, because the endpoint behind it may have misled.
     pub(crate) fn hear(&mut self, now: Millis, hint: LoadHint) {
         if hint.leaving {
             self.left = Some(now);
