--- a/crates/bench/examples/demo.rs
+++ b/crates/bench/examples/demo.rs
@@ -8,10 +8,10 @@
 use std::process::ExitCode;
 use std::time::{Duration, Instant};
 
-use compact_str::CompactString;
+use compact_str::{CompactString, format_compact};
 use oriolering_bench::{
-    Call, Caller, Fault, Fleet, FleetPlan, Mix, Report, Signal, Told, check_history, http_get,
-    run_load,
+    Call, Caller, Fault, Fleet, FleetPlan, Mix, Report, Request, Signal, Told, check_history,
+    http_get, label, run_load,
 };
 use serde_json::json;
 
@@ -22,6 +22,8 @@
 const DOWN: Duration = Duration::from_millis(1_500);
 const HARM_AT: Duration = Duration::from_millis(1_000);
 const LATE: Duration = Duration::from_millis(1_000);
+const POISON_SENDS: usize = 5;
+const POISON_PAUSE: Duration = Duration::from_millis(400);
 const DRAIN_LIMIT: Duration = Duration::from_secs(20);
 
 /// The counters of a node that tell of decisions, as the scrape names them.
@@ -40,6 +42,7 @@
     Nothing,
     Straggle(usize),
     Kill(usize),
+    Poison,
     Drain(usize),
 }
 
@@ -49,11 +52,13 @@
             Self::Nothing => "normal traffic",
             Self::Straggle(_) => "one backend server ten times slower",
             Self::Kill(_) => "one backend server killed and returned",
+            Self::Poison => "one request that kills each backend server that runs it",
             Self::Drain(_) => "one node and its backend server drained",
         }
     }
 
-    async fn run(self, fleet: &mut Fleet) -> io::Result<()> {
+    /// Brings the event about and returns the calls that belong to it.
+    async fn run(self, fleet: &mut Fleet) -> io::Result<Vec<Call>> {
         tokio::time::sleep(HARM_AT).await;
         match self {
             Self::Nothing => {}
@@ -69,9 +74,10 @@
                 tokio::time::sleep(DOWN).await;
                 fleet.members[number].restart_server()?;
             }
+            Self::Poison => return send_poison(fleet).await,
             Self::Drain(number) => drain(fleet, number).await?,
         }
-        Ok(())
+        Ok(Vec::new())
     }
 
     /// Ends the fault that the event put in force.
@@ -82,6 +88,26 @@
     }
 }
 
+/// Sends a request that kills each backend server that runs it, time and again, as its caller
+/// would, and returns the backend servers.
+async fn send_poison(fleet: &mut Fleet) -> io::Result<Vec<Call>> {
+    let caller = Caller::new(Instant::now());
+    let mut calls = Vec::new();
+    for number in 0..POISON_SENDS {
+        let to = fleet.members[number % SERVERS].ingress;
+        let nonce = format_compact!("poison-{number}");
+        let request = Request::new(to, SERVICE, "POST", &nonce).header("x-crash", 1);
+        calls.push(caller.send(&request).await);
+        tokio::time::sleep(POISON_PAUSE).await;
+        for member in &mut fleet.members {
+            if !member.server.is_running() {
+                member.restart_server()?;
+            }
+        }
+    }
+    Ok(calls)
+}
+
 /// Lists a member as leaving, tells its node to stop and waits until it has.
 async fn drain(fleet: &mut Fleet, number: usize) -> io::Result<()> {
     let id = fleet.members[number].id.clone();
@@ -133,13 +159,17 @@
     sum
 }
 
-fn print_phase(event: Event, calls: &[Call], decided: &Counters) {
+fn print_phase(event: Event, calls: &[Call], special: &[Call], decided: &Counters) {
     println!("\n{}", event.title());
     println!("  {}", Report::new(calls));
     let named = decided
         .iter()
         .map(|(name, count)| format!("{} {count}", name.trim_end_matches("_total")));
     println!("  decided: {}", named.collect::<Vec<_>>().join(", "));
+    if !special.is_empty() {
+        let told = special.iter().map(|call| label(call.told));
+        println!("  the request: {}", told.collect::<Vec<_>>().join(", "));
+    }
 }
 
 /// Returns whether the caller learned nothing, or something false, about its request.
@@ -160,11 +190,12 @@
     let before = read_counters(fleet).await;
     let start = Instant::now();
     let caller = Caller::new(start);
-    let (calls, ended) = tokio::join!(run_load(&caller, start, arrivals), event.run(fleet));
-    ended?;
+    let (mut calls, special) = tokio::join!(run_load(&caller, start, arrivals), event.run(fleet));
+    let special = special?;
     event.end(fleet).await;
     let after = read_counters(fleet).await;
-    print_phase(event, &calls, &difference(&before, &after));
+    print_phase(event, &calls, &special, &difference(&before, &after));
+    calls.extend(special);
     Ok(calls)
 }
 
@@ -180,6 +211,7 @@
         Event::Nothing,
         Event::Straggle(2),
         Event::Kill(1),
+        Event::Poison,
         Event::Drain(0),
     ];
     let mut calls = Vec::new();
