--- a/crates/bench/examples/fleet.rs
+++ b/crates/bench/examples/fleet.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use clap::{Arg, Command, value_parser};
-use oriolering_bench::fleet::{Fleet, Shape, bundle};
+use oriolering_bench::control_fleet::{Fleet, Shape, bundle};
 use oriolering_bench::platform::{Mode, Scope, Switch};
 use oriolering_node::control::ControlSettings;
 
@@ -164,7 +164,7 @@
         tokio::time::sleep(WATCH).await;
         let revision = fleet.platform.publish(self.value(CHANGES + 2));
         let start = Instant::now();
-        let others = |node: &oriolering_bench::fleet::Node| {
+        let others = |node: &oriolering_bench::control_fleet::Node| {
             node.member.zone == "zone-1" || node.in_force(revision).is_some()
         };
         fleet.until(LIMIT, others).await;
@@ -197,7 +197,7 @@
     async fn measure_leaving(&self, fleet: &Fleet, row: &mut Row) {
         let start = Instant::now();
         fleet.nodes[1].handle.leave();
-        let known = |node: &oriolering_bench::fleet::Node| {
+        let known = |node: &oriolering_bench::control_fleet::Node| {
             node.view("node-1").is_some_and(|member| member.leaving)
         };
         fleet.until(LIMIT, known).await;
--- a/crates/bench/tests/control.rs
+++ b/crates/bench/tests/control.rs
@@ -5,8 +5,8 @@
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
-use oriolering::{CallId, Fate, Grant, Incarnation, QuarantineEntry};
-use oriolering_bench::fleet::{self, Fleet, INVALID, Node, Shape, bundle, list};
+use oriolering::{CallId, Crash, Fate, Grant, Incarnation, QuarantineEntry, Verdict};
+use oriolering_bench::control_fleet::{self as fleet, Fleet, INVALID, Node, Shape, bundle, list};
 use oriolering_bench::platform::{Mode, Platform, Scope, Switch};
 use oriolering_node::control::ControlSettings;
 use rstest::rstest;
@@ -31,6 +31,18 @@
     Fleet::start(shape).unwrap()
 }
 
+fn quarantine() -> QuarantineEntry {
+    QuarantineEntry {
+        fingerprint: 42,
+        crash: Crash {
+            gate: Incarnation(1),
+            number: 1,
+        },
+        verdict: Verdict::Quarantined,
+        remaining: 60_000,
+    }
+}
+
 fn switch(mode: Mode) -> Switch {
     Switch {
         mode,
@@ -195,10 +207,7 @@
             .until(LIMIT, |node| node.record.members.lock().len() == 24)
             .await
     );
-    let entry = QuarantineEntry {
-        fingerprint: 42,
-        left_ms: 60_000,
-    };
+    let entry = quarantine();
     fleet.nodes[0].handle.spread(entry);
     let heard =
         |node: &Node| node.member.id == "node-0" || !node.record.quarantined.lock().is_empty();
@@ -207,7 +216,7 @@
     for node in &fleet.nodes[1..] {
         let heard = node.record.quarantined.lock().clone();
         assert_eq!(heard.len(), 1, "{heard:?}");
-        assert!(heard[0].left_ms <= entry.left_ms);
+        assert!(heard[0].remaining <= entry.remaining);
     }
     fleet.stop().await;
 }
@@ -228,10 +237,7 @@
         view.is_some_and(|member| member.control == elsewhere[0].control)
     };
     assert!(fleet.until(LIMIT, moved).await);
-    let entry = QuarantineEntry {
-        fingerprint: 42,
-        left_ms: 60_000,
-    };
+    let entry = quarantine();
     let liar = fleet.nodes.remove(0);
     let gate = fleet.nodes[0].member.control;
     let id = CallId {
@@ -384,10 +390,7 @@
     fleet.publish(bundle(3, 20_000, 1), LIMIT).await;
     let spent = |node: &Node| node.handle.status().budget_percent == 0;
     assert!(fleet.until(LIMIT, spent).await);
-    fleet.nodes[0].handle.spread(QuarantineEntry {
-        fingerprint: 42,
-        left_ms: 60_000,
-    });
+    fleet.nodes[0].handle.spread(quarantine());
     let held_back =
         |node: &Node| node.member.id != "node-0" || node.handle.status().counts.shed_gossip > 0;
     assert!(fleet.until(LIMIT, held_back).await);
--- /dev/null
+++ b/crates/oriolering/src/config/set.rs
@@ -0,0 +1,196 @@
+//! The whole set of base and overlays.
+
+use std::collections::BTreeMap;
+
+use compact_str::CompactString;
+use serde_json::Value;
+
+use crate::config::bundle::check_size;
+use crate::config::check::{Check, Role, check_required};
+use crate::config::effective::{Builder, Overlay};
+use crate::config::fault::Fault;
+use crate::config::field::{Field, fields};
+use crate::config::nearest::nearest;
+use crate::config::node::Node;
+use crate::config::reader::{self, join};
+use crate::config::shape::{Form, Shape, relax, schema};
+use crate::config::{Bundle, Place, Problems, Service, Settings, base::Base};
+
+/// The name of the base file in problems.
+pub(crate) const BASE_FILE: &str = "base.jsonc";
+
+/// The most services of a set.
+const MAX_SERVICES: u64 = 500;
+
+/// The most overlays of a set.
+const MAX_SITES: u64 = 64;
+
+/// A valid set of base and overlays.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Set {
+    base: Settings,
+    sites: BTreeMap<CompactString, Settings>,
+}
+
+impl Set {
+    /// Reads and checks the base and every overlay. The verdict depends on the bundle alone,
+    /// so it is the same at every node.
+    ///
+    /// # Errors
+    ///
+    /// Returns the problems of all files when there are any.
+    pub fn parse(bundle: &Bundle) -> Result<Self, Problems> {
+        let mut problems = Problems::default();
+        check_size(bundle.render().len(), &mut problems);
+        check_sites(bundle.overlays.len() as u64, &mut problems);
+        if !problems.is_empty() {
+            return Err(problems);
+        }
+        let shape = Shape::of::<Base>();
+        let base = read_base(&bundle.base, &shape, &mut problems);
+        let mut overlays = Vec::new();
+        for (site, text) in &bundle.overlays {
+            let overlay = read_overlay(site, text, &shape, base.as_ref(), &mut problems);
+            overlays.extend(overlay);
+        }
+        let Some(base) = base else {
+            return problems.into_result(Self::empty());
+        };
+        let mut builder = Builder::new(base, problems);
+        let sites = overlays
+            .iter()
+            .map(|o| (o.site.clone(), builder.site(o)))
+            .collect();
+        let base = builder.base();
+        builder.problems.into_result(Self { base, sites })
+    }
+
+    /// Returns the effective settings of a site; a site without an overlay has the base's.
+    pub fn site(&self, site: &str) -> Settings {
+        self.sites.get(site).unwrap_or(&self.base).clone()
+    }
+
+    /// Returns the settings of every site without an overlay.
+    pub fn base(&self) -> &Settings {
+        &self.base
+    }
+
+    /// Returns the sites that have an overlay, in the order of their names.
+    pub fn sites(&self) -> impl Iterator<Item = &str> {
+        self.sites.keys().map(CompactString::as_str)
+    }
+
+    /// Returns the fields of a service, which `defaults` has too, in the order of their paths.
+    pub fn fields() -> Vec<Field> {
+        fields(&Shape::of::<Service>())
+    }
+
+    /// Returns the JSON schema of the base file.
+    pub fn schema() -> Value {
+        schema::<Base>().to_value()
+    }
+
+    /// Returns the JSON schema of an overlay, in which every field may be left out or null.
+    pub fn overlay_schema() -> Value {
+        let mut schema = Self::schema();
+        relax(&mut schema);
+        schema
+    }
+
+    fn empty() -> Self {
+        Self {
+            base: Settings::default(),
+            sites: BTreeMap::new(),
+        }
+    }
+}
+
+/// Returns the name of a site's overlay in problems.
+fn overlay_file(site: &str) -> String {
+    format!("overlays/{site}.jsonc")
+}
+
+fn read_base(text: &str, shape: &Shape, problems: &mut Problems) -> Option<Node> {
+    let node = reader::read(BASE_FILE, text, problems)?;
+    let mut check = Check {
+        role: Role::Base,
+        problems,
+    };
+    check.value(&node, shape, "");
+    check_required(&node, shape, false, problems);
+    if let Some(services) = node.get("services") {
+        check_count(services, problems);
+    }
+    Some(node)
+}
+
+fn check_sites(count: u64, problems: &mut Problems) {
+    if count > MAX_SITES {
+        let fault = Fault::High {
+            found: compact_str::format_compact!("a list of {count} sites"),
+            most: MAX_SITES,
+        };
+        problems.push(&Place::whole("bundle"), "overlays", fault);
+    }
+}
+
+fn check_count(services: &Node, problems: &mut Problems) {
+    let count = services.entries().len() as u64;
+    let found = compact_str::format_compact!("a list of {count} services");
+    let fault = match count {
+        0 => Fault::Low { found, least: 1 },
+        1..=MAX_SERVICES => return,
+        _ => Fault::High {
+            found,
+            most: MAX_SERVICES,
+        },
+    };
+    problems.push(&services.place, "services", fault);
+}
+
+fn read_overlay(
+    site: &CompactString,
+    text: &str,
+    shape: &Shape,
+    base: Option<&Node>,
+    problems: &mut Problems,
+) -> Option<Overlay> {
+    let file = overlay_file(site);
+    if !Form::Name.accepts(site) {
+        let fault = Fault::Form {
+            found: site.to_string(),
+            wanted: Form::Name.wanted(),
+        };
+        problems.push(&Place::whole(&file), "", fault);
+    }
+    let node = reader::read(&file, text, problems)?;
+    let mut check = Check {
+        role: Role::Overlay,
+        problems,
+    };
+    check.value(&node, shape, "");
+    if let Some(services) = base.and_then(|base| base.get("services")) {
+        check_services(&node, services, problems);
+    }
+    Some(Overlay {
+        site: site.clone(),
+        file,
+        node,
+    })
+}
+
+/// Reports the services of an overlay that the base lacks.
+fn check_services(overlay: &Node, services: &Node, problems: &mut Problems) {
+    let entries = overlay.get("services").map_or(&[][..], Node::entries);
+    for entry in entries {
+        if problems.is_full() {
+            return;
+        }
+        if services.get(&entry.key).is_none() {
+            let names = services.entries().iter().map(|e| e.key.as_str());
+            let near = nearest(&entry.key, names);
+            let path = join("services", &entry.key);
+            problems.push(&entry.place, &path, Fault::Service { near });
+        }
+    }
+}
--- a/crates/oriolering/tests/spread.rs
+++ b/crates/oriolering/tests/spread.rs
@@ -1,12 +1,20 @@
 //! Quarantines that spread from peer to peer.
 
-use oriolering::{Millis, QUARANTINE_MAX_MS, QUARANTINES_MAX, QuarantineEntry, Spread};
+use oriolering::{
+    Crash, Incarnation, Millis, QUARANTINE_MAX_MS, QUARANTINES_MAX, QuarantineEntry, Spread,
+    Verdict,
+};
 use rstest::rstest;
 
 fn entry(fingerprint: u64, left_ms: u32) -> QuarantineEntry {
     QuarantineEntry {
         fingerprint,
-        left_ms,
+        crash: Crash {
+            gate: Incarnation(1),
+            number: 1,
+        },
+        verdict: Verdict::Quarantined,
+        remaining: left_ms,
     }
 }
 
