Split the attempt of a call into sending, counting and recovering

Change: running.rs counts attempts, recover.rs finds out what became of one whose connection is silent; the comparison of added time also prints the processor time and memory of the two nodes.

--- a/crates/bench/examples/added.rs
+++ b/crates/bench/examples/added.rs
@@ -55,7 +55,10 @@
     let time = WARM_UP + Duration::from_secs(number("seconds"));
     let arrivals = arrivals(number("seed"), number("rate") as f64, time, to);
     let start = Instant::now();
+    let before = Cost::read(&fleet);
     let mut calls = run_load(&Caller::new(start), start, arrivals).await;
+    let after = Cost::read(&fleet);
+    let through = calls.iter().filter(|call| call.label != DIRECT).count() as u64;
     calls.retain(|call| call.intended_us > WARM_UP.as_micros() as u64);
     let direct = Report::new(calls.iter().filter(|call| call.label == DIRECT));
     let hops = Report::new(calls.iter().filter(|call| call.label != DIRECT));
@@ -71,9 +74,37 @@
         added(0.999)
     );
     println!("\ndirect: {direct}\ntwo hops: {hops}");
+    println!(
+        "processor time a call: ingress {} us, gate {} us; peak memory: ingress {} KB, gate {} KB",
+        (after.ingress_us - before.ingress_us) / through.max(1),
+        (after.gate_us - before.gate_us) / through.max(1),
+        after.ingress_kb,
+        after.gate_kb
+    );
     Ok(())
 }
 
+/// What the two nodes have used.
+#[derive(Clone, Copy, Debug, Default)]
+struct Cost {
+    ingress_us: u64,
+    gate_us: u64,
+    ingress_kb: u64,
+    gate_kb: u64,
+}
+
+impl Cost {
+    fn read(fleet: &Fleet) -> Self {
+        let [gate, ingress] = [&fleet.members[0].node, &fleet.members[1].node];
+        Self {
+            ingress_us: ingress.processor_us().unwrap_or_default(),
+            gate_us: gate.processor_us().unwrap_or_default(),
+            ingress_kb: ingress.peak_memory().unwrap_or_default() / 1_024,
+            gate_kb: gate.peak_memory().unwrap_or_default() / 1_024,
+        }
+    }
+}
+
 fn print_row(name: &str, report: &Report) {
     let quantile = |q| report.quantile_ms(q);
     let (p50, p99, p999) = (quantile(0.5), quantile(0.99), quantile(0.999));
--- a/crates/bench/src/process.rs
+++ b/crates/bench/src/process.rs
@@ -10,6 +10,7 @@
 
 use crate::signal::{Signal, send_signal, tie_to_parent};
 
+const NS_PER_US: u64 = 1_000;
 const FIRST_PORT: u16 = 10_000;
 const PORTS: u16 = 20_000;
 const POLL: Duration = Duration::from_millis(5);
@@ -80,6 +81,15 @@
         None
     }
 
+    /// Returns the processor time that the process has used, in microseconds.
+    pub fn processor_us(&self) -> Option<u64> {
+        let tasks = std::fs::read_dir(format!("/proc/{}/task", self.id())).ok()?;
+        let files = tasks.filter_map(|task| Some(task.ok()?.path().join("schedstat")));
+        let texts = files.filter_map(|file| std::fs::read_to_string(file).ok());
+        let times = texts.filter_map(|text| text.split(' ').next()?.parse::<u64>().ok());
+        Some(times.sum::<u64>() / NS_PER_US)
+    }
+
     /// Returns the most memory that the process has held, in bytes.
     pub fn peak_memory(&self) -> Option<u64> {
         let text = std::fs::read_to_string(format!("/proc/{}/status", self.id())).ok()?;
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -15,10 +15,10 @@
 
 use crate::admit;
 use crate::answers::Answer;
-use crate::attempt::is_unsent;
 use crate::body::{self, Ending, Upload, WholeBody};
 use crate::headers;
 use crate::permit::Permit;
+use crate::recover::is_unsent;
 use crate::reply::Reply;
 use crate::timer::within;
 use crate::traces;
