--- a/crates/bench/tests/docs.rs
+++ b/crates/bench/tests/docs.rs
@@ -165,7 +165,7 @@
         has(".ci/test", build),
         ".ci/test builds what the tests start"
     );
-    let test = "cargo test --workspace --locked -- \"${skips[@]}\"";
+    let test = "cargo test --workspace --locked --no-fail-fast -- \"${skips[@]}\"";
     assert!(has(".ci/test", test), ".ci/test runs all tests");
 }
 
