Prove that a read which crashes backend servers is stopped

Cause: the proof of the poison request sends it as one that may not be repeated. A read is repeated by the nodes themselves, so one send can kill several backend servers.

Not shown: the same request from several callers at once.

--- /dev/null
+++ b/crates/bench/tests/proofs_poison_read.rs
@@ -0,0 +1,65 @@
+//! A read that crashes each backend server that runs it is stopped, although reads are repeated.
+
+use std::time::{Duration, Instant};
+
+use compact_str::format_compact;
+use oriolering::Outcome;
+use oriolering_bench::{Caller, Fleet, FleetPlan, Mix, Request, Told, Trial, seed_or};
+
+const SENDS: usize = 15;
+const RESEND: Duration = Duration::from_millis(150);
+const LATE_MS: u64 = 1_000;
+const DEATHS: usize = 2;
+
+fn read(fleet: &Fleet, number: usize) -> Request {
+    let entry = number % fleet.members.len();
+    let nonce = format_compact!("poison-read-{number}");
+    Request::new(fleet.members[entry].ingress, "rack", "GET", &nonce)
+}
+
+fn restart_dead(fleet: &mut Fleet) -> usize {
+    let mut deaths = 0;
+    for member in &mut fleet.members {
+        if !member.server.is_running() {
+            deaths += 1;
+            member.restart_server().unwrap();
+        }
+    }
+    deaths
+}
+
+#[ntex::main]
+#[test]
+async fn at_most_two_backend_servers_die_of_a_read() {
+    let mix = Mix::new(100.0, 6);
+    let plan = FleetPlan::new("rack", 5);
+    let mut trial = Trial::start(&plan, &mix, seed_or(81)).await.unwrap();
+    trial.wait(500).await;
+    let caller = Caller::new(Instant::now());
+    let (mut deaths, mut rejected) = (0, 0);
+    for number in 0..SENDS {
+        let mut poison = read(&trial.fleet, number).header("x-crash", 1);
+        poison.path = "/stock?size=42".into();
+        let call = caller.send(&poison).await;
+        println!("{}: {:?}", call.nonce, call.told);
+        let is_rejected = matches!(call.told, Told::Refused(Outcome::Rejected, _));
+        rejected += usize::from(is_rejected);
+        let truthful = matches!(call.told, Told::Refused(Outcome::Unknown, _));
+        assert!(is_rejected || truthful, "{}: {:?}", call.nonce, call.told);
+        tokio::time::sleep(RESEND).await;
+        deaths += restart_dead(&mut trial.fleet);
+    }
+    let mut other = read(&trial.fleet, SENDS);
+    other.path = "/stock?size=43".into();
+    let other = caller.send(&other).await;
+    assert_eq!(
+        other.told,
+        Told::Answer,
+        "another request of the same shape"
+    );
+    let (_, verdict) = trial.finish(LATE_MS).await.unwrap();
+    println!("{deaths} deaths, {rejected} of {SENDS} rejected");
+    verdict.assert_kept("poison read");
+    assert!(deaths <= DEATHS, "{deaths} deaths");
+    assert!(verdict.answered() > 0.95, "{}", verdict.report);
+}
