--- a/crates/bench/tests/control.rs
+++ b/crates/bench/tests/control.rs
@@ -31,6 +31,18 @@
     Fleet::start(shape).unwrap()
 }
 
+fn quarantine() -> QuarantineEntry {
+    QuarantineEntry {
+        fingerprint: 42,
+        crash: Crash {
+            gate: Incarnation(1),
+            number: 1,
+        },
+        verdict: Verdict::Quarantined,
+        remaining: 60_000,
+    }
+}
+
 fn switch(mode: Mode) -> Switch {
     Switch {
         mode,
@@ -143,20 +155,47 @@
 }
 
 #[tokio::test]
-async fn a_cut_zone_catches_up_and_causes_no_storm_of_reads() {
+async fn most_of_a_fleet_leaves_at_once() {
+    const NODES: usize = 80;
+    let fleet = fleet(NODES);
+    assert!(
+        fleet
+            .until(LIMIT, |node| node.record.members.lock().len() == NODES)
+            .await
+    );
+    for node in &fleet.nodes[10..] {
+        node.handle.leave();
+    }
+    let known = |node: &Node| {
+        let members = node.record.members.lock();
+        members.iter().filter(|member| member.leaving).count() == NODES - 10
+    };
+    assert!(fleet.until(Duration::from_secs(3), known).await);
+    fleet.stop().await;
+}
+
+#[rstest]
+#[case::zone(&["zone-1"])]
+#[case::region(&["zone-0", "zone-1"])]
+#[tokio::test]
+async fn a_cut_part_catches_up_and_causes_no_storm_of_reads(#[case] zones: &[&str]) {
     let fleet = fleet(24);
     fleet.publish(bundle(3, 20_000, 1), LIMIT).await;
-    fleet.cut("zone-1", true);
+    zones.iter().for_each(|zone| fleet.cut(zone, true));
     tokio::time::sleep(Duration::from_millis(WATCH_MS + 100)).await;
     let reads = fleet.platform.reads();
     let cut = fleet
         .publish(bundle(3, 20_000, 2), Duration::from_secs(2))
         .await;
-    assert_eq!(cut.iter().flatten().count(), 18);
-    fleet.cut("zone-1", false);
+    assert_eq!(cut.iter().flatten().count(), 24 - 6 * zones.len());
+    zones.iter().for_each(|zone| fleet.cut(zone, false));
     assert!(fleet.until(LIMIT, |node| node.in_force(2).is_some()).await);
     let after = fleet.platform.reads();
     assert!(after.config - reads.config < 60, "{reads:?} {after:?}");
+    for node in &fleet.nodes {
+        let members = node.record.members.lock();
+        assert!(members.len() == 24 && members.iter().all(|member| !member.leaving));
+    }
     fleet.stop().await;
 }
 
@@ -168,15 +207,7 @@
             .until(LIMIT, |node| node.record.members.lock().len() == 24)
             .await
     );
-    let entry = QuarantineEntry {
-        fingerprint: 42,
-        crash: Crash {
-            gate: Incarnation(1),
-            number: 1,
-        },
-        verdict: Verdict::Quarantined,
-        remaining: 60_000,
-    };
+    let entry = quarantine();
     fleet.nodes[0].handle.spread(entry);
     let heard =
         |node: &Node| node.member.id == "node-0" || !node.record.quarantined.lock().is_empty();
@@ -206,15 +237,7 @@
         view.is_some_and(|member| member.control == elsewhere[0].control)
     };
     assert!(fleet.until(LIMIT, moved).await);
-    let entry = QuarantineEntry {
-        fingerprint: 42,
-        crash: Crash {
-            gate: Incarnation(1),
-            number: 1,
-        },
-        verdict: Verdict::Quarantined,
-        remaining: 60_000,
-    };
+    let entry = quarantine();
     let liar = fleet.nodes.remove(0);
     let gate = fleet.nodes[0].member.control;
     let id = CallId {
@@ -367,15 +390,7 @@
     fleet.publish(bundle(3, 20_000, 1), LIMIT).await;
     let spent = |node: &Node| node.handle.status().budget_percent == 0;
     assert!(fleet.until(LIMIT, spent).await);
-    fleet.nodes[0].handle.spread(QuarantineEntry {
-        fingerprint: 42,
-        crash: Crash {
-            gate: Incarnation(1),
-            number: 1,
-        },
-        verdict: Verdict::Quarantined,
-        remaining: 60_000,
-    });
+    fleet.nodes[0].handle.spread(quarantine());
     let held_back =
         |node: &Node| node.member.id != "node-0" || node.handle.status().counts.shed_gossip > 0;
     assert!(fleet.until(LIMIT, held_back).await);
