--- a/crates/node/src/poll.rs
+++ b/crates/node/src/poll.rs
@@ -12,6 +12,8 @@
 const US_PER_MS: u64 = 1_000;
 /// The longest time that a poll may take.
 const POLL_TIMEOUT_MS: u64 = 500;
+/// Polls left out after which an old answer of the health endpoint is forgotten.
+const MAX_SKIPPED: u32 = 5;
 /// How late the list of instances may tell of a node.
 const LIST_LAG_MS: u64 = 30_000;
 
@@ -30,6 +32,7 @@
 
 /// Polls until the process ends.
 pub(crate) async fn run(wire: Rc<Wire>) {
+    let mut skipped = 0;
     loop {
         let measure = wire.node.own_service().measure.clone();
         sleep(measure.poll_ms).await;
@@ -39,8 +42,13 @@
         let receipt = wire.node.budget.lock().debit(now, cost, POLL_TIMEOUT_MS);
         let Some(receipt) = receipt else {
             wire.node.metrics.polls_skipped.add(1, &[]);
+            skipped += 1;
+            if skipped == MAX_SKIPPED {
+                report(&wire, false);
+            }
             continue;
         };
+        skipped = 0;
         wire.node.metrics.polls.add(1, &[]);
         poll(&wire, &measure.health_path).await;
         let now = wire.node.clock.now();
@@ -66,7 +74,11 @@
     let Some(Ok(response)) = within(POLL_TIMEOUT_MS, wire.backend.get(uri).send()).await else {
         return;
     };
-    let leaving = response.status() == StatusCode::SERVICE_UNAVAILABLE;
+    report(wire, response.status() == StatusCode::SERVICE_UNAVAILABLE);
+}
+
+/// Tells the gate whether the health endpoint says that the backend server is leaving.
+fn report(wire: &Wire, leaving: bool) {
     let now = wire.node.clock.now();
     let changed = wire.node.admission.lock().gate.report_leaving(now, leaving);
     if changed {
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -142,7 +142,8 @@
 
     /// Returns whether the node can serve calls.
     pub(crate) fn is_ready(&self) -> bool {
-        self.revision().is_some() && !self.is_draining()
+        let knows_members = !self.directory.lock().members().is_empty();
+        self.revision().is_some() && knows_members && !self.is_draining()
     }
 
     /// Returns whether the node is leaving.
--- a/crates/oriolering/src/config/limits.rs
+++ b/crates/oriolering/src/config/limits.rs
@@ -120,7 +120,7 @@
 impl Default for Measure {
     fn default() -> Self {
         Self {
-            budget_ms: 100,
+            budget_ms: 200,
             probe_ms: 6,
             connect_ms: 1,
             health_path: CompactString::const_new("/_health"),
