Tick seldom while nothing waits at the gate

Cause: an idle node spent 14.0 ms/s of its data thread on a tick each 5 ms. Ruled out: the timers of the gate, which cost under a microsecond a call; the time goes into waking the thread. Change: a tick each 50 ms while nothing waits, and at once when a call begins to wait.

--- a/crates/node/src/permit.rs
+++ b/crates/node/src/permit.rs
@@ -25,7 +25,10 @@
         let entry = node.admission.lock().enter(now, offer);
         let (ticket, word) = match entry {
             Entry::Start(ticket) => (ticket, None),
-            Entry::Wait(ticket, word) => (ticket, Some(word)),
+            Entry::Wait(ticket, word) => {
+                node.queued.notify_one();
+                (ticket, Some(word))
+            }
             Entry::Refuse(refusal) => return Err(refusal),
         };
         let mut permit = Self {
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -13,11 +13,13 @@
 use crate::ingress;
 use crate::poll;
 use crate::state::Node;
-use crate::timer::sleep;
+use crate::timer::{sleep, within};
 use crate::wire::Wire;
 
 /// The time between two looks at the queue of the gate.
 const TICK_MS: u64 = 5;
+/// The same while nothing waits; a longer gap would count as a pause of the process.
+const IDLE_TICK_MS: u64 = 50;
 const KEEP_ALIVE: Seconds = Seconds(60);
 const BACKLOG: i32 = 4_096;
 /// The time in which peers learn that the node is leaving before its listeners close.
@@ -94,7 +96,14 @@
     loop {
         let now = wire.node.tick();
         wire.reserved.borrow_mut().expire(now);
-        sleep(TICK_MS).await;
+        let waiting = wire.node.load().queued > 0;
+        let notified = wire.node.queued.notified();
+        match waiting {
+            true => sleep(TICK_MS).await,
+            false => {
+                within(IDLE_TICK_MS, notified).await;
+            }
+        }
     }
 }
 
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -11,6 +11,7 @@
     QuarantineSettings,
 };
 use parking_lot::Mutex;
+use tokio::sync::Notify;
 
 use crate::admission::Admission;
 use crate::control::Handle;
@@ -46,6 +47,8 @@
     pub(crate) watch: Mutex<Watch>,
     /// What may be spent on measuring the local backend server.
     pub(crate) budget: Mutex<Budget>,
+    /// Tells the tick that a call has begun to wait.
+    pub(crate) queued: Notify,
     /// Counters and gauges.
     pub(crate) metrics: Metrics,
     /// Spans of recent calls.
@@ -72,6 +75,7 @@
             directory: Mutex::new(Directory::new(me, incarnation.0)),
             quarantine: Mutex::new(Quarantine::new(quarantine_settings(&own), incarnation)),
             watch: Mutex::new(Watch::default()),
+            queued: Notify::new(),
             budget: Mutex::new(poll::budget(own.measure.budget_ms)),
             metrics: Metrics::new(),
             traces: Traces::new(&card.id),
