Count the deadline of a call from its arrival at the gate

Cause: a suspect that waited for its turn, and a call that waited in the queue, had their time left counted anew afterwards, so that they could run beyond the caller's deadline; found while reading. Change: the deadline is taken once; a suspect whose turn comes too late is refused as not run. The directory no longer copies the list of members to look up zones.

--- a/crates/node/src/admit.rs
+++ b/crates/node/src/admit.rs
@@ -6,12 +6,13 @@
 use ntex::http::Payload;
 use ntex::web::{HttpRequest, HttpResponse};
 use oriolering::{CallId, Cause, Fate, Millis, Offer, Refusal};
+use tokio::sync::OwnedMutexGuard;
 
 use crate::forward::{self, Job};
 use crate::headers;
 use crate::permit::Permit;
 use crate::reply::Reply;
-use crate::timer::sleep;
+use crate::timer::{sleep, within};
 use crate::wire::Wire;
 
 /// The refusal of a gate that does not know its peers yet.
@@ -19,6 +20,11 @@
     cause: Cause::Unready,
     retry_after: 500,
 };
+/// The refusal of a call whose deadline came before it could run.
+const LATE: Refusal = Refusal {
+    cause: Cause::Deadline,
+    retry_after: 500,
+};
 const COLLECT_POLL_MS: u64 = 5;
 
 /// Serves a request of an ingress.
@@ -90,7 +96,7 @@
 
 /// Admits a call whose body will follow once there is room for it.
 async fn reserve(wire: &Wire, request: &HttpRequest, id: CallId) -> HttpResponse {
-    let offer = offer(wire, request, id);
+    let offer = offer(wire, request, id, deadline(wire, request));
     match Permit::enter(&wire.node, offer).await {
         Err(refusal) => refuse(wire, refusal),
         Ok(permit) => {
@@ -125,11 +131,22 @@
     }
 }
 
+/// Waits until no other suspect runs here; `None` when the deadline comes first.
+async fn alone(wire: &Wire, end: Millis) -> Option<OwnedMutexGuard<()>> {
+    let left = end.since(wire.node.clock.now());
+    within(left, wire.suspects.clone().lock_owned()).await
+}
+
 /// Runs a call: admission, dispatch and the answer of the backend server.
 async fn run(wire: Rc<Wire>, request: HttpRequest, payload: Payload, id: CallId) -> HttpResponse {
+    // The time left counts from here on, whatever the call waits for.
+    let end = deadline(&wire, &request);
     let alone = match suspicion(&wire, &request) {
         Suspicion::None => None,
-        Suspicion::Suspect => Some(wire.suspects.clone().lock_owned().await),
+        Suspicion::Suspect => match alone(&wire, end).await {
+            Some(alone) => Some(alone),
+            None => return refuse(&wire, LATE),
+        },
         Suspicion::Quarantined(left) => {
             return Reply::rejected(Cause::Quarantined, left).response();
         }
@@ -137,12 +154,12 @@
     let held = wire.reserved.borrow_mut().take(id);
     let permit = match held {
         Some(permit) => permit,
-        None => match Permit::enter(&wire.node, offer(&wire, &request, id)).await {
+        None => match Permit::enter(&wire.node, offer(&wire, &request, id, end)).await {
             Ok(permit) => permit,
             Err(refusal) => return refuse(&wire, refusal),
         },
     };
-    let job = Job::new(&wire, &request, id);
+    let job = Job::new(&wire, &request, id, end);
     if job.idempotent {
         let answer = forward::run(wire, job, permit, request, payload).await;
         drop(alone);
@@ -194,7 +211,7 @@
     }
 }
 
-fn offer(wire: &Wire, request: &HttpRequest, id: CallId) -> Offer {
+fn offer(wire: &Wire, request: &HttpRequest, id: CallId, deadline: Millis) -> Offer {
     let headers = request.headers();
     let ack = headers::number(headers, oriolering::ACK).unwrap_or(0);
     wire.answers.borrow_mut().acknowledge(id.grant, ack);
@@ -202,13 +219,13 @@
         id,
         ack,
         customer: headers::hex(headers, oriolering::CUSTOMER).unwrap_or(0),
-        deadline: deadline(wire, request),
+        deadline,
         fingerprint: headers::hex(headers, oriolering::FINGERPRINT).unwrap_or(0),
     }
 }
 
 /// Returns when the call ends: the time left in the header, or the service's own limit.
-pub(crate) fn deadline(wire: &Wire, request: &HttpRequest) -> Millis {
+fn deadline(wire: &Wire, request: &HttpRequest) -> Millis {
     let most = wire.node.own_service().deadline_ms;
     let left = headers::number(request.headers(), oriolering::DEADLINE).unwrap_or(most);
     wire.node.clock.now() + left.min(most)
--- a/crates/node/src/directory.rs
+++ b/crates/node/src/directory.rs
@@ -211,7 +211,7 @@
             policy: service.choice.policy,
             subset: service.choice.subset,
             ramp: service.ramp_ms,
-            zone: self.zone(&self.me.zone.clone()),
+            zone: zone_key(&mut self.zones, &self.me.zone),
             node: xxh3_64(self.me.id.as_bytes()),
         };
         Route {
@@ -225,18 +225,6 @@
     /// Tells every chooser which backend servers its service has.
     fn refresh(&mut self, now: Millis) {
         let mut lists: Vec<Vec<Candidate>> = self.routes.iter().map(|_| Vec::new()).collect();
-        let zones: Vec<ZoneKey> = self
-            .members
-            .to_vec()
-            .iter()
-            .map(|m| self.zone(&m.zone))
-            .collect();
-        let by_id: HashMap<&str, ZoneKey> = self
-            .members
-            .iter()
-            .map(|m| m.id.as_str())
-            .zip(zones)
-            .collect();
         for (server, member) in self.servers.iter() {
             let Some(key) = self.by_name.get(&member.service) else {
                 continue;
@@ -244,7 +232,7 @@
             lists[key.0 as usize].push(Candidate {
                 server,
                 name: xxh3_64(member.id.as_bytes()),
-                zone: by_id[member.id.as_str()],
+                zone: zone_key(&mut self.zones, &member.zone),
                 leaving: member.leaving,
                 fresh: self.fresh.contains(&server),
             });
@@ -253,13 +241,13 @@
             route.chooser.update(now, list);
         }
     }
+}
 
-    /// Returns the key of an availability zone, which is given at first sight.
-    fn zone(&mut self, name: &str) -> ZoneKey {
-        if let Some(ix) = self.zones.iter().position(|zone| zone == name) {
-            return ZoneKey(ix as u32);
-        }
-        self.zones.push(CompactString::from(name));
-        ZoneKey(self.zones.len() as u32 - 1)
+/// Returns the key of an availability zone, which is given at first sight.
+fn zone_key(zones: &mut Vec<CompactString>, name: &CompactString) -> ZoneKey {
+    if let Some(ix) = zones.iter().position(|zone| zone == name) {
+        return ZoneKey(ix as u32);
     }
+    zones.push(name.clone());
+    ZoneKey(zones.len() as u32 - 1)
 }
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -49,12 +49,12 @@
 
 impl Job {
     /// Reads what the gate needs to know from the head of the request.
-    pub(crate) fn new(wire: &Wire, request: &HttpRequest, id: CallId) -> Self {
+    pub(crate) fn new(wire: &Wire, request: &HttpRequest, id: CallId, deadline: Millis) -> Self {
         let settings = wire.node.own_service();
         Self {
             idempotent: settings.is_idempotent(request.method().as_str()),
             id,
-            deadline: admit::deadline(wire, request),
+            deadline,
             fingerprint: headers::hex(request.headers(), oriolering::FINGERPRINT).unwrap_or(0),
             settings,
         }
