Add routes, published backend servers and header names to the library

Cause: the platform publishes routes with kinds, splits and limits, and entries of backend servers; the library had no types for either. Change: plain types, and a table that finds a route by host and longest prefix. Ruled out: types inside the adapter, which would make the rest depend on it.

--- /dev/null
+++ b/crates/oriolering/src/kind.rs
@@ -0,0 +1,24 @@
+//! What may be repeated of the requests on a route.
+
+use serde::{Deserialize, Serialize};
+
+/// The kind of the requests on a route, which alone decides what may be repeated.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum RouteKind {
+    /// A request may run more than once.
+    Idempotent,
+    /// A request runs at most once.
+    NonIdempotent,
+    /// A request with a large body; it runs at most once.
+    Upload,
+}
+
+impl RouteKind {
+    /// Returns whether a request that may have run may be sent again.
+    pub fn is_idempotent(self) -> bool {
+        match self {
+            Self::Idempotent => true,
+            Self::NonIdempotent | Self::Upload => false,
+        }
+    }
+}
--- a/crates/oriolering/src/lib.rs
+++ b/crates/oriolering/src/lib.rs
@@ -25,8 +25,10 @@
 mod fate;
 mod gate;
 mod header;
+mod header_names;
 mod hedge;
 mod keys;
+mod kind;
 mod latency;
 mod ledger;
 mod limit;
@@ -45,8 +47,12 @@
 mod retry;
 mod revision;
 mod roster;
+mod route;
+mod route_table;
 mod section;
 mod server;
+mod server_load;
+mod server_record;
 mod slots;
 mod spread;
 mod standing;
@@ -70,8 +76,10 @@
     ACK, ATTEMPT, CALL_ID, CRASHES, CUSTOMER, DEADLINE, FINGERPRINT, GRANT, LOAD, OUTCOME, REASON,
     RETRY_AFTER_MS, SERVICE, STEP,
 };
+pub use header_names::HeaderNames;
 pub use hedge::Hedge;
 pub use keys::{CallId, Grant, Incarnation, ServerKey, ServiceKey, ZoneKey};
+pub use kind::RouteKind;
 pub use latency::Latency;
 pub use ledger::Ledger;
 pub use limit::Limit;
@@ -89,8 +97,12 @@
 pub use retry::{AttemptState, Failure, RetryBudget, Step, next_step};
 pub use revision::{Head, Ignored, Published, Standing};
 pub use roster::{MEMBERS_MAX, MemberNote, NOTE_AGE_MAX_MS, Roster};
+pub use route::{Route, RoutePart};
+pub use route_table::{CallerLimits, RouteSet, RouteTable, RoutedService};
 pub use section::{
     Digest, SECTION_MAX_BYTES, SECTION_MIN_BYTES, SECTIONS_MAX, Section, VALUE_BYTES, pack, split,
     unpack,
 };
+pub use server_load::ServerLoad;
+pub use server_record::{ServerRecord, ServerState};
 pub use spread::{QUARANTINE_MAX_MS, QUARANTINES_MAX, Spread};
