--- /dev/null
+++ b/crates/http/src/client.rs
@@ -0,0 +1,278 @@
+//! A connection to a server that runs one exchange at a time.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use ntex::codec::{Decoder, Encoder};
+use ntex::http::body::BodySize;
+use ntex::http::error::{DecodeError, PayloadError};
+use ntex::http::h1::{ClientCodec, Message, MessageType};
+use ntex::http::header::{CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING};
+use ntex::http::{DateService, Method, RequestHead, RequestHeadType, ResponseHead, StatusCode};
+use ntex::util::BytesMut;
+use snafu::ResultExt;
+use tokio::net::{TcpSocket, TcpStream};
+use tokio::time::timeout;
+
+use crate::error::{self, ExchangeError};
+use crate::io::{fill, flush, try_fill};
+use crate::{Request, Response};
+
+/// The largest answer that is held, in bytes; a tenth of the memory of a small instance.
+const ANSWER_BYTES: usize = 16 * 1024 * 1024;
+/// The part of a peer's announced idle time in which a connection is used again.
+const KEEP_ALIVE_PERCENT: u64 = 70;
+/// The idle time of a connection whose peer announces none, in milliseconds.
+const IDLE_MS: u64 = 4_000;
+/// The parameter of the `Keep-Alive` header that announces the idle time in seconds.
+const TIMEOUT: &str = "timeout=";
+
+/// A connection to a server.
+#[derive(Debug)]
+pub struct ClientConn {
+    stream: TcpStream,
+    date: DateService,
+    buf: BytesMut,
+    reusable: bool,
+    idle_ms: u64,
+}
+
+impl ClientConn {
+    /// Connects to a server within `within_ms` milliseconds.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ExchangeError::Connect`] when the server does not accept in time.
+    pub async fn connect(
+        address: SocketAddr,
+        date: DateService,
+        within_ms: u64,
+    ) -> Result<Self, ExchangeError> {
+        let connect = open(address);
+        let stream = match timeout(Duration::from_millis(within_ms), connect).await {
+            Ok(result) => result.context(error::ConnectSnafu)?,
+            Err(_) => {
+                let late = io::Error::from(io::ErrorKind::TimedOut);
+                return Err(late).context(error::ConnectSnafu);
+            }
+        };
+        Ok(Self {
+            stream,
+            date,
+            buf: BytesMut::new(),
+            reusable: true,
+            idle_ms: IDLE_MS,
+        })
+    }
+
+    /// Returns whether the connection can carry another exchange.
+    ///
+    /// Bytes that nobody asked for, and the end of the stream, rule it out.
+    pub fn is_reusable(&mut self) -> bool {
+        if !self.reusable || !self.buf.is_empty() {
+            return false;
+        }
+        match try_fill(&self.stream, &mut self.buf) {
+            Err(e) => e.kind() == io::ErrorKind::WouldBlock,
+            Ok(_) => false,
+        }
+    }
+
+    /// Returns how long the connection may stay idle before it is used again, in milliseconds.
+    pub fn idle_ms(&self) -> u64 {
+        self.idle_ms
+    }
+
+    /// Sends a request and reads its answer; answers that `wanted` rejects are passed over.
+    ///
+    /// The future may be dropped at any point; the connection must be dropped with it, which
+    /// cancels the request at the server.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when no whole answer arrived; the connection is of no use then.
+    pub async fn exchange(
+        &mut self,
+        request: Request,
+        wanted: impl Fn(&ResponseHead) -> bool,
+    ) -> Result<Response, ExchangeError> {
+        self.reusable = false;
+        let is_head = request.method == Method::HEAD;
+        let mut out = BytesMut::new();
+        let mut codec = ClientCodec::new(self.date.clone(), true);
+        encode(&codec, request, &mut out)?;
+        loop {
+            let head = self.read_head(&codec, &mut out).await?;
+            let (next, body) = self.read_body(codec, &head, is_head, &mut out).await?;
+            codec = next;
+            if head.status.is_informational() || !wanted(&head) {
+                continue;
+            }
+            self.note_end(&codec, &head, out.is_empty());
+            return Ok(Response {
+                status: head.status,
+                headers: head.headers,
+                body,
+            });
+        }
+    }
+
+    /// Waits for bytes of the answer while the rest of the request is written.
+    async fn fill(&mut self, out: &mut BytesMut) -> io::Result<usize> {
+        loop {
+            tokio::select! {
+                biased;
+                result = fill(&self.stream, &mut self.buf) => return result,
+                result = flush(&self.stream, out), if !out.is_empty() => result?,
+            }
+        }
+    }
+
+    async fn read_head(
+        &mut self,
+        codec: &ClientCodec,
+        out: &mut BytesMut,
+    ) -> Result<ResponseHead, ExchangeError> {
+        loop {
+            if !self.buf.is_empty()
+                && let Some(head) = codec.decode(&mut self.buf).map_err(garbled)?
+            {
+                return Ok(head);
+            }
+            let reason = match self.fill(out).await {
+                Ok(0) => "the server closed it".to_owned(),
+                Ok(_) => continue,
+                Err(e) => e.to_string(),
+            };
+            return error::ClosedSnafu { reason }.fail();
+        }
+    }
+
+    /// Reads the body that belongs to `head`, and returns the codec for the next answer.
+    async fn read_body(
+        &mut self,
+        codec: ClientCodec,
+        head: &ResponseHead,
+        is_head: bool,
+        out: &mut BytesMut,
+    ) -> Result<(ClientCodec, ntex::util::Bytes), ExchangeError> {
+        if is_head || is_bodiless(head) {
+            return Ok((codec, ntex::util::Bytes::new()));
+        }
+        let unframed = !head.headers.contains_key(CONTENT_LENGTH)
+            && !head.headers.contains_key(TRANSFER_ENCODING);
+        if unframed {
+            let body = self.read_to_end(out).await?;
+            return Ok((codec, body));
+        }
+        if codec.message_type() == MessageType::None {
+            return Ok((codec, ntex::util::Bytes::new()));
+        }
+        let payload = codec.into_payload_codec();
+        let mut body = BytesMut::new();
+        loop {
+            match payload.decode(&mut self.buf) {
+                Ok(Some(Some(chunk))) => append(&mut body, &chunk)?,
+                Ok(Some(None)) => return Ok((payload.into_message_codec(), body.freeze())),
+                Ok(None) => self.fill_body(body.len(), out).await?,
+                Err(e) => return Err(spoiled(e)),
+            }
+        }
+    }
+
+    async fn fill_body(&mut self, bytes: usize, out: &mut BytesMut) -> Result<(), ExchangeError> {
+        match self.fill(out).await {
+            Ok(0) | Err(_) => error::TruncatedSnafu { bytes }.fail(),
+            Ok(_) => Ok(()),
+        }
+    }
+
+    /// Reads a body that ends with its connection; one that is reset is not whole.
+    async fn read_to_end(&mut self, out: &mut BytesMut) -> Result<ntex::util::Bytes, ExchangeError> {
+        let mut body = self.buf.split();
+        loop {
+            match self.fill(out).await {
+                Ok(0) => return Ok(body.freeze()),
+                Ok(_) => append(&mut body, &self.buf.split())?,
+                Err(_) => return error::TruncatedSnafu { bytes: body.len() }.fail(),
+            }
+        }
+    }
+
+    /// Notes whether the connection can be used again, and for how long.
+    fn note_end(&mut self, codec: &ClientCodec, head: &ResponseHead, sent: bool) {
+        let framed = head.headers.contains_key(CONTENT_LENGTH)
+            || head.headers.contains_key(TRANSFER_ENCODING)
+            || is_bodiless(head);
+        self.reusable = sent && framed && codec.keepalive() && !is_closing(head);
+        if let Some(ms) = scan_keep_alive(head) {
+            self.idle_ms = ms;
+        }
+    }
+}
+
+async fn open(address: SocketAddr) -> io::Result<TcpStream> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_nodelay(true)?;
+    socket.connect(address).await
+}
+
+fn encode(codec: &ClientCodec, request: Request, out: &mut BytesMut) -> Result<(), ExchangeError> {
+    let mut head = RequestHead::default();
+    head.method = request.method;
+    head.uri = request.uri;
+    head.headers = request.headers;
+    let size = match request.body.len() {
+        0 if head.method == Method::GET || head.method == Method::HEAD => BodySize::None,
+        0 => BodySize::Empty,
+        length => BodySize::Sized(length as u64),
+    };
+    let head = RequestHeadType::Owned(Box::new(head));
+    let result = codec.encode(Message::Item((head, size)), out);
+    let result = result.and_then(|()| match request.body.is_empty() {
+        true => Ok(()),
+        false => codec.encode(Message::Chunk(Some(request.body)), out),
+    });
+    result.map_err(|e| ExchangeError::Encode { reason: e.to_string() })
+}
+
+fn append(body: &mut BytesMut, chunk: &[u8]) -> Result<(), ExchangeError> {
+    if body.len() + chunk.len() > ANSWER_BYTES {
+        return error::TooLargeSnafu { limit: ANSWER_BYTES }.fail();
+    }
+    body.extend_from_slice(chunk);
+    Ok(())
+}
+
+fn garbled(e: DecodeError) -> ExchangeError {
+    ExchangeError::Garbled { reason: e.to_string() }
+}
+
+fn spoiled(e: PayloadError) -> ExchangeError {
+    ExchangeError::Garbled { reason: e.to_string() }
+}
+
+/// Returns whether an answer with this head never has a body.
+fn is_bodiless(head: &ResponseHead) -> bool {
+    head.status.is_informational()
+        || head.status == StatusCode::NO_CONTENT
+        || head.status == StatusCode::NOT_MODIFIED
+}
+
+fn is_closing(head: &ResponseHead) -> bool {
+    let value = head.headers.get(CONNECTION).and_then(|v| v.to_str().ok());
+    value.is_some_and(|v| v.to_ascii_lowercase().contains("close"))
+}
+
+/// Returns the idle time that a server announces, with a margin for what is under way.
+fn scan_keep_alive(head: &ResponseHead) -> Option<u64> {
+    let value = head.headers.get("keep-alive")?.to_str().ok()?;
+    let mut parameters = value.split(',').map(str::trim);
+    let seconds = parameters.find_map(|p| p.strip_prefix(TIMEOUT))?;
+    let seconds: u64 = seconds.parse().ok()?;
+    Some(seconds.saturating_mul(1_000 * KEEP_ALIVE_PERCENT) / 100)
+}
--- /dev/null
+++ b/crates/mesh/src/dispatch.rs
@@ -0,0 +1,264 @@
+//! The attempts of one request: where it goes, what follows a failure, what the caller is told.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use compact_str::CompactString;
+use oriolering::{Millis, Route};
+use oriolering_http::{Answer, Bytes, HeaderMap, StatusCode};
+use smallvec::SmallVec;
+use tokio::time::timeout;
+
+use crate::frame::{Answered, Ending, Headers, Offer};
+use crate::headers;
+use crate::node::Node;
+use crate::reply::Reply;
+use crate::spots::{Chosen, Way};
+
+/// The most gates that may refuse one request before its caller is told to come back.
+const REFUSALS_MAX: u32 = 4;
+/// The time to come back after, when no gate told one, in milliseconds.
+const BACK_MS: u64 = 100;
+/// The part of the time left within which a caller comes back, in percent; callers do not wait
+/// longer than a third of it.
+const BACK_PERCENT: u64 = 30;
+
+/// A request on its way to a backend server.
+pub(crate) struct Job {
+    pub(crate) request: CompactString,
+    pub(crate) service: CompactString,
+    pub(crate) route: Rc<Route>,
+    pub(crate) route_hash: u64,
+    pub(crate) arrived: Millis,
+    /// When the answer is of no use any more.
+    pub(crate) deadline: Millis,
+    pub(crate) method: CompactString,
+    pub(crate) target: String,
+    pub(crate) headers: Headers,
+    pub(crate) body: Bytes,
+}
+
+/// What is known of a request after some attempts.
+#[derive(Default)]
+struct Progress {
+    tried: SmallVec<[CompactString; 4]>,
+    /// The backend servers that it was sent to.
+    sends: u32,
+    refusals: u32,
+    /// Whether an attempt may have run.
+    uncertain: bool,
+    back_ms: Option<u64>,
+    /// The last failure that a backend server answered itself.
+    failure: Option<(Answered, Vec<u8>)>,
+}
+
+/// Sends a request to backend servers until one answers, or nothing more can be done.
+pub(crate) async fn dispatch(node: Rc<Node>, job: Job) -> Answer {
+    node.with_budget(&job.service, |b| b.deposit(node.now()));
+    let mut progress = Progress::default();
+    let left = job.deadline.since(node.now());
+    let attempts = attempts(&node, &job, &mut progress);
+    match timeout(Duration::from_millis(left), attempts).await {
+        Ok(answer) => answer,
+        Err(_) => {
+            log::info!(request = job.request.as_str(), route = job.route.name.as_str(); "a request has used up its time");
+            Answer::new(StatusCode::GATEWAY_TIMEOUT)
+        }
+    }
+}
+
+async fn attempts(node: &Rc<Node>, job: &Job, progress: &mut Progress) -> Answer {
+    loop {
+        let now = node.now();
+        let work_ms = node.work.borrow().estimate(job.route_hash, job.route.aim_ms);
+        let chosen = node.spots.borrow().choose(
+            now,
+            &job.service,
+            work_ms,
+            &progress.tried,
+            &mut rand::rng(),
+        );
+        let Some(chosen) = chosen else {
+            return give_up(node, job, progress, "no backend server is open");
+        };
+        if now + chosen.place.expected_ms > job.deadline {
+            progress.back_ms.get_or_insert(chosen.place.expected_ms / 4);
+            return give_up(node, job, progress, "no backend server is expected to answer in time");
+        }
+        let (server, reply) = send(node, job, chosen, work_ms).await;
+        if let Some(answer) = follow(node, job, progress, server, reply) {
+            return answer;
+        }
+    }
+}
+
+/// Sends a request to the chosen gate.
+async fn send(node: &Rc<Node>, job: &Job, chosen: Chosen, work_ms: u64) -> (CompactString, Reply) {
+    let now = node.now();
+    let offer = Offer {
+        server: chosen.server.clone(),
+        request: job.request.clone(),
+        route: job.route_hash,
+        idempotent: job.route.kind.is_idempotent(),
+        priority: job.route.priority,
+        aim_ms: (job.arrived + job.route.aim_ms).since(now) as u32,
+        left_ms: job.deadline.since(now) as u32,
+        work_ms: work_ms as u32,
+        elsewhere_ms: chosen.place.next_ms.map(|ms| ms as u32),
+        caller: node.settings.backend.service.clone(),
+        method: job.method.clone(),
+        target: job.target.clone(),
+        headers: job.headers.clone(),
+    };
+    node.spots.borrow_mut().with_site(&chosen.server, |site| site.sent += 1);
+    let reply = match chosen.way {
+        Way::Local => {
+            let gate = Rc::clone(&node.gate);
+            let (ending, body) = gate.run(offer, job.body.clone()).await;
+            node.spots.borrow_mut().tell_local(node.now(), node.gate.load());
+            Reply::Ended { ending, body: body.to_vec() }
+        }
+        Way::Remote(peer) => peer.call(offer, &job.body).await,
+    };
+    (chosen.server, reply)
+}
+
+/// Decides what follows an attempt: an answer for the caller, or another attempt.
+fn follow(
+    node: &Rc<Node>,
+    job: &Job,
+    progress: &mut Progress,
+    server: CompactString,
+    reply: Reply,
+) -> Option<Answer> {
+    let now = node.now();
+    match reply {
+        Reply::Ended { ending: Ending::Answered(answered), body } => {
+            return answered_by(node, job, progress, server, answered, body);
+        }
+        Reply::Ended { ending: Ending::Refused { why, back_ms }, .. } => {
+            progress.refusals += 1;
+            progress.back_ms = Some(u64::from(back_ms));
+            log::debug!(request = job.request.as_str(), server = server.as_str(), why = why.as_str(); "a gate refused a request");
+            progress.tried.push(server);
+            if progress.refusals >= REFUSALS_MAX {
+                return Some(give_up(node, job, progress, "too many gates refused it"));
+            }
+            return None;
+        }
+        Reply::Ended { ending: Ending::Unexecuted { status }, .. } => {
+            log::debug!(request = job.request.as_str(), server = server.as_str(), status; "a backend server did not run a request");
+            progress.sends += 1;
+            progress.tried.push(server);
+        }
+        Reply::Ended { ending: Ending::Unsent, .. } | Reply::Unlinked => {
+            progress.tried.push(server);
+            return None;
+        }
+        Reply::Ended { ending: Ending::Failed, .. } => {
+            node.spots.borrow_mut().with_site(&server, |s| s.record(now, true));
+            progress.sends += 1;
+            progress.uncertain = true;
+            progress.tried.push(server);
+        }
+        Reply::Lost => {
+            log::info!(request = job.request.as_str(), server = server.as_str(); "the link to the gate ended under a request");
+            progress.sends += 1;
+            progress.uncertain = true;
+            progress.tried.push(server);
+        }
+    }
+    match may_repeat(node, job, progress) {
+        true => None,
+        false => Some(give_up(node, job, progress, "it may not be sent again")),
+    }
+}
+
+fn answered_by(
+    node: &Rc<Node>,
+    job: &Job,
+    progress: &mut Progress,
+    server: CompactString,
+    answered: Answered,
+    body: Vec<u8>,
+) -> Option<Answer> {
+    let now = node.now();
+    let failed = answered.status >= 500;
+    node.spots.borrow_mut().with_site(&server, |s| s.record(now, failed));
+    if !failed {
+        let ran_ms = u64::from(answered.ran_ms);
+        node.work.borrow_mut().record(job.route_hash, ran_ms, answered.work_percent);
+        return Some(answer(answered, body));
+    }
+    progress.sends += 1;
+    progress.uncertain = true;
+    progress.tried.push(server);
+    // A backend server says 504 at the deadline that it was given.
+    if answered.status == 504 || !may_repeat(node, job, progress) {
+        return Some(answer(answered, body));
+    }
+    progress.failure = Some((answered, body));
+    None
+}
+
+/// Returns whether a request that reached a backend server may be sent to another one, and
+/// spends from the budget if so.
+fn may_repeat(node: &Rc<Node>, job: &Job, progress: &Progress) -> bool {
+    if progress.uncertain && !job.route.kind.is_idempotent() {
+        return false;
+    }
+    if progress.sends >= job.route.attempts {
+        return false;
+    }
+    let now = node.now();
+    node.with_budget(&job.service, |budget| {
+        let allowed = budget.allows(now);
+        if allowed {
+            budget.spend(now);
+        }
+        allowed
+    })
+}
+
+/// Returns the final answer to a request for which nothing more can be done.
+fn give_up(node: &Rc<Node>, job: &Job, progress: &mut Progress, reason: &str) -> Answer {
+    if let Some((answered, body)) = progress.failure.take() {
+        return answer(answered, body);
+    }
+    let now = node.now();
+    log::info!(
+        request = job.request.as_str(),
+        route = job.route.name.as_str(),
+        service = job.service.as_str(),
+        uncertain = progress.uncertain,
+        refusals = progress.refusals,
+        left = job.deadline.since(now),
+        reason;
+        "a request is given up"
+    );
+    if progress.uncertain {
+        return Answer::new(StatusCode::BAD_GATEWAY);
+    }
+    let left = job.deadline.since(now);
+    let back = progress.back_ms.unwrap_or(BACK_MS).min(left * BACK_PERCENT / 100);
+    unavailable(back)
+}
+
+/// Returns the answer that a request has not run, and when to come back.
+pub(crate) fn unavailable(back_ms: u64) -> Answer {
+    let mut answer = Answer::new(StatusCode::SERVICE_UNAVAILABLE);
+    let seconds = format!("{}.{:03}", back_ms / 1_000, back_ms % 1_000);
+    headers::set(&mut answer.headers, "retry-after", &seconds);
+    answer
+}
+
+fn answer(answered: Answered, body: Vec<u8>) -> Answer {
+    let status = StatusCode::from_u16(answered.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let headers: HeaderMap = headers::to_map(&answered.headers);
+    Answer {
+        status,
+        headers,
+        body: Bytes::from(body),
+        close: false,
+    }
+}
--- /dev/null
+++ b/crates/mesh/src/gate.rs
@@ -0,0 +1,399 @@
+//! The gate: the only way to the backend server on the same instance.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use compact_str::CompactString;
+use ntex::http::{DateService, ResponseHead};
+use oriolering::{Clock, Entry, GateLoad, Job, JobKey, Millis, NoRoom, Room, ServerLoad, Turn};
+use oriolering_http::{Bytes, ExchangeError, HeaderMap, Method, Request, Response, Uri};
+use oriolering_platform::{HEADERS, scan_load};
+use tokio::sync::oneshot;
+use tokio::time::{sleep, timeout};
+
+use crate::frame::{Answered, Ending, Frame, Offer};
+use crate::headers;
+use crate::outbox::Outbox;
+use crate::pool::Pool;
+
+/// The age of the last word of the backend server from which it is asked, in milliseconds; a
+/// sixth of the time for which a noisy neighbour slows it down.
+const PROBE_AGE_MS: u64 = 50;
+/// How long an answer to a probe may take, in milliseconds.
+const PROBE_WAIT_MS: u64 = 400;
+/// The unanswered probes after which the backend server counts as down.
+const PROBES_LOST: u32 = 3;
+/// How long after the last request for it a backend server is asked for its load, in
+/// milliseconds.
+const INTEREST_MS: u64 = 3_000;
+/// The slots of a backend server that has told none.
+const SLOTS: u32 = 10;
+/// By how much the requests at the gate must have changed to be told unasked.
+const LOAD_STEP: u32 = 3;
+/// How long an exchange may outlast the deadline that the backend server knows, in milliseconds.
+const OVERTIME_MS: u64 = 60;
+
+/// The gate of the local backend server.
+pub(crate) struct Gate {
+    clock: Clock,
+    pool: Pool,
+    health_path: RefCell<CompactString>,
+    room: RefCell<Room>,
+    waiters: RefCell<HashMap<JobKey, oneshot::Sender<Result<(), NoRoom>>>>,
+    listeners: RefCell<Vec<Rc<Outbox>>>,
+    told: Cell<GateLoad>,
+    heard: Cell<Millis>,
+    offered: Cell<Millis>,
+    probing: Cell<bool>,
+    probes_lost: Cell<u32>,
+    leaving: Cell<bool>,
+    server: RefCell<CompactString>,
+}
+
+impl Gate {
+    /// Returns the gate of the backend server at `address`.
+    pub(crate) fn new(address: SocketAddr, date: DateService, clock: Clock) -> Self {
+        let now = clock.now();
+        Self {
+            clock,
+            pool: Pool::new(address, date),
+            health_path: RefCell::new(CompactString::default()),
+            room: RefCell::new(Room::new(SLOTS)),
+            waiters: RefCell::default(),
+            listeners: RefCell::default(),
+            told: Cell::default(),
+            heard: Cell::new(now),
+            offered: Cell::new(now),
+            probing: Cell::new(false),
+            probes_lost: Cell::new(0),
+            leaving: Cell::new(false),
+            server: RefCell::default(),
+        }
+    }
+
+    /// Returns the load as ingresses are told.
+    pub(crate) fn load(&self) -> GateLoad {
+        self.room.borrow().load()
+    }
+
+    /// Adds a link whose node is told of changes of the load.
+    pub(crate) fn listen(&self, outbox: &Rc<Outbox>) {
+        outbox.push(Frame::Load(self.load()));
+        self.listeners.borrow_mut().push(Rc::clone(outbox));
+    }
+
+    /// Refuses new requests from now on; those that wait or run are still served.
+    pub(crate) fn leave(&self) {
+        self.leaving.set(true);
+        self.room.borrow_mut().close(Some(NoRoom::Leaving));
+        self.tell();
+    }
+
+    /// Takes in what the list says of the local backend server.
+    pub(crate) fn describe(&self, server: &str, slots: u32, health_path: &str) {
+        *self.health_path.borrow_mut() = health_path.into();
+        if *self.server.borrow() == server {
+            return;
+        }
+        *self.server.borrow_mut() = server.into();
+        self.pool.clear();
+        self.room.borrow_mut().resize(slots);
+        self.probes_lost.set(0);
+        self.reopen();
+    }
+
+    /// Runs a request, and returns how it ended with the body of an answer.
+    ///
+    /// Dropping the future cancels the request at the backend server.
+    pub(crate) async fn run(self: Rc<Self>, offer: Offer, body: Bytes) -> (Ending, Bytes) {
+        let arrived = self.clock.now();
+        self.offered.set(arrived);
+        let work_ms = u64::from(offer.work_ms);
+        if let Err(why) = self.enter(arrived, &offer).await {
+            let back_ms = self.room.borrow().back_ms(work_ms) as u32;
+            return (Ending::Refused { why, back_ms }, Bytes::new());
+        }
+        let _permit = Permit(Rc::clone(&self));
+        let spent = self.clock.now().since(arrived);
+        let left = u64::from(offer.left_ms).saturating_sub(spent);
+        if left == 0 {
+            let why = NoRoom::Late;
+            return (Ending::Refused { why, back_ms: 0 }, Bytes::new());
+        }
+        let limit = Duration::from_millis(left + OVERTIME_MS);
+        match timeout(limit, self.exchange(offer, body, left)).await {
+            Ok(result) => result,
+            Err(_) => (Ending::Failed, Bytes::new()),
+        }
+    }
+
+    /// Waits for a slot.
+    async fn enter(&self, now: Millis, offer: &Offer) -> Result<(), NoRoom> {
+        let job = Job {
+            priority: offer.priority,
+            aim: now + u64::from(offer.aim_ms),
+            deadline: now + u64::from(offer.left_ms),
+            work_ms: u64::from(offer.work_ms),
+            elsewhere_ms: offer.elsewhere_ms.map(u64::from),
+        };
+        let entry = self.room.borrow_mut().offer(now, job);
+        match entry {
+            Entry::Start => {
+                self.tell_step();
+                Ok(())
+            }
+            Entry::Refuse(why) => Err(why),
+            Entry::Wait(key) => self.wait(key).await,
+        }
+    }
+
+    async fn wait(&self, key: JobKey) -> Result<(), NoRoom> {
+        let (sender, mut receiver) = oneshot::channel();
+        self.waiters.borrow_mut().insert(key, sender);
+        let mut guard = Waiting { gate: self, key, ended: false };
+        loop {
+            let now = self.clock.now();
+            let wake = self.room.borrow().next_wake(now).map_or(1_000, |at| at.since(now));
+            tokio::select! {
+                biased;
+                result = &mut receiver => {
+                    guard.ended = true;
+                    return result.unwrap_or(Err(NoRoom::Leaving));
+                }
+                () = sleep(Duration::from_millis(wake.max(1))) => self.pump(),
+            }
+        }
+    }
+
+    /// Tells waiting requests what became of them.
+    fn pump(&self) {
+        let now = self.clock.now();
+        loop {
+            let turn = self.room.borrow_mut().next(now);
+            let (key, result) = match turn {
+                Some(Turn::Start(key)) => (key, Ok(())),
+                Some(Turn::Refuse(key, why)) => (key, Err(why)),
+                None => break,
+            };
+            let sender = self.waiters.borrow_mut().remove(&key);
+            let sent = sender.is_some_and(|s| s.send(result).is_ok());
+            if !sent && result.is_ok() {
+                self.room.borrow_mut().finish();
+            }
+        }
+        self.tell_step();
+    }
+
+    async fn exchange(&self, offer: Offer, body: Bytes, left: u64) -> (Ending, Bytes) {
+        let started = self.clock.now();
+        let request = match build(&offer, body, left) {
+            Some(request) => request,
+            None => return (Ending::Unsent, Bytes::new()),
+        };
+        let mut conn = match self.pool.take(started).await {
+            Ok(conn) => conn,
+            Err(e) => {
+                self.note_down(&e);
+                return (Ending::Unsent, Bytes::new());
+            }
+        };
+        let id = offer.request.as_str();
+        let wanted = |head: &ResponseHead| headers::text(&head.headers, HEADERS.request) == Some(id);
+        let result = conn.exchange(request, wanted).await;
+        let now = self.clock.now();
+        match result {
+            Ok(response) => {
+                self.pool.put(now, conn);
+                self.answered(response, now.since(started))
+            }
+            Err(e) => {
+                log::info!(request = id, error = e.to_string().as_str(); "a backend server's answer failed");
+                let ending = if e.is_unsent() { Ending::Unsent } else { Ending::Failed };
+                (ending, Bytes::new())
+            }
+        }
+    }
+
+    fn answered(&self, response: Response, ran_ms: u64) -> (Ending, Bytes) {
+        let percent = self.room.borrow().load().work_percent;
+        self.hear(&response.headers);
+        let after = self.room.borrow().load().work_percent;
+        let unexecuted = response.headers.contains_key(HEADERS.unexecuted);
+        let misdirected = response.status.as_u16() == 421;
+        if unexecuted || misdirected {
+            let status = response.status.as_u16();
+            return (Ending::Unexecuted { status }, Bytes::new());
+        }
+        let signed = response.headers.contains_key(HEADERS.signature);
+        if response.status.is_success() && !signed {
+            log::info!("a backend server's answer has no signature and is dropped");
+            return (Ending::Failed, Bytes::new());
+        }
+        let answered = Answered {
+            status: response.status.as_u16(),
+            headers: headers::of_answer(&response.headers),
+            ran_ms: ran_ms as u32,
+            work_percent: percent.midpoint(after),
+        };
+        (Ending::Answered(answered), response.body)
+    }
+
+    /// Takes in the load that an answer of the backend server tells.
+    fn hear(&self, map: &HeaderMap) {
+        let Some(load) = headers::text(map, HEADERS.load).and_then(scan_load) else {
+            return;
+        };
+        self.heard.set(self.clock.now());
+        self.probes_lost.set(0);
+        self.reopen();
+        self.take_load(load);
+    }
+
+    fn take_load(&self, load: ServerLoad) {
+        let mut room = self.room.borrow_mut();
+        room.resize(load.slots);
+        let changed = room.set_pace(load.work_percent);
+        drop(room);
+        if changed {
+            self.pump();
+            self.tell();
+        }
+    }
+
+    fn reopen(&self) {
+        let reason = self.leaving.get().then_some(NoRoom::Leaving);
+        self.room.borrow_mut().close(reason);
+        if self.told.get().closed != reason.is_some() {
+            self.tell();
+        }
+    }
+
+    fn note_down(&self, e: &ExchangeError) {
+        if self.leaving.get() || self.load().closed {
+            return;
+        }
+        log::warn!(error = e.to_string().as_str(); "the backend server is down");
+        self.room.borrow_mut().close(Some(NoRoom::Down));
+        self.tell();
+    }
+
+    /// Asks the backend server for its load if nothing else told it lately.
+    pub(crate) fn probe(self: &Rc<Self>) {
+        let now = self.clock.now();
+        let fresh = now.since(self.heard.get()) < PROBE_AGE_MS;
+        let wanted = now.since(self.offered.get()) < INTEREST_MS || self.load().closed;
+        if fresh || !wanted || self.probing.get() || self.health_path.borrow().is_empty() {
+            return;
+        }
+        self.probing.set(true);
+        let gate = Rc::clone(self);
+        tokio::task::spawn_local(async move {
+            gate.ask().await;
+            gate.probing.set(false);
+        });
+    }
+
+    async fn ask(&self) {
+        let now = self.clock.now();
+        let path = self.health_path.borrow().clone();
+        let Ok(uri) = Uri::try_from(path.as_str()) else {
+            return;
+        };
+        let request = Request {
+            method: Method::GET,
+            uri,
+            headers: HeaderMap::new(),
+            body: Bytes::new(),
+        };
+        let mut conn = match self.pool.take(now).await {
+            Ok(conn) => conn,
+            Err(e) => return self.note_down(&e),
+        };
+        let wanted = |head: &ResponseHead| !head.headers.contains_key(HEADERS.request);
+        let wait = Duration::from_millis(PROBE_WAIT_MS);
+        match timeout(wait, conn.exchange(request, wanted)).await {
+            Ok(Ok(response)) => {
+                self.hear(&response.headers);
+                self.pool.put(self.clock.now(), conn);
+            }
+            Ok(Err(_)) | Err(_) => {
+                let lost = self.probes_lost.get() + 1;
+                self.probes_lost.set(lost);
+                self.heard.set(self.clock.now());
+                if lost == PROBES_LOST {
+                    log::warn!(probes = lost; "the backend server does not answer");
+                    self.room.borrow_mut().close(Some(NoRoom::Down));
+                    self.tell();
+                }
+            }
+        }
+    }
+
+    /// Tells the listeners when what runs or waits has changed by a step.
+    fn tell_step(&self) {
+        let (load, told) = (self.load(), self.told.get());
+        let busy = load.running + load.waiting;
+        let before = told.running + told.waiting;
+        if busy.abs_diff(before) >= LOAD_STEP {
+            self.tell();
+        }
+    }
+
+    fn tell(&self) {
+        let load = self.load();
+        self.told.set(load);
+        let mut listeners = self.listeners.borrow_mut();
+        listeners.retain(|l| !l.is_closed());
+        for outbox in listeners.iter() {
+            outbox.push(Frame::Load(load));
+        }
+    }
+}
+
+/// A slot at the backend server, freed when it is dropped.
+struct Permit(Rc<Gate>);
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        self.0.room.borrow_mut().finish();
+        self.0.pump();
+    }
+}
+
+/// A place among the waiting, given up when it is dropped.
+struct Waiting<'a> {
+    gate: &'a Gate,
+    key: JobKey,
+    ended: bool,
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        if self.ended {
+            return;
+        }
+        let waits = self.gate.waiters.borrow_mut().remove(&self.key).is_some();
+        match waits {
+            true => self.gate.room.borrow_mut().leave(self.key),
+            // It was given a slot that nobody will use.
+            false => self.gate.room.borrow_mut().finish(),
+        }
+    }
+}
+
+/// Builds the request to the backend server.
+fn build(offer: &Offer, body: Bytes, left: u64) -> Option<Request> {
+    let mut map = headers::to_map(&offer.headers);
+    headers::set(&mut map, HEADERS.deadline, &left.to_string());
+    headers::set(&mut map, HEADERS.target, &offer.server);
+    headers::set(&mut map, HEADERS.caller, &offer.caller);
+    Some(Request {
+        method: Method::from_bytes(offer.method.as_bytes()).ok()?,
+        uri: Uri::try_from(offer.target.as_str()).ok()?,
+        headers: map,
+        body,
+    })
+}
--- /dev/null
+++ b/crates/mesh/src/inbound.rs
@@ -0,0 +1,131 @@
+//! Links from other nodes to this gate.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use oriolering_http::Bytes;
+use serde_bytes::ByteBuf;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::AbortHandle;
+
+use crate::frame::{CallKey, Frame, Offer, PIECE_BYTES};
+use crate::link;
+use crate::news;
+use crate::node::Node;
+use crate::outbox::Outbox;
+use crate::peer::send_pieces;
+
+/// Accepts links until the process ends.
+pub(crate) async fn accept(node: Rc<Node>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::task::spawn_local(serve(Rc::clone(&node), stream));
+            }
+            Err(e) => {
+                log::warn!(error = e.to_string().as_str(); "a node's connection is not accepted");
+            }
+        }
+    }
+}
+
+/// The calls of one link.
+#[derive(Default)]
+struct Calls {
+    running: RefCell<HashMap<CallKey, AbortHandle>>,
+    /// Requests whose bodies are still arriving.
+    arriving: RefCell<HashMap<CallKey, (Box<Offer>, Vec<u8>)>>,
+}
+
+impl Drop for Calls {
+    fn drop(&mut self) {
+        for task in self.running.borrow().values() {
+            task.abort();
+        }
+    }
+}
+
+async fn serve(node: Rc<Node>, stream: TcpStream) {
+    let outbox = Rc::new(Outbox::default());
+    let calls = Rc::new(Calls::default());
+    if let Err(e) = link::prepare(&stream) {
+        log::info!(error = e.to_string().as_str(); "a node's connection ended at once");
+        return;
+    }
+    node.gate.listen(&outbox);
+    news::announce(&node, &outbox);
+    let result = link::run(&stream, &outbox, |frame| take(&node, &outbox, &calls, frame)).await;
+    outbox.close();
+    let running = std::mem::take(&mut *calls.running.borrow_mut());
+    running.into_values().for_each(|task| task.abort());
+    if let Err(e) = result {
+        log::debug!(error = e.to_string().as_str(); "a node's link ended");
+    }
+}
+
+fn take(node: &Rc<Node>, outbox: &Rc<Outbox>, calls: &Rc<Calls>, frame: Frame) {
+    match frame {
+        Frame::Offer { call, offer, body, whole } => match whole {
+            true => start(node, outbox, calls, call, offer, body.into_vec()),
+            false => {
+                calls.arriving.borrow_mut().insert(call, (offer, Vec::new()));
+            }
+        },
+        Frame::Piece { call, bytes, last } => {
+            let mut arriving = calls.arriving.borrow_mut();
+            if let Some((_, body)) = arriving.get_mut(&call) {
+                body.extend_from_slice(&bytes);
+            }
+            let done = if last { arriving.remove(&call) } else { None };
+            drop(arriving);
+            if let Some((offer, body)) = done {
+                start(node, outbox, calls, call, offer, body);
+            }
+        }
+        Frame::Cancel { call } => {
+            calls.arriving.borrow_mut().remove(&call);
+            if let Some(task) = calls.running.borrow_mut().remove(&call) {
+                task.abort();
+            }
+        }
+        Frame::Ping => outbox.push(Frame::Pong),
+        Frame::Hello { node: name, incarnation } => {
+            log::debug!(node = name.as_str(), incarnation; "a node is linked");
+        }
+        Frame::Known { .. } | Frame::Want { .. } | Frame::Routes { .. } | Frame::Servers { .. } => {
+            news::take(node, outbox, frame);
+        }
+        Frame::Pong | Frame::Ended { .. } | Frame::Load(_) => {}
+    }
+}
+
+/// Runs a request, and tells the other node how it ended.
+fn start(
+    node: &Rc<Node>,
+    outbox: &Rc<Outbox>,
+    calls: &Rc<Calls>,
+    call: CallKey,
+    offer: Box<Offer>,
+    body: Vec<u8>,
+) {
+    let gate = Rc::clone(&node.gate);
+    let (outbox, ended) = (Rc::clone(outbox), Rc::clone(calls));
+    let task = tokio::task::spawn_local(async move {
+        let (ending, body) = Rc::clone(&gate).run(*offer, Bytes::from(body)).await;
+        ended.running.borrow_mut().remove(&call);
+        let whole = body.len() <= PIECE_BYTES;
+        let first: &[u8] = if whole { &body } else { &[] };
+        outbox.push(Frame::Ended {
+            call,
+            ending,
+            body: ByteBuf::from(first),
+            whole,
+            load: gate.load(),
+        });
+        if !whole {
+            send_pieces(&outbox, call, &body);
+        }
+    });
+    calls.running.borrow_mut().insert(call, task.abort_handle());
+}
--- /dev/null
+++ b/crates/mesh/src/ingress.rs
@@ -0,0 +1,135 @@
+//! Requests of callers, and of the local backend server to other services.
+
+use std::cell::Cell;
+use std::rc::Rc;
+
+use oriolering::Route;
+use oriolering_http::{Answer, ConnLimits, Request, StatusCode, header};
+use oriolering_platform::{HEADERS, scan_deadline};
+use tokio::net::TcpListener;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::dispatch::{self, Job};
+use crate::headers;
+use crate::node::Node;
+
+/// The most requests of one connection that run at once.
+const PIPELINED: usize = 64;
+/// The bounds on callers while no routes are known: those of the platform's examples.
+const LIMITS: ConnLimits = ConnLimits {
+    header_bytes: 16 * 1024,
+    body_bytes: 64 * 1024 * 1024,
+    header_ms: 3_000,
+    idle_ms: 15_000,
+    pipelined: PIPELINED,
+};
+/// When to come back while no routes are known, in milliseconds.
+const UNREADY_BACK_MS: u64 = 250;
+
+/// Accepts callers' connections until the process ends.
+pub(crate) async fn accept(node: Rc<Node>, listener: TcpListener) {
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(e) => {
+                log::warn!(error = e.to_string().as_str(); "a caller's connection is not accepted");
+                continue;
+            }
+        };
+        if let Err(e) = stream.set_nodelay(true) {
+            log::debug!(error = e.to_string().as_str(); "a caller's connection ended at once");
+            continue;
+        }
+        let (limits, closing, handler) = (Rc::clone(&node), Rc::clone(&node), Rc::clone(&node));
+        let date = node.date.clone();
+        tokio::task::spawn_local(async move {
+            let handler = move |request| handle(Rc::clone(&handler), request);
+            let closing = move || closing.stopping.get();
+            oriolering_http::serve(stream, date, move || limits_of(&limits), closing, handler).await;
+        });
+    }
+}
+
+fn limits_of(node: &Node) -> ConnLimits {
+    let Some(published) = node.routes() else {
+        return LIMITS;
+    };
+    let limits = published.table.limits();
+    ConnLimits {
+        header_bytes: limits.header_bytes as usize,
+        body_bytes: limits.body_bytes as usize,
+        header_ms: limits.header_ms,
+        idle_ms: limits.idle_ms,
+        pipelined: PIPELINED,
+    }
+}
+
+/// A request that runs, counted until it is dropped.
+struct Active<'a>(&'a Cell<usize>);
+
+impl<'a> Active<'a> {
+    fn new(count: &'a Cell<usize>) -> Self {
+        count.set(count.get() + 1);
+        Self(count)
+    }
+}
+
+impl Drop for Active<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+/// Answers one request.
+async fn handle(node: Rc<Node>, request: Request) -> Answer {
+    let counted = Rc::clone(&node);
+    let _active = Active::new(&counted.active);
+    let id = headers::text(&request.headers, HEADERS.request).map(compact_str::CompactString::from);
+    let mut answer = match plan(&node, &request) {
+        Ok(job) => dispatch::dispatch(node, job).await,
+        Err(answer) => answer,
+    };
+    if let Some(id) = id
+        && !answer.headers.contains_key(HEADERS.request)
+    {
+        headers::set(&mut answer.headers, HEADERS.request, &id);
+    }
+    answer
+}
+
+/// Finds the route of a request and the part of it that takes it.
+fn plan(node: &Rc<Node>, request: &Request) -> Result<Job, Answer> {
+    let Some(published) = node.routes() else {
+        return Err(dispatch::unavailable(UNREADY_BACK_MS));
+    };
+    let now = node.now();
+    let map = &request.headers;
+    let host = headers::text(map, header::HOST.as_str())
+        .or_else(|| request.uri.host())
+        .unwrap_or_default();
+    let Some((_, route)) = published.table.find(host, request.uri.path()) else {
+        log::info!(host, path = request.uri.path(), version = published.table.version(); "no route takes a request");
+        return Err(Answer::new(StatusCode::NOT_FOUND));
+    };
+    let part = node.splitter.borrow_mut().choose(route, &mut rand::rng());
+    let waits = headers::text(map, HEADERS.deadline).and_then(scan_deadline);
+    let limit = waits.unwrap_or(route.timeout_ms).min(route.timeout_ms);
+    Ok(Job {
+        request: headers::text(map, HEADERS.request).unwrap_or_default().into(),
+        service: route.parts[part].service.clone(),
+        route: Rc::new(Route::clone(route)),
+        route_hash: xxh3_64(route.name.as_bytes()),
+        arrived: now,
+        deadline: now + limit,
+        method: request.method.as_str().into(),
+        target: target(request),
+        headers: headers::of_request(map),
+        body: request.body.clone(),
+    })
+}
+
+/// Returns the path and query as they were sent.
+fn target(request: &Request) -> String {
+    let target = request.uri.path_and_query().map(|t| t.as_str());
+    target.unwrap_or("/").to_owned()
+}
--- /dev/null
+++ b/crates/mesh/src/lib.rs
@@ -0,0 +1,29 @@
+//! The data path of a node on a platform that publishes routes and backend servers.
+//!
+//! A node takes the requests of the callers on its instance, chooses a backend server for
+//! each, and sends it over a link to the node beside that backend server, whose gate decides
+//! finally: it runs the request, lets it wait or refuses it. One link between two nodes carries
+//! calls, cancellations, the load of the gate and news of the configuration.
+//!
+//! Decisions are in [`oriolering`], connections in [`oriolering_http`], and the platform's
+//! names and formats in [`oriolering_platform`].
+
+mod dispatch;
+mod frame;
+mod gate;
+mod headers;
+mod inbound;
+mod ingress;
+mod link;
+mod news;
+mod node;
+mod outbound;
+mod outbox;
+mod peer;
+mod pool;
+mod reply;
+mod source;
+mod spots;
+mod start;
+
+pub use start::{StartError, run};
--- /dev/null
+++ b/crates/mesh/src/outbound.rs
@@ -0,0 +1,104 @@
+//! Links from this node to the gates of others.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use rand::Rng;
+use tokio::net::TcpStream;
+use tokio::time::{sleep, timeout};
+
+use crate::frame::Frame;
+use crate::link;
+use crate::news;
+use crate::node::Node;
+use crate::peer::{Peer, Silence, load_of};
+
+/// How long a connection to another node may take, in milliseconds.
+const CONNECT_MS: u64 = 800;
+/// The first wait after a failed connection, in milliseconds.
+const BACKOFF_MIN_MS: u64 = 50;
+/// The longest wait after failed connections, in milliseconds; well within the time in which a
+/// machine that is back has to be served.
+const BACKOFF_MAX_MS: u64 = 800;
+/// How long a silent peer is avoided before it is looked at again, in milliseconds.
+const AVOID_MS: u64 = 400;
+
+/// Keeps a link to a peer as long as the list names it.
+pub(crate) async fn keep(node: Rc<Node>, peer: Rc<Peer>) {
+    let mut backoff = BACKOFF_MIN_MS;
+    while !peer.unlisted.get() {
+        let connect = TcpStream::connect(peer.address);
+        match timeout(Duration::from_millis(CONNECT_MS), connect).await {
+            Ok(Ok(stream)) => {
+                backoff = BACKOFF_MIN_MS;
+                run(&node, &peer, stream).await;
+            }
+            Ok(Err(_)) | Err(_) => {}
+        }
+        let wait = rand::rng().random_range(backoff / 2..=backoff);
+        sleep(Duration::from_millis(wait)).await;
+        backoff = (backoff * 2).min(BACKOFF_MAX_MS);
+    }
+    node.peers.borrow_mut().remove(&peer.address);
+}
+
+async fn run(node: &Rc<Node>, peer: &Rc<Peer>, stream: TcpStream) {
+    if let Err(e) = link::prepare(&stream) {
+        log::info!(peer = peer.address.to_string().as_str(), error = e.to_string().as_str(); "a link ended at once");
+        return;
+    }
+    let outbox = peer.open(node.now());
+    log::info!(peer = peer.address.to_string().as_str(); "a link is up");
+    outbox.push(Frame::Hello {
+        node: node.settings.node.clone(),
+        incarnation: node.incarnation,
+    });
+    news::announce(node, &outbox);
+    let result = link::run(&stream, &outbox, |frame| take(node, peer, frame)).await;
+    peer.close();
+    if let Err(e) = result {
+        log::info!(peer = peer.address.to_string().as_str(), error = e.to_string().as_str(); "a link ended");
+    }
+}
+
+fn take(node: &Rc<Node>, peer: &Rc<Peer>, frame: Frame) {
+    let now = node.now();
+    peer.hear(now);
+    if let Some(load) = load_of(&frame) {
+        node.spots.borrow_mut().with_peer(peer, |site| site.tell(now, load));
+    }
+    match frame {
+        Frame::Ended { call, ending, body, whole, .. } => {
+            peer.ended(call, ending, body.into_vec(), whole);
+        }
+        Frame::Piece { call, bytes, last } => peer.piece(call, &bytes, last),
+        Frame::Ping => peer.push(Frame::Pong),
+        Frame::Known { .. } | Frame::Want { .. } | Frame::Routes { .. } | Frame::Servers { .. } => {
+            let outbox = peer.outbox();
+            news::take(node, &outbox, frame);
+        }
+        Frame::Hello { .. }
+        | Frame::Offer { .. }
+        | Frame::Cancel { .. }
+        | Frame::Load(_)
+        | Frame::Pong => {}
+    }
+}
+
+/// Looks after silent links.
+pub(crate) fn watch(node: &Rc<Node>) {
+    let now = node.now();
+    let peers: Vec<Rc<Peer>> = node.peers.borrow().values().cloned().collect();
+    for peer in peers {
+        match peer.watch(now) {
+            Silence::None => {}
+            Silence::Suspect => {
+                let until = now + AVOID_MS;
+                node.spots.borrow_mut().with_peer(&peer, |site| site.suspect = until);
+            }
+            Silence::Over => {
+                log::warn!(peer = peer.address.to_string().as_str(); "a silent link is given up");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/mesh/src/outbox.rs
@@ -0,0 +1,86 @@
+//! The messages that wait to be written to one link.
+
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+
+use bytes::BytesMut;
+use tokio::sync::Notify;
+use tokio_util::codec::LengthDelimitedCodec;
+
+use crate::frame::{self, Frame, FrameError};
+
+/// The most pieces of bodies that wait; beyond it the link counts as jammed.
+const PIECES_MAX: usize = 2_048;
+
+/// The messages of one link: short ones go before pieces of bodies.
+#[derive(Debug, Default)]
+pub(crate) struct Outbox {
+    short: RefCell<Vec<Frame>>,
+    pieces: RefCell<VecDeque<Frame>>,
+    wake: Notify,
+    closed: Cell<bool>,
+}
+
+impl Outbox {
+    /// Adds a message; it is dropped when the link is closed.
+    pub(crate) fn push(&self, frame: Frame) {
+        if self.closed.get() {
+            return;
+        }
+        match frame {
+            Frame::Piece { .. } => self.pieces.borrow_mut().push_back(frame),
+            Frame::Hello { .. }
+            | Frame::Offer { .. }
+            | Frame::Cancel { .. }
+            | Frame::Ended { .. }
+            | Frame::Load(_)
+            | Frame::Ping
+            | Frame::Pong
+            | Frame::Known { .. }
+            | Frame::Want { .. }
+            | Frame::Routes { .. }
+            | Frame::Servers { .. } => self.short.borrow_mut().push(frame),
+        }
+        self.wake.notify_one();
+    }
+
+    /// Returns whether too much waits for another long body.
+    pub(crate) fn is_jammed(&self) -> bool {
+        self.pieces.borrow().len() > PIECES_MAX
+    }
+
+    /// Takes no more messages.
+    pub(crate) fn close(&self) {
+        self.closed.set(true);
+        self.wake.notify_one();
+    }
+
+    /// Returns whether the link is closed.
+    pub(crate) fn is_closed(&self) -> bool {
+        self.closed.get()
+    }
+
+    /// Waits until there may be something to write.
+    pub(crate) async fn changed(&self) {
+        self.wake.notified().await;
+    }
+
+    /// Writes all short messages and one piece to `out`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when a message cannot be encoded.
+    pub(crate) fn fill(
+        &self,
+        codec: &mut LengthDelimitedCodec,
+        out: &mut BytesMut,
+    ) -> Result<(), FrameError> {
+        for frame in self.short.borrow_mut().drain(..) {
+            frame::encode(codec, &frame, out)?;
+        }
+        if let Some(piece) = self.pieces.borrow_mut().pop_front() {
+            frame::encode(codec, &piece, out)?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/mesh/src/peer.rs
@@ -0,0 +1,258 @@
+//! The link to the gate of another node, and the calls on it.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use oriolering::{GateLoad, Millis};
+use serde_bytes::ByteBuf;
+use tokio::sync::oneshot;
+
+use crate::frame::{CallKey, Ending, Frame, Offer, PIECE_BYTES};
+use crate::outbox::Outbox;
+use crate::reply::Reply;
+
+/// How long a link with calls may be silent before it is asked, in milliseconds.
+const ASK_BUSY_MS: u64 = 200;
+/// How long a link without calls may be silent before it is asked, in milliseconds.
+const ASK_IDLE_MS: u64 = 2_000;
+/// How long the answer may take before the peer is avoided, in milliseconds.
+const SUSPECT_MS: u64 = 250;
+/// How long the answer may take before the link is given up, in milliseconds.
+const GIVE_UP_MS: u64 = 1_500;
+
+struct Waiting {
+    sender: oneshot::Sender<Reply>,
+    ending: Option<Ending>,
+    body: Vec<u8>,
+}
+
+/// What the silence of a link means.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Silence {
+    /// The peer is there as far as is known.
+    None,
+    /// The peer does not answer for now.
+    Suspect,
+    /// The link is given up.
+    Over,
+}
+
+/// The node beside some backend server, as another node reaches it.
+pub(crate) struct Peer {
+    /// Where the node listens for other nodes.
+    pub(crate) address: SocketAddr,
+    outbox: RefCell<Rc<Outbox>>,
+    up: Cell<bool>,
+    /// Whether the list no longer names it.
+    pub(crate) unlisted: Cell<bool>,
+    calls: RefCell<HashMap<CallKey, Waiting>>,
+    numbers: Cell<u64>,
+    heard: Cell<Millis>,
+    asked: Cell<Option<Millis>>,
+}
+
+impl Peer {
+    /// Returns a peer without a link.
+    pub(crate) fn new(address: SocketAddr, now: Millis) -> Self {
+        Self {
+            address,
+            outbox: RefCell::default(),
+            up: Cell::new(false),
+            unlisted: Cell::new(false),
+            calls: RefCell::default(),
+            numbers: Cell::new(0),
+            heard: Cell::new(now),
+            asked: Cell::new(None),
+        }
+    }
+
+    /// Returns whether a link is up.
+    pub(crate) fn is_up(&self) -> bool {
+        self.up.get()
+    }
+
+    /// Notes that a link is up, and returns its messages.
+    pub(crate) fn open(&self, now: Millis) -> Rc<Outbox> {
+        let outbox = Rc::new(Outbox::default());
+        *self.outbox.borrow_mut() = Rc::clone(&outbox);
+        self.heard.set(now);
+        self.asked.set(None);
+        self.up.set(true);
+        outbox
+    }
+
+    /// Notes that the link ended; its calls are lost.
+    pub(crate) fn close(&self) {
+        self.up.set(false);
+        self.outbox.borrow().close();
+        let calls = std::mem::take(&mut *self.calls.borrow_mut());
+        for waiting in calls.into_values() {
+            // The caller may have left, and nobody waits then.
+            let _ = waiting.sender.send(Reply::Lost);
+        }
+    }
+
+    /// Sends a message if a link is up.
+    pub(crate) fn push(&self, frame: Frame) {
+        if self.up.get() {
+            self.outbox.borrow().push(frame);
+        }
+    }
+
+    /// Returns the messages that wait for the link.
+    pub(crate) fn outbox(&self) -> Rc<Outbox> {
+        Rc::clone(&self.outbox.borrow())
+    }
+
+    /// Returns whether long bodies wait for the link.
+    pub(crate) fn is_jammed(&self) -> bool {
+        self.outbox.borrow().is_jammed()
+    }
+
+    /// Notes that the peer was heard.
+    pub(crate) fn hear(&self, now: Millis) {
+        self.heard.set(now);
+        self.asked.set(None);
+    }
+
+    /// Asks a silent peer whether it is there, and returns what its silence means.
+    pub(crate) fn watch(&self, now: Millis) -> Silence {
+        if !self.up.get() {
+            return Silence::None;
+        }
+        let Some(asked) = self.asked.get() else {
+            let busy = !self.calls.borrow().is_empty();
+            let patience = if busy { ASK_BUSY_MS } else { ASK_IDLE_MS };
+            if now.since(self.heard.get()) >= patience {
+                self.asked.set(Some(now));
+                self.push(Frame::Ping);
+            }
+            return Silence::None;
+        };
+        match now.since(asked) {
+            waited if waited >= GIVE_UP_MS => {
+                self.outbox.borrow().close();
+                Silence::Over
+            }
+            waited if waited >= SUSPECT_MS => Silence::Suspect,
+            _ => Silence::None,
+        }
+    }
+
+    /// Sends a request to the gate, and waits for how it ends there.
+    ///
+    /// Dropping the future tells the gate that the caller left.
+    pub(crate) async fn call(&self, offer: Offer, body: &[u8]) -> Reply {
+        if !self.up.get() {
+            return Reply::Unlinked;
+        }
+        let call = CallKey(self.numbers.get());
+        self.numbers.set(call.0 + 1);
+        let (sender, receiver) = oneshot::channel();
+        let waiting = Waiting {
+            sender,
+            ending: None,
+            body: Vec::new(),
+        };
+        self.calls.borrow_mut().insert(call, waiting);
+        let guard = Guard { peer: self, call };
+        let outbox = Rc::clone(&self.outbox.borrow());
+        send_offer(&outbox, call, offer, body);
+        let reply = receiver.await.unwrap_or(Reply::Lost);
+        drop(guard);
+        reply
+    }
+
+    /// Takes in how a call ended.
+    pub(crate) fn ended(&self, call: CallKey, ending: Ending, body: Vec<u8>, whole: bool) {
+        let mut calls = self.calls.borrow_mut();
+        if !whole {
+            if let Some(waiting) = calls.get_mut(&call) {
+                waiting.ending = Some(ending);
+                waiting.body = body;
+            }
+            return;
+        }
+        if let Some(waiting) = calls.remove(&call) {
+            // The caller may have left, and nobody waits then.
+            let _ = waiting.sender.send(Reply::Ended { ending, body });
+        }
+    }
+
+    /// Takes in a piece of an answer's body.
+    pub(crate) fn piece(&self, call: CallKey, bytes: &[u8], last: bool) {
+        let mut calls = self.calls.borrow_mut();
+        let Some(waiting) = calls.get_mut(&call) else {
+            return;
+        };
+        waiting.body.extend_from_slice(bytes);
+        if !last {
+            return;
+        }
+        if let Some(Waiting { sender, ending: Some(ending), body }) = calls.remove(&call) {
+            // The caller may have left, and nobody waits then.
+            let _ = sender.send(Reply::Ended { ending, body });
+        }
+    }
+}
+
+/// A call that is under way; the gate is told when it is dropped before its end.
+struct Guard<'a> {
+    peer: &'a Peer,
+    call: CallKey,
+}
+
+impl Drop for Guard<'_> {
+    fn drop(&mut self) {
+        let waiting = self.peer.calls.borrow_mut().remove(&self.call);
+        if waiting.is_some() {
+            self.peer.push(Frame::Cancel { call: self.call });
+        }
+    }
+}
+
+fn send_offer(outbox: &Outbox, call: CallKey, offer: Offer, body: &[u8]) {
+    let offer = Box::new(offer);
+    let whole = body.len() <= PIECE_BYTES;
+    let first = if whole { body } else { &[] };
+    outbox.push(Frame::Offer {
+        call,
+        offer,
+        body: ByteBuf::from(first),
+        whole,
+    });
+    if !whole {
+        send_pieces(outbox, call, body);
+    }
+}
+
+/// Sends a long body in pieces.
+pub(crate) fn send_pieces(outbox: &Outbox, call: CallKey, body: &[u8]) {
+    let count = body.len().div_ceil(PIECE_BYTES);
+    for (i, piece) in body.chunks(PIECE_BYTES).enumerate() {
+        outbox.push(Frame::Piece {
+            call,
+            bytes: ByteBuf::from(piece),
+            last: i + 1 == count,
+        });
+    }
+}
+
+/// What a gate told with a message, if it did.
+pub(crate) fn load_of(frame: &Frame) -> Option<GateLoad> {
+    match frame {
+        Frame::Load(load) | Frame::Ended { load, .. } => Some(*load),
+        Frame::Hello { .. }
+        | Frame::Offer { .. }
+        | Frame::Piece { .. }
+        | Frame::Cancel { .. }
+        | Frame::Ping
+        | Frame::Pong
+        | Frame::Known { .. }
+        | Frame::Want { .. }
+        | Frame::Routes { .. }
+        | Frame::Servers { .. } => None,
+    }
+}
--- /dev/null
+++ b/crates/mesh/src/pool.rs
@@ -0,0 +1,74 @@
+//! The connections from a gate to its backend server.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+
+use ntex::http::DateService;
+use oriolering::Millis;
+use oriolering_http::{ClientConn, ExchangeError};
+
+/// How long a connection to the backend server may take, in milliseconds; it is on the same
+/// instance, so a longer time means that nobody listens.
+const CONNECT_MS: u64 = 400;
+
+struct Idle {
+    conn: ClientConn,
+    since: Millis,
+}
+
+/// Idle connections; the one used last is used first, so that the rest can close.
+pub(crate) struct Pool {
+    address: SocketAddr,
+    date: DateService,
+    idle: RefCell<Vec<Idle>>,
+}
+
+impl Pool {
+    /// Returns a pool of connections to `address`.
+    pub(crate) fn new(address: SocketAddr, date: DateService) -> Self {
+        Self {
+            address,
+            date,
+            idle: RefCell::new(Vec::new()),
+        }
+    }
+
+    /// Returns an idle connection that can be used, or a new one.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the backend server does not accept a new one.
+    pub(crate) async fn take(&self, now: Millis) -> Result<ClientConn, ExchangeError> {
+        if let Some(conn) = self.take_idle(now) {
+            return Ok(conn);
+        }
+        ClientConn::connect(self.address, self.date.clone(), CONNECT_MS).await
+    }
+
+    /// Returns an idle connection that can be used, if there is one.
+    pub(crate) fn take_idle(&self, now: Millis) -> Option<ClientConn> {
+        while let Some(mut idle) = self.pop() {
+            let fresh = now.since(idle.since) < idle.conn.idle_ms();
+            if fresh && idle.conn.is_reusable() {
+                return Some(idle.conn);
+            }
+        }
+        None
+    }
+
+    /// Takes back a connection whose exchange has ended.
+    pub(crate) fn put(&self, now: Millis, mut conn: ClientConn) {
+        if conn.is_reusable() {
+            self.idle.borrow_mut().push(Idle { conn, since: now });
+        }
+    }
+
+    /// Drops the idle connections, since the backend server is another one.
+    pub(crate) fn clear(&self) {
+        self.idle.borrow_mut().clear();
+    }
+
+    fn pop(&self) -> Option<Idle> {
+        self.idle.borrow_mut().pop()
+    }
+}
--- /dev/null
+++ b/crates/mesh/src/source.rs
@@ -0,0 +1,271 @@
+//! Reads the platform's store and watches it; the only client of the store.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use compact_str::CompactString;
+use ntex::http::ResponseHead;
+use oriolering::ServerNote;
+use oriolering_http::{Bytes, ClientConn, ExchangeError, HeaderMap, Method, Request, Uri};
+use oriolering_platform::{
+    ALL_KEYS, Answer, CONFIG_KEY, Change, Event, Range, SERVERS_PREFIX, StoreError, Watch,
+    key_path, range_path, scan_entry, scan_item, scan_range, scan_watch, watch_path,
+};
+use rand::Rng;
+use snafu::{ResultExt, Snafu};
+use tokio::time::{sleep, timeout};
+
+use crate::news;
+use crate::node::Node;
+
+/// How long a connection to the store may take, in milliseconds.
+const CONNECT_MS: u64 = 1_000;
+/// How long the store may take for an answer that does not wait, in milliseconds.
+const ANSWER_MS: u64 = 2_000;
+/// How long a watch waits for a change, in milliseconds.
+const WATCH_MS: u64 = 10_000;
+/// How long the answer to a watch may take beyond its time, in milliseconds.
+const WATCH_SLACK_MS: u64 = 1_500;
+/// The first wait after a failure, in milliseconds.
+const BACKOFF_MIN_MS: u64 = 100;
+/// The longest wait after failures, in milliseconds.
+const BACKOFF_MAX_MS: u64 = 2_000;
+/// How long after the store's return a removal may be a lapse, in milliseconds; live backend
+/// servers are listed again within two seconds.
+const UNSETTLED_MS: u64 = 2_500;
+
+/// Why a call to the store brought nothing.
+#[derive(Debug, Snafu)]
+enum SourceError {
+    #[snafu(display("the store cannot be reached: {source}"))]
+    Exchange { source: ExchangeError },
+    #[snafu(display("the store did not answer within {ms} ms"))]
+    Silent { ms: u64 },
+    #[snafu(display("{source}"))]
+    Store { source: StoreError },
+    #[snafu(display("a path of the store is not a valid target: {path}"))]
+    Path { path: String },
+}
+
+/// The connection to the store, and what is known of its state.
+struct Source {
+    node: Rc<Node>,
+    conn: Option<ClientConn>,
+    failed: bool,
+    /// Until when removals may be lapses, in the node's time.
+    unsettled: u64,
+}
+
+/// Reads and watches the store until the process ends.
+pub(crate) async fn run(node: Rc<Node>) {
+    let mut source = Source {
+        node,
+        conn: None,
+        failed: false,
+        unsettled: 0,
+    };
+    let mut backoff = BACKOFF_MIN_MS;
+    loop {
+        let result = source.follow(&mut backoff).await;
+        source.conn = None;
+        if let Err(e) = result {
+            source.note_failure(&e);
+        }
+        let wait = rand::rng().random_range(backoff / 2..=backoff);
+        sleep(Duration::from_millis(wait)).await;
+        backoff = (backoff * 2).min(BACKOFF_MAX_MS);
+    }
+}
+
+impl Source {
+    /// Reads everything, then watches until something fails.
+    async fn follow(&mut self, backoff: &mut u64) -> Result<(), SourceError> {
+        let mut revision = self.read_all().await?;
+        self.note_success();
+        *backoff = BACKOFF_MIN_MS;
+        loop {
+            let path = watch_path(ALL_KEYS, revision, WATCH_MS);
+            let watch = match self.watch(&path).await {
+                Err(SourceError::Store { source: StoreError::Compacted }) => {
+                    log::info!(revision; "the store has dropped its history; reading everything");
+                    revision = self.read_all().await?;
+                    continue;
+                }
+                result => result?,
+            };
+            *backoff = BACKOFF_MIN_MS;
+            self.note_success();
+            revision = watch.revision;
+            self.take(watch);
+        }
+    }
+
+    /// Reads the routes and the whole list, and returns the revision to watch from.
+    async fn read_all(&mut self) -> Result<u64, SourceError> {
+        let (notes, revision) = self.read_servers().await?;
+        self.read_routes().await?;
+        let lapsed = self.is_unsettled();
+        let now = self.node.now();
+        self.node.list.borrow_mut().replace(now, notes, revision, lapsed);
+        news::apply_list(&self.node);
+        news::announce_all(&self.node);
+        Ok(revision)
+    }
+
+    async fn read_servers(&mut self) -> Result<(Vec<ServerNote>, u64), SourceError> {
+        let mut notes = Vec::new();
+        let mut after: Option<CompactString> = None;
+        let mut first = None;
+        loop {
+            let path = range_path(SERVERS_PREFIX, after.as_deref(), false);
+            let range: Range = self.call(&path, ANSWER_MS, scan_range).await?;
+            // Pages are not a snapshot, so changes since the first one are watched again.
+            let revision = *first.get_or_insert(range.revision);
+            for broken in &range.broken {
+                log::warn!(error = broken.error.to_string().as_str(); "an item of the store cannot be read");
+            }
+            let items = range.items.into_iter();
+            notes.extend(items.filter_map(|i| note(&i.key, Some(&i.value), i.revision, false)));
+            match range.more {
+                Some(key) => after = Some(key),
+                None => return Ok((notes, revision)),
+            }
+        }
+    }
+
+    async fn read_routes(&mut self) -> Result<(), SourceError> {
+        let path = key_path(CONFIG_KEY);
+        match self.call(&path, ANSWER_MS, scan_item).await {
+            Ok(item) => {
+                news::put_routes(&self.node, item.value);
+                Ok(())
+            }
+            Err(SourceError::Store { source: StoreError::Missing }) => {
+                log::info!("no routes are published yet");
+                Ok(())
+            }
+            Err(e) => Err(e),
+        }
+    }
+
+    async fn watch(&mut self, path: &str) -> Result<Watch, SourceError> {
+        self.call(path, WATCH_MS + WATCH_SLACK_MS, scan_watch).await
+    }
+
+    /// Takes in what a watch returned.
+    fn take(&mut self, watch: Watch) {
+        let lapsed = self.is_unsettled();
+        let now = self.node.now();
+        let mut changed = false;
+        for broken in &watch.broken {
+            log::warn!(error = broken.error.to_string().as_str(); "a change of the store cannot be read");
+        }
+        for Event { key, change, revision } in watch.events {
+            if key == CONFIG_KEY {
+                if let Change::Put(text) = change {
+                    news::put_routes(&self.node, text);
+                }
+                continue;
+            }
+            let value = match &change {
+                Change::Put(value) => Some(value.as_slice()),
+                Change::Deleted => None,
+            };
+            if let Some(note) = note(&key, value, revision, lapsed) {
+                changed |= self.node.list.borrow_mut().note(now, note);
+            }
+        }
+        self.node.list.borrow_mut().advance(watch.revision);
+        if changed {
+            news::apply_list(&self.node);
+            news::announce_all(&self.node);
+        }
+    }
+
+    async fn call<T>(
+        &mut self,
+        path: &str,
+        within_ms: u64,
+        scan: fn(Answer<'_>) -> Result<T, StoreError>,
+    ) -> Result<T, SourceError> {
+        let exchange = self.exchange(path);
+        let result = timeout(Duration::from_millis(within_ms), exchange).await;
+        let response = match result {
+            Ok(response) => response?,
+            Err(_) => return SilentSnafu { ms: within_ms }.fail(),
+        };
+        let retry_after = crate::headers::text(&response.headers, "retry-after");
+        let answer = Answer {
+            status: response.status.as_u16(),
+            retry_after,
+            body: &response.body,
+        };
+        scan(answer).context(StoreSnafu)
+    }
+
+    async fn exchange(&mut self, path: &str) -> Result<oriolering_http::Response, SourceError> {
+        let address = self.node.settings.store.address;
+        let Ok(uri) = Uri::try_from(path) else {
+            return PathSnafu { path }.fail();
+        };
+        let mut headers = HeaderMap::new();
+        crate::headers::set(&mut headers, "host", &address.to_string());
+        let request = Request {
+            method: Method::GET,
+            uri,
+            headers,
+            body: Bytes::new(),
+        };
+        let kept = self.conn.take();
+        let mut conn = match kept {
+            Some(mut conn) if conn.is_reusable() => conn,
+            Some(_) | None => {
+                let date = self.node.date.clone();
+                let conn = ClientConn::connect(address, date, CONNECT_MS).await;
+                conn.context(ExchangeSnafu)?
+            }
+        };
+        let any = |_: &ResponseHead| true;
+        let response = conn.exchange(request, any).await.context(ExchangeSnafu)?;
+        self.conn = Some(conn);
+        Ok(response)
+    }
+
+    fn is_unsettled(&self) -> bool {
+        self.node.now().0 < self.unsettled
+    }
+
+    fn note_failure(&mut self, e: &SourceError) {
+        if !self.failed {
+            log::warn!(error = e.to_string().as_str(); "the store is lost");
+        }
+        self.failed = true;
+    }
+
+    fn note_success(&mut self) {
+        if self.failed {
+            log::info!("the store is back");
+            self.unsettled = self.node.now().0 + UNSETTLED_MS;
+        }
+        self.failed = false;
+    }
+}
+
+/// Returns what a key of the list says, or nothing for other keys.
+fn note(key: &str, value: Option<&[u8]>, revision: u64, lapsed: bool) -> Option<ServerNote> {
+    let id = key.strip_prefix(SERVERS_PREFIX)?;
+    let record = match value.map(|v| scan_entry(key, v)) {
+        Some(Ok(record)) => Some(record),
+        Some(Err(e)) => {
+            log::warn!(key, error = e.to_string().as_str(); "an entry names no backend server");
+            None
+        }
+        None => None,
+    };
+    Some(ServerNote {
+        id: id.into(),
+        revision,
+        lapsed: lapsed && value.is_none(),
+        record,
+    })
+}
--- /dev/null
+++ b/crates/mesh/src/spots.rs
@@ -0,0 +1,139 @@
+//! The backend servers that an ingress can choose from.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use compact_str::CompactString;
+use oriolering::{GateLoad, Millis, Place, ServerRecord, ServerState, Site, choose_place};
+use rand::Rng;
+use smallvec::SmallVec;
+
+use crate::peer::Peer;
+
+/// The gate through which a backend server is reached.
+#[derive(Clone)]
+pub(crate) enum Way {
+    /// The gate of this node.
+    Local,
+    /// The gate of another node.
+    Remote(Rc<Peer>),
+}
+
+impl Way {
+    fn is_up(&self) -> bool {
+        match self {
+            Self::Local => true,
+            Self::Remote(peer) => peer.is_up(),
+        }
+    }
+
+    fn leads_to(&self, peer: &Rc<Peer>) -> bool {
+        match self {
+            Self::Local => false,
+            Self::Remote(other) => Rc::ptr_eq(other, peer),
+        }
+    }
+}
+
+struct Spot {
+    record: ServerRecord,
+    site: Site,
+    way: Way,
+}
+
+/// A choice for a request.
+pub(crate) struct Chosen {
+    /// The backend server.
+    pub(crate) server: CompactString,
+    /// The way there.
+    pub(crate) way: Way,
+    /// What is expected of it.
+    pub(crate) place: Place,
+}
+
+/// The backend servers that are listed, by service.
+#[derive(Default)]
+pub(crate) struct Spots {
+    spots: Vec<Spot>,
+    services: HashMap<CompactString, Vec<usize>>,
+}
+
+impl Spots {
+    /// Takes in a new list; what is known of backend servers that stay is kept.
+    pub(crate) fn replace(
+        &mut self,
+        now: Millis,
+        zone: &str,
+        records: Vec<(ServerRecord, Way)>,
+    ) {
+        let mut before: HashMap<(CompactString, Option<u64>), Spot> = std::mem::take(&mut self.spots)
+            .into_iter()
+            .map(|spot| ((spot.record.id.clone(), spot.record.born), spot))
+            .collect();
+        self.services.clear();
+        for (record, way) in records {
+            let known = before.remove(&(record.id.clone(), record.born));
+            let site = known.map_or_else(
+                || Site::new(now, record.slots, record.zone != zone),
+                |spot| spot.site,
+            );
+            let index = self.spots.len();
+            self.services.entry(record.service.clone()).or_default().push(index);
+            self.spots.push(Spot { record, site, way });
+        }
+    }
+
+    /// Chooses a backend server of `service` that takes new work and was not tried yet.
+    pub(crate) fn choose(
+        &self,
+        now: Millis,
+        service: &str,
+        work_ms: u64,
+        tried: &[CompactString],
+        rng: &mut impl Rng,
+    ) -> Option<Chosen> {
+        let indices = self.services.get(service)?;
+        let open: SmallVec<[(usize, &Site); 16]> = indices
+            .iter()
+            .filter(|i| self.is_usable(**i) && !tried.contains(&self.spots[**i].record.id))
+            .map(|i| (*i, &self.spots[*i].site))
+            .collect();
+        let place = choose_place(now, work_ms, open.into_iter(), rng)?;
+        let spot = &self.spots[place.index];
+        Some(Chosen {
+            server: spot.record.id.clone(),
+            way: spot.way.clone(),
+            place,
+        })
+    }
+
+    fn is_usable(&self, index: usize) -> bool {
+        let spot = &self.spots[index];
+        spot.record.state == ServerState::Ready && spot.way.is_up()
+    }
+
+    /// Returns the number of listed backend servers of `service`.
+    pub(crate) fn count(&self, service: &str) -> usize {
+        self.services.get(service).map_or(0, Vec::len)
+    }
+
+    /// Changes what is known of one backend server.
+    pub(crate) fn with_site(&mut self, server: &str, change: impl Fn(&mut Site)) {
+        let found = self.spots.iter_mut().find(|s| s.record.id == server);
+        if let Some(spot) = found {
+            change(&mut spot.site);
+        }
+    }
+
+    /// Changes what is known of the backend servers behind a peer.
+    pub(crate) fn with_peer(&mut self, peer: &Rc<Peer>, change: impl Fn(&mut Site)) {
+        let behind = self.spots.iter_mut().filter(|s| s.way.leads_to(peer));
+        behind.for_each(|spot| change(&mut spot.site));
+    }
+
+    /// Takes in the load of the local gate.
+    pub(crate) fn tell_local(&mut self, now: Millis, load: GateLoad) {
+        let local = self.spots.iter_mut().filter(|s| matches!(s.way, Way::Local));
+        local.for_each(|spot| spot.site.tell(now, load));
+    }
+}
--- /dev/null
+++ b/crates/mesh/src/start.rs
@@ -0,0 +1,142 @@
+//! Starts the parts of a node, and ends it.
+
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use oriolering_http::{Answer, Request, StatusCode};
+use oriolering_platform::{READY_PATH, Settings};
+use snafu::{ResultExt, Snafu};
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::time::{Instant, MissedTickBehavior, interval, sleep};
+
+use crate::node::Node;
+use crate::{inbound, ingress, news, outbound, source};
+
+/// The time between two looks at links, the list and the backend server, in milliseconds.
+const TICK_MS: u64 = 25;
+/// How long a node that was told to stop goes on for callers that do not know yet, in
+/// milliseconds: three polls of readiness.
+const NOTICE_MS: u64 = 3_200;
+/// The time before the end of the grace at which a node ends in any case, in milliseconds.
+const MARGIN_MS: u64 = 300;
+/// The time between two looks whether a stopping node is idle, in milliseconds.
+const STOP_TICK_MS: u64 = 50;
+/// The bounds of connections that ask for readiness.
+const READY_LIMITS: oriolering_http::ConnLimits = oriolering_http::ConnLimits {
+    header_bytes: 4_096,
+    body_bytes: 1_024,
+    header_ms: 3_000,
+    idle_ms: 60_000,
+    pipelined: 1,
+};
+
+/// Why a node cannot start.
+#[derive(Debug, Snafu)]
+pub enum StartError {
+    /// An address cannot be used.
+    #[snafu(display("{address} cannot be listened on: {source}; check the addresses of the settings, and that no other process uses them"))]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// What the system said.
+        source: io::Error,
+    },
+    /// The signals of the platform cannot be received.
+    #[snafu(display("signals cannot be received: {source}; check the limits of the process"))]
+    Signal {
+        /// What the system said.
+        source: io::Error,
+    },
+}
+
+/// Runs a node until the platform tells it to stop.
+///
+/// # Errors
+///
+/// Returns an error when an address of the settings cannot be listened on.
+pub async fn run(settings: Settings) -> Result<(), StartError> {
+    let listen = settings.listen;
+    let links = SocketAddr::new(settings.ip, *settings.node_ports.start());
+    let node = Node::new(settings);
+    log::info!(node = node.settings.node.as_str(), service = node.settings.backend.service.as_str(), incarnation = node.incarnation; "started");
+    let callers = bind(listen.callers).await?;
+    let polls = bind(listen.ready).await?;
+    let links = bind(links).await?;
+    let mut stop = signal(SignalKind::terminate()).context(SignalSnafu)?;
+    let mut reload = signal(SignalKind::hangup()).context(SignalSnafu)?;
+    tokio::task::spawn_local(ingress::accept(Rc::clone(&node), callers));
+    tokio::task::spawn_local(inbound::accept(Rc::clone(&node), links));
+    tokio::task::spawn_local(answer_polls(Rc::clone(&node), polls));
+    tokio::task::spawn_local(source::run(Rc::clone(&node)));
+    let mut ticks = interval(Duration::from_millis(TICK_MS));
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            _ = stop.recv() => break,
+            _ = reload.recv() => log::info!("the settings file may have changed"),
+            _ = ticks.tick() => tick(&node),
+        }
+    }
+    end(&node).await;
+    Ok(())
+}
+
+async fn bind(address: SocketAddr) -> Result<TcpListener, StartError> {
+    TcpListener::bind(address).await.context(ListenSnafu { address })
+}
+
+fn tick(node: &Rc<Node>) {
+    let now = node.now();
+    node.gate.probe();
+    outbound::watch(node);
+    if node.list.borrow_mut().tick(now) {
+        news::apply_list(node);
+    }
+}
+
+/// Serves what is under way, and callers that do not know yet that the node leaves.
+async fn end(node: &Rc<Node>) {
+    log::info!(active = node.active.get(); "told to stop");
+    node.stopping.set(true);
+    node.gate.leave();
+    let grace = node.settings.bounds.grace_ms;
+    let begun = Instant::now();
+    let notice = begun + Duration::from_millis(NOTICE_MS.min(grace));
+    let last = begun + Duration::from_millis(grace.saturating_sub(MARGIN_MS));
+    loop {
+        let now = Instant::now();
+        let idle = node.active.get() == 0 && node.gate.load().running == 0;
+        if now >= last || (idle && now >= notice) {
+            break;
+        }
+        outbound::watch(node);
+        sleep(Duration::from_millis(STOP_TICK_MS)).await;
+    }
+    log::info!(active = node.active.get(); "stopped");
+}
+
+async fn answer_polls(node: Rc<Node>, listener: TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            continue;
+        };
+        let (date, polled) = (node.date.clone(), Rc::clone(&node));
+        let handler = move |request| answer_poll(Rc::clone(&polled), request);
+        tokio::task::spawn_local(async move {
+            oriolering_http::serve(stream, date, || READY_LIMITS, || false, handler).await;
+        });
+    }
+}
+
+async fn answer_poll(node: Rc<Node>, request: Request) -> Answer {
+    if request.uri.path() != READY_PATH {
+        return Answer::new(StatusCode::NOT_FOUND);
+    }
+    match node.is_ready() {
+        true => Answer::new(StatusCode::OK),
+        false => Answer::new(StatusCode::SERVICE_UNAVAILABLE),
+    }
+}
--- a/crates/oriolering/src/lib.rs
+++ b/crates/oriolering/src/lib.rs
@@ -23,7 +23,9 @@
 mod control_budget;
 mod explain;
 mod fate;
+mod fleet_budget;
 mod gate;
+mod gate_load;
 mod header;
 mod header_names;
 mod hedge;
@@ -38,6 +40,7 @@
 mod outcome;
 mod panic_rule;
 mod pause;
+mod placement;
 mod policy;
 mod pool;
 mod quarantine;
@@ -46,19 +49,23 @@
 mod relay;
 mod retry;
 mod revision;
+mod room;
 mod roster;
 mod route;
 mod route_table;
 mod section;
 mod server;
+mod server_list;
 mod server_load;
 mod server_record;
 mod slots;
+mod split;
 mod spread;
 mod standing;
 mod states;
 mod subset;
 mod typical;
+mod work;
 
 #[cfg(feature = "config")]
 pub mod config;
@@ -71,7 +78,9 @@
 pub use control_budget::{Bucket, ControlBudget, Work};
 pub use explain::{Class, Explanation};
 pub use fate::Fate;
+pub use fleet_budget::FleetBudget;
 pub use gate::Gate;
+pub use gate_load::GateLoad;
 pub use header::{
     ACK, ATTEMPT, CALL_ID, CRASHES, CUSTOMER, DEADLINE, FINGERPRINT, GRANT, LOAD, OUTCOME, REASON,
     RETRY_AFTER_MS, SERVICE, STEP,
@@ -88,6 +97,7 @@
 pub use offer::{Decision, Finish, GateEvent, GateSettings, Offer};
 pub use outcome::{Cause, Outcome, Refusal};
 pub use pause::{Pause, SETTLE_MS, TICK_MAX_MS};
+pub use placement::{Place, Site, choose_place};
 pub use policy::{ChoiceSettings, Policy};
 pub use pool::Candidate;
 pub use quarantine::{Crash, Quarantine, QuarantineEntry, QuarantineSettings, Verdict};
@@ -96,6 +106,7 @@
 pub use relay::{Assembly, Document, Relay, RelayError};
 pub use retry::{AttemptState, Failure, RetryBudget, Step, next_step};
 pub use revision::{Head, Ignored, Published, Standing};
+pub use room::{Entry, Job, JobKey, NoRoom, Room, Turn};
 pub use roster::{MEMBERS_MAX, MemberNote, NOTE_AGE_MAX_MS, Roster};
 pub use route::{Route, RoutePart};
 pub use route_table::{CallerLimits, RouteSet, RouteTable, RoutedService};
@@ -103,6 +114,9 @@
     Digest, SECTION_MAX_BYTES, SECTION_MIN_BYTES, SECTIONS_MAX, Section, VALUE_BYTES, pack, split,
     unpack,
 };
+pub use server_list::{ServerList, ServerNote};
 pub use server_load::ServerLoad;
 pub use server_record::{ServerRecord, ServerState};
+pub use split::Splitter;
 pub use spread::{QUARANTINE_MAX_MS, QUARANTINES_MAX, Spread};
+pub use work::WorkTimes;
--- /dev/null
+++ b/crates/oriolering/src/placement.rs
@@ -0,0 +1,170 @@
+//! The choice of a backend server for a request, from hints that are a moment old.
+//!
+//! The load that this answers: backend servers share their instances with others, and at any
+//! time a part of them takes several times as long for some hundred milliseconds. A request
+//! goes where it is expected to end first: by the pace that the gate told last, by what runs
+//! and waits there, and by what this ingress sent since the gate told it.
+
+use rand::Rng;
+
+use crate::{GateLoad, Millis};
+
+/// The age up to which a pace is taken as it was told, in milliseconds.
+const FRESH_MS: u64 = 150;
+/// The age from which a pace says nothing any more, in milliseconds.
+const STALE_MS: u64 = 600;
+/// The pace of a backend server of which nothing recent is known, as a percentage.
+const UNKNOWN_PERCENT: u64 = 160;
+/// The time that a hop to another availability zone adds, in milliseconds.
+const FAR_MS: u64 = 2;
+/// The part of an estimate by which two choices count as equal, in percent.
+const SPREAD_PERCENT: u64 = 12;
+/// The share of a new outcome in the failure rate, as a power of two: one eighth.
+const FAILURE_SHIFT: u32 = 3;
+/// The failure rate of a backend server that fails every request.
+const FAILURE_ONE: u32 = 1_000;
+/// The time in which a failure rate halves while nothing is sent, in milliseconds.
+const FORGIVE_MS: u64 = 1_500;
+
+/// What an ingress knows of one backend server.
+#[derive(Clone, Copy, Debug)]
+pub struct Site {
+    /// What its gate told last.
+    pub load: GateLoad,
+    /// When the gate told it.
+    pub told: Millis,
+    /// The requests sent since then.
+    pub sent: u32,
+    /// Whether it is in another availability zone.
+    pub far: bool,
+    /// Until when it is avoided, since its node does not answer.
+    pub suspect: Millis,
+    failures: u32,
+    failed: Millis,
+}
+
+impl Site {
+    /// Returns a site of which nothing is known yet.
+    pub fn new(now: Millis, slots: u32, far: bool) -> Self {
+        let load = GateLoad {
+            running: 0,
+            waiting: 0,
+            capacity: slots.max(1),
+            work_percent: 100,
+            closed: false,
+        };
+        Self {
+            load,
+            told: now,
+            sent: 0,
+            far,
+            suspect: Millis(0),
+            failures: 0,
+            failed: now,
+        }
+    }
+
+    /// Takes in what the gate tells.
+    pub fn tell(&mut self, now: Millis, load: GateLoad) {
+        self.load = load;
+        self.told = now;
+        self.sent = 0;
+    }
+
+    /// Records whether a request failed at the backend server.
+    pub fn record(&mut self, now: Millis, failed: bool) {
+        let rate = self.failure_rate(now);
+        let sample = if failed { FAILURE_ONE } else { 0 };
+        self.failures = rate - (rate >> FAILURE_SHIFT) + (sample >> FAILURE_SHIFT);
+        self.failed = now;
+    }
+
+    /// Returns how many of a thousand requests fail; it falls while nothing is sent.
+    pub fn failure_rate(&self, now: Millis) -> u32 {
+        let halvings = now.since(self.failed) / FORGIVE_MS;
+        self.failures >> halvings.min(31)
+    }
+
+    /// Returns the pace that is expected now, as a percentage of the usual duration.
+    pub fn pace(&self, now: Millis) -> u64 {
+        let told = u64::from(self.load.work_percent.max(1));
+        let age = now.since(self.told);
+        if age <= FRESH_MS {
+            return told;
+        }
+        if age >= STALE_MS {
+            return UNKNOWN_PERCENT;
+        }
+        let faded = age - FRESH_MS;
+        let span = STALE_MS - FRESH_MS;
+        (told * (span - faded) + UNKNOWN_PERCENT * faded) / span
+    }
+
+    /// Returns how long a request with `work_ms` of usual work is expected to take here.
+    pub fn expected_ms(&self, now: Millis, work_ms: u64) -> u64 {
+        let pace = self.pace(now);
+        let capacity = u64::from(self.load.capacity.max(1));
+        let busy = u64::from(self.load.running + self.load.waiting + self.sent);
+        let run = work_ms * pace / 100;
+        let ahead = (busy + 1).saturating_sub(capacity);
+        let wait = ahead * run / capacity;
+        // A part of what runs shares the instance's processor with the rest.
+        let crowd = run * busy.min(capacity) / capacity / 8;
+        let hop = if self.far { FAR_MS } else { 0 };
+        let alive = u64::from(FAILURE_ONE - self.failure_rate(now).min(FAILURE_ONE - 50));
+        (run + wait + crowd + hop) * u64::from(FAILURE_ONE) / alive
+    }
+
+    /// Returns whether requests may be sent here.
+    pub fn is_open(&self, now: Millis) -> bool {
+        !self.load.closed && self.suspect <= now
+    }
+}
+
+/// The choice for a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Place {
+    /// The index of the backend server among those that were offered.
+    pub index: usize,
+    /// How long the request is expected to take there, in milliseconds.
+    pub expected_ms: u64,
+    /// How long it is expected to take at the next best, in milliseconds.
+    pub next_ms: Option<u64>,
+}
+
+/// Chooses among the sites where a request with `work_ms` of usual work is expected to end first.
+///
+/// Sites that are about as good are chosen at random, so that many ingresses with the same
+/// hints do not all choose the same one.
+pub fn choose_place<'a>(
+    now: Millis,
+    work_ms: u64,
+    sites: impl Iterator<Item = (usize, &'a Site)>,
+    rng: &mut impl Rng,
+) -> Option<Place> {
+    let mut best: Option<(usize, u64, u64)> = None;
+    let mut next: Option<u64> = None;
+    for (index, site) in sites {
+        if !site.is_open(now) {
+            continue;
+        }
+        let expected = site.expected_ms(now, work_ms);
+        let jitter = rng.random_range(0..=SPREAD_PERCENT);
+        let score = expected * (100 + jitter);
+        match best {
+            Some((_, _, least)) if least <= score => {
+                next = Some(next.map_or(expected, |n| n.min(expected)));
+            }
+            Some((_, before, _)) => {
+                next = Some(next.map_or(before, |n| n.min(before)));
+                best = Some((index, expected, score));
+            }
+            None => best = Some((index, expected, score)),
+        }
+    }
+    best.map(|(index, expected_ms, _)| Place {
+        index,
+        expected_ms,
+        next_ms: next,
+    })
+}
--- /dev/null
+++ b/crates/oriolering/src/room.rs
@@ -0,0 +1,253 @@
+//! Who runs at a backend server now, who waits, and who is refused.
+//!
+//! The load that this answers: more requests than the backend server can run in time. Its
+//! slots are published and work slows down when they are nearly full, so a part of them stays
+//! free. What cannot end in time is refused at once; of what waits, requests that can still be
+//! answered within their aim go first, by priority and then by aim.
+
+use std::collections::VecDeque;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{GateLoad, Millis};
+
+/// The part of the published slots that run at once; beyond it work slows down.
+const BUSY_PERCENT: u32 = 80;
+/// The time that an answer needs to reach its caller, in milliseconds.
+const RETURN_MS: u64 = 8;
+/// How many times as many requests may wait as run at once.
+const WAIT_FACTOR: usize = 2;
+/// By how much a request must be expected to end sooner elsewhere to be sent there, in percent.
+const ELSEWHERE_PERCENT: u64 = 150;
+/// The slower pace from which a request is sent elsewhere, as a percentage of the usual.
+const SLOW_PERCENT: u32 = 180;
+/// The shortest time after which a refused caller is told to come back, in milliseconds.
+const BACK_MIN_MS: u64 = 20;
+
+/// A request at a gate.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Job {
+    /// The rank among other requests; 0 is the highest.
+    pub priority: u8,
+    /// When its answer is worth most up to.
+    pub aim: Millis,
+    /// When its answer is of no use any more.
+    pub deadline: Millis,
+    /// How long it takes at the usual pace, in milliseconds.
+    pub work_ms: u64,
+    /// How long it is expected to take at the next best backend server, in milliseconds.
+    pub elsewhere_ms: Option<u64>,
+}
+
+/// The number of a waiting job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct JobKey(u64);
+
+/// Why a gate refuses a request; it has not run and never will.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum NoRoom {
+    /// It is expected to end sooner at another backend server.
+    Elsewhere,
+    /// It cannot end before its deadline.
+    Late,
+    /// Too many wait.
+    Full,
+    /// The node or its backend server leaves.
+    Leaving,
+    /// The backend server does not accept connections.
+    Down,
+}
+
+impl NoRoom {
+    /// Returns the word for logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Elsewhere => "elsewhere",
+            Self::Late => "late",
+            Self::Full => "full",
+            Self::Leaving => "leaving",
+            Self::Down => "down",
+        }
+    }
+}
+
+/// What a gate decides about a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Entry {
+    /// It runs now.
+    Start,
+    /// It waits until [`Room::next`] names it.
+    Wait(JobKey),
+    /// It is refused.
+    Refuse(NoRoom),
+}
+
+/// What became of a waiting request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Turn {
+    /// It runs now.
+    Start(JobKey),
+    /// It is refused.
+    Refuse(JobKey, NoRoom),
+}
+
+/// The requests that run and wait at one backend server.
+#[derive(Clone, Debug)]
+pub struct Room {
+    slots: u32,
+    running: u32,
+    percent: u32,
+    closed: Option<NoRoom>,
+    waiting: VecDeque<(JobKey, Job)>,
+    keys: u64,
+}
+
+impl Room {
+    /// Returns an empty room for a backend server with this many slots.
+    pub fn new(slots: u32) -> Self {
+        Self {
+            slots: slots.max(1),
+            running: 0,
+            percent: 100,
+            closed: None,
+            waiting: VecDeque::new(),
+            keys: 0,
+        }
+    }
+
+    /// Returns how many requests run at once.
+    pub fn capacity(&self) -> u32 {
+        (self.slots * BUSY_PERCENT / 100).max(1)
+    }
+
+    /// Changes the published slots.
+    pub fn resize(&mut self, slots: u32) {
+        self.slots = slots.max(1);
+    }
+
+    /// Takes in how long work takes now, as a percentage; returns whether it changed.
+    pub fn set_pace(&mut self, percent: u32) -> bool {
+        let before = std::mem::replace(&mut self.percent, percent.max(1));
+        before != self.percent
+    }
+
+    /// Refuses new requests with this reason, or takes them again.
+    pub fn close(&mut self, reason: Option<NoRoom>) {
+        self.closed = reason;
+    }
+
+    /// Returns what the gate tells ingresses.
+    pub fn load(&self) -> GateLoad {
+        GateLoad {
+            running: self.running,
+            waiting: self.waiting.len() as u32,
+            capacity: self.capacity(),
+            work_percent: self.percent,
+            closed: self.closed.is_some(),
+        }
+    }
+
+    /// Decides about a request that arrives.
+    pub fn offer(&mut self, now: Millis, job: Job) -> Entry {
+        if let Some(reason) = self.closed {
+            return Entry::Refuse(reason);
+        }
+        let expected = self.expected_ms(job);
+        if self.is_better_elsewhere(job, expected) {
+            return Entry::Refuse(NoRoom::Elsewhere);
+        }
+        if now + expected + RETURN_MS > job.deadline {
+            return Entry::Refuse(NoRoom::Late);
+        }
+        if self.running < self.capacity() {
+            self.running += 1;
+            return Entry::Start;
+        }
+        if self.waiting.len() >= self.capacity() as usize * WAIT_FACTOR {
+            return Entry::Refuse(NoRoom::Full);
+        }
+        self.keys += 1;
+        let key = JobKey(self.keys);
+        self.waiting.push_back((key, job));
+        Entry::Wait(key)
+    }
+
+    /// Frees the slot of a request that ran.
+    pub fn finish(&mut self) {
+        self.running = self.running.saturating_sub(1);
+    }
+
+    /// Removes a waiting request whose caller left.
+    pub fn leave(&mut self, key: JobKey) {
+        self.waiting.retain(|(k, _)| *k != key);
+    }
+
+    /// Returns the next change of a waiting request; it is called until it returns none.
+    pub fn next(&mut self, now: Millis) -> Option<Turn> {
+        if let Some(turn) = self.scan_hopeless(now) {
+            return Some(turn);
+        }
+        if self.running >= self.capacity() {
+            return None;
+        }
+        let pace = u64::from(self.percent);
+        let order = |job: &Job| {
+            let end = now + job.work_ms * pace / 100 + RETURN_MS;
+            let late = end > job.aim;
+            let due = if late { job.deadline } else { job.aim };
+            (late, job.priority, due)
+        };
+        let jobs = self.waiting.iter().enumerate();
+        let (index, _) = jobs.min_by_key(|(_, (_, job))| order(job))?;
+        let (key, _) = self.waiting.remove(index)?;
+        self.running += 1;
+        Some(Turn::Start(key))
+    }
+
+    /// Returns when [`Self::next`] is to be called if nothing else happens before.
+    pub fn next_wake(&self, now: Millis) -> Option<Millis> {
+        let latest = self.waiting.iter().map(|(_, job)| self.latest_start(job));
+        latest.min().map(|at| at.max(now + 1))
+    }
+
+    /// Returns how long a refused caller does best to wait, in milliseconds.
+    pub fn back_ms(&self, work_ms: u64) -> u64 {
+        let run = work_ms * u64::from(self.percent) / 100;
+        let ahead = self.waiting.len() as u64 + 1;
+        let turn = ahead * run / u64::from(self.capacity());
+        turn.max(BACK_MIN_MS)
+    }
+
+    /// Returns how long a request that arrives now is expected to take, in milliseconds.
+    fn expected_ms(&self, job: Job) -> u64 {
+        let run = job.work_ms * u64::from(self.percent) / 100;
+        if self.running < self.capacity() {
+            return run;
+        }
+        let urgent = self.waiting.iter().filter(|(_, j)| j.priority <= job.priority);
+        let ahead = urgent.count() as u64 + 1;
+        run + ahead * run / u64::from(self.capacity())
+    }
+
+    fn is_better_elsewhere(&self, job: Job, expected: u64) -> bool {
+        let Some(other) = job.elsewhere_ms else {
+            return false;
+        };
+        let full = self.running >= self.capacity();
+        let slow = self.percent >= SLOW_PERCENT;
+        (full || slow) && expected * 100 > other * ELSEWHERE_PERCENT
+    }
+
+    fn latest_start(&self, job: &Job) -> Millis {
+        let run = job.work_ms * u64::from(self.percent) / 100;
+        Millis(job.deadline.0.saturating_sub(run + RETURN_MS))
+    }
+
+    /// Finds a waiting request that cannot end before its deadline any more.
+    fn scan_hopeless(&mut self, now: Millis) -> Option<Turn> {
+        let late = |job: &Job| self.latest_start(job) < now;
+        let index = self.waiting.iter().position(|(_, job)| late(job))?;
+        let (key, _) = self.waiting.remove(index)?;
+        Some(Turn::Refuse(key, self.closed.unwrap_or(NoRoom::Late)))
+    }
+}
--- /dev/null
+++ b/crates/oriolering/src/work.rs
@@ -0,0 +1,37 @@
+//! How long the requests of a route take at a backend server that works at its usual pace.
+
+use std::collections::HashMap;
+
+/// The share of a new sample in the estimate, as a power of two: one eighth.
+const SHIFT: u32 = 3;
+/// The estimate for a route without samples, in milliseconds: a quarter of its aim at most.
+const UNKNOWN_MAX_MS: u64 = 200;
+/// The most routes that are remembered; the oldest samples of others are dropped at random.
+const ROUTES_MAX: usize = 4_096;
+
+/// The usual durations of routes, learned from the runs that ended.
+#[derive(Clone, Debug, Default)]
+pub struct WorkTimes {
+    routes: HashMap<u64, u64>,
+}
+
+impl WorkTimes {
+    /// Records a run of `ms` milliseconds at a backend server that took `percent` of the usual
+    /// time for its work.
+    pub fn record(&mut self, route: u64, ms: u64, percent: u32) {
+        let usual_us = ms * 100_000 / u64::from(percent.max(100));
+        if self.routes.len() >= ROUTES_MAX && !self.routes.contains_key(&route) {
+            self.routes.clear();
+        }
+        let known = self.routes.entry(route).or_insert(usual_us);
+        *known = *known - (*known >> SHIFT) + (usual_us >> SHIFT);
+    }
+
+    /// Returns the usual duration of a route with this aim, in milliseconds.
+    pub fn estimate(&self, route: u64, aim_ms: u64) -> u64 {
+        match self.routes.get(&route) {
+            Some(us) => (us / 1_000).max(1),
+            None => (aim_ms / 4).min(UNKNOWN_MAX_MS),
+        }
+    }
+}
