--- a/crates/mesh/src/source.rs
+++ b/crates/mesh/src/source.rs
@@ -217,9 +217,10 @@
             body: Bytes::new(),
         };
         let kept = self.conn.take();
-        let mut conn = match kept {
-            Some(mut conn) if conn.is_reusable() => conn,
-            Some(_) | None => {
+        let reusable = kept.and_then(|mut conn| conn.is_reusable().then_some(conn));
+        let mut conn = match reusable {
+            Some(conn) => conn,
+            None => {
                 let date = self.node.date.clone();
                 let conn = ClientConn::connect(address, date, CONNECT_MS).await;
                 conn.context(ExchangeSnafu)?
--- a/crates/node/src/args.rs
+++ b/crates/node/src/args.rs
@@ -16,6 +16,19 @@
 Example:
   oriolering-node --settings node.jsonc --log debug";
 
+/// The subcommand that serves on a platform.
+const PLATFORM: &str = "platform";
+const PLATFORM_HELP: &str = "\
+The platform writes the settings; the environment variable ORIOLERING_NODE_FILE names the file.";
+
+/// What a command line asks for.
+pub(crate) enum Task {
+    /// To run a node with settings of its own.
+    Node(Box<ProcessSettings>),
+    /// To run a node on a platform, with the settings that the platform wrote.
+    Platform,
+}
+
 /// Builds the command line: the file, and a flag for each of its fields.
 pub(crate) fn command() -> Command {
     let file = Arg::new("settings")
@@ -23,10 +36,14 @@
         .value_name("FILE")
         .value_parser(value_parser!(PathBuf))
         .help("The file with the settings of this process");
+    let platform = Command::new(PLATFORM)
+        .about("Serves on a platform that publishes routes and backend servers")
+        .after_help(PLATFORM_HELP);
     let mut command = Command::new("oriolering-node")
         .about(ABOUT)
         .version(env!("CARGO_PKG_VERSION"))
         .after_help(EXAMPLE)
+        .subcommand(platform)
         .arg(file);
     for field in ProcessSettings::fields() {
         let name = field.path.to_string();
@@ -37,17 +54,22 @@
     command
 }
 
-/// Reads the settings from the arguments and the file that they name.
+/// Reads what the arguments ask for, with the settings from the file that they name.
 ///
 /// # Errors
 ///
 /// Returns an error when the arguments, the file or its content are not usable.
-pub(crate) fn settings(
-    args: impl IntoIterator<Item = OsString>,
-) -> Result<ProcessSettings, NodeError> {
+pub(crate) fn task(args: impl IntoIterator<Item = OsString>) -> Result<Task, NodeError> {
     let matches = command()
         .try_get_matches_from(args)
         .context(error::ArgumentsSnafu)?;
+    match matches.subcommand_name() {
+        Some(_) => Ok(Task::Platform),
+        None => settings(&matches).map(|s| Task::Node(Box::new(s))),
+    }
+}
+
+fn settings(matches: &ArgMatches) -> Result<ProcessSettings, NodeError> {
     let file = matches.get_one::<PathBuf>("settings");
     let text = match file {
         Some(path) => std::fs::read_to_string(path).context(error::FileSnafu { path })?,
@@ -60,7 +82,7 @@
     let fields = ProcessSettings::fields();
     let flags: Vec<(&str, &str)> = fields
         .iter()
-        .filter_map(|field| flag(&matches, &field.path))
+        .filter_map(|field| flag(matches, &field.path))
         .collect();
     ProcessSettings::parse_with(&name, &text, &flags)
         .map_err(|problems| NodeError::Settings { problems })
