Refuse new requests before a stopping node ends

Change: in the last second before its end a stopping node refuses what comes as not run, and it ends 0.7 s before the grace is over. The platform's node is started by the program, so that a change of the data path does not rebuild the library of the older one.

--- a/crates/mesh/src/ingress.rs
+++ b/crates/mesh/src/ingress.rs
@@ -23,6 +23,8 @@
     idle_ms: 15_000,
     pipelined: PIPELINED,
 };
+/// When to come back to the instance of a node that ends, in milliseconds.
+const STOPPED_BACK_MS: u64 = 100;
 /// When to come back while no routes are known, in milliseconds.
 const UNREADY_BACK_MS: u64 = 250;
 
@@ -100,6 +102,9 @@
 
 /// Finds the route of a request and the part of it that takes it.
 fn plan(node: &Rc<Node>, request: &Request) -> Result<Job, Answer> {
+    if node.refusing.get() {
+        return Err(dispatch::unavailable(STOPPED_BACK_MS));
+    }
     let Some(published) = node.routes() else {
         return Err(dispatch::unavailable(UNREADY_BACK_MS));
     };
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -38,6 +38,8 @@
     pub(crate) splitter: RefCell<Splitter>,
     budgets: RefCell<HashMap<CompactString, FleetBudget>>,
     pub(crate) stopping: Cell<bool>,
+    /// Whether new requests are refused, since the process is about to end.
+    pub(crate) refusing: Cell<bool>,
     /// The requests of callers that run.
     pub(crate) active: Cell<usize>,
 }
@@ -62,6 +64,7 @@
             splitter: RefCell::default(),
             budgets: RefCell::default(),
             stopping: Cell::new(false),
+            refusing: Cell::new(false),
             active: Cell::new(0),
         })
     }
--- a/crates/mesh/src/start.rs
+++ b/crates/mesh/src/start.rs
@@ -20,8 +20,12 @@
 /// How long a node that was told to stop goes on for callers that do not know yet, in
 /// milliseconds: three polls of readiness.
 const NOTICE_MS: u64 = 3_200;
-/// The time before the end of the grace at which a node ends in any case, in milliseconds.
-const MARGIN_MS: u64 = 300;
+/// The time before the end of the grace at which a node ends in any case, in milliseconds; a
+/// node whose machine is slow needs it to end by itself.
+const MARGIN_MS: u64 = 700;
+/// The time before its end in which a stopping node refuses new requests, in milliseconds; what
+/// it has taken before can end in it.
+const REFUSE_MS: u64 = 1_000;
 /// The time between two looks whether a stopping node is idle, in milliseconds.
 const STOP_TICK_MS: u64 = 50;
 /// The bounds of connections that ask for readiness.
@@ -116,6 +120,9 @@
         if now >= last || (idle && now >= notice) {
             break;
         }
+        if now + Duration::from_millis(REFUSE_MS) >= last && !node.refusing.replace(true) {
+            log::info!(active = node.active.get(); "new requests are refused");
+        }
         outbound::watch(node);
         sleep(Duration::from_millis(STOP_TICK_MS)).await;
     }
--- a/crates/node/src/error.rs
+++ b/crates/node/src/error.rs
@@ -31,17 +31,11 @@
         /// All problems of the file and the flags.
         problems: Problems,
     },
-    /// The settings that the platform wrote cannot be used.
+    /// The node cannot run on the platform.
     #[snafu(display("{source}"))]
-    PlatformSettings {
-        /// What is wrong with them.
-        source: oriolering_platform::SettingsError,
-    },
-    /// A node cannot start on the platform.
-    #[snafu(display("{source}"))]
-    Mesh {
-        /// Which part cannot start.
-        source: oriolering_mesh::StartError,
+    Platform {
+        /// Which settings cannot be used, or which part cannot start.
+        source: Box<dyn std::error::Error>,
     },
     /// The logger cannot be started.
     #[snafu(display("the log cannot be started: {source}; check the field log"))]
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -28,7 +28,6 @@
 mod logging;
 mod metrics;
 mod permit;
-mod platform;
 mod poll;
 mod recover;
 mod reply;
@@ -45,6 +44,7 @@
 mod watch;
 mod wire;
 
+use std::error::Error;
 use std::ffi::OsString;
 use std::process::ExitCode;
 
@@ -53,13 +53,19 @@
 use args::Task;
 
 pub use error::NodeError;
+pub use logging::start as start_log;
 
 /// The exit code of a process that got wrong arguments or settings.
 const USAGE: u8 = 2;
 
+/// What runs a node on a platform, which is built on top of this crate.
+type Platform = fn() -> Result<(), Box<dyn Error>>;
+
 /// Runs a node with the arguments of a command line until it is told to stop.
-pub fn run(args: impl IntoIterator<Item = OsString>) -> ExitCode {
-    match start(args) {
+///
+/// `platform` runs the node of the subcommand for a platform.
+pub fn run(args: impl IntoIterator<Item = OsString>, platform: Platform) -> ExitCode {
+    match start(args, platform) {
         Ok(()) => ExitCode::SUCCESS,
         Err(NodeError::Arguments { source }) => source.exit(),
         Err(error) => {
@@ -69,10 +75,10 @@
     }
 }
 
-fn start(args: impl IntoIterator<Item = OsString>) -> Result<(), NodeError> {
+fn start(args: impl IntoIterator<Item = OsString>, platform: Platform) -> Result<(), NodeError> {
     let card = match args::task(args)? {
         Task::Node(card) => *card,
-        Task::Platform => return platform::run(),
+        Task::Platform => return platform().context(error::PlatformSnafu),
     };
     let _logger = logging::start(card.log.as_str()).context(error::LogSnafu)?;
     startup::run(card)
--- a/crates/node/src/logging.rs
+++ b/crates/node/src/logging.rs
@@ -10,7 +10,7 @@
 /// # Errors
 ///
 /// Returns an error when the level is not understood or a logger is running already.
-pub(crate) fn start(level: &str) -> Result<LoggerHandle, flexi_logger::FlexiLoggerError> {
+pub fn start(level: &str) -> Result<LoggerHandle, flexi_logger::FlexiLoggerError> {
     Logger::try_with_str(format!(
         "{level}, ntex=warn, tarpc=warn, opentelemetry=warn"
     ))?
--- a/crates/node/src/platform.rs
+++ b/crates/node/src/platform.rs
@@ -1,10 +1,8 @@
 //! Runs a node on a platform that writes its settings.
 
-use oriolering_platform::{SETTINGS_VARIABLE, Settings};
-use snafu::ResultExt;
+use std::error::Error;
 
-use crate::error::{self, NodeError};
-use crate::logging;
+use oriolering_platform::{SETTINGS_VARIABLE, Settings};
 
 /// The level of log lines; lines below it are not formatted.
 const LOG: &str = "info";
@@ -14,11 +12,11 @@
 /// # Errors
 ///
 /// Returns an error when the settings cannot be used or a part cannot be started.
-pub(crate) fn run() -> Result<(), NodeError> {
+pub(crate) fn run() -> Result<(), Box<dyn Error>> {
     let path = std::env::var_os(SETTINGS_VARIABLE).unwrap_or_default();
-    let settings = Settings::load(path).context(error::PlatformSettingsSnafu)?;
-    let _logger = logging::start(LOG).context(error::LogSnafu)?;
+    let settings = Settings::load(path)?;
+    let _logger = oriolering_node::start_log(LOG)?;
     let system = ntex::rt::System::new("oriolering-node");
-    let result = system.block_on(oriolering_mesh::run(settings));
-    result.context(error::MeshSnafu)
+    system.block_on(oriolering_mesh::run(settings))?;
+    Ok(())
 }
