Let three nodes watch the store and the others learn from them

Ruled out: late watches; the nodes that the store served knew within milliseconds. Change: nodes tell whether they watch the store; three watch, by a rank that all can compute, and one that sees too few begins. A removal counts as a lapse only if no peer watched while the store was away. The gate refuses for a backend server that leaves.

--- a/crates/mesh/src/frame.rs
+++ b/crates/mesh/src/frame.rs
@@ -114,8 +114,13 @@
     Ping,
     /// The answer to it.
     Pong,
-    /// What the node knows: the version of the routes and the revision of the list.
-    Known { routes: u64, servers: u64 },
+    /// What the node knows: the version of the routes and the revision of the list, and whether
+    /// it watches the store.
+    Known {
+        routes: u64,
+        servers: u64,
+        reading: bool,
+    },
     /// Asks for what is newer than this.
     Want { routes: u64, servers: u64 },
     /// The routes as they were published.
--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -50,6 +50,8 @@
     probing: Cell<bool>,
     probes_lost: Cell<u32>,
     leaving: Cell<bool>,
+    /// Whether the list says that the backend server leaves.
+    server_leaves: Cell<bool>,
     server: RefCell<CompactString>,
 }
 
@@ -70,6 +72,7 @@
             probing: Cell::new(false),
             probes_lost: Cell::new(0),
             leaving: Cell::new(false),
+            server_leaves: Cell::new(false),
             server: RefCell::default(),
         }
     }
@@ -93,8 +96,11 @@
     }
 
     /// Takes in what the list says of the local backend server.
-    pub(crate) fn describe(&self, server: &str, slots: u32, health_path: &str) {
+    pub(crate) fn describe(&self, server: &str, slots: u32, health_path: &str, leaving: bool) {
         *self.health_path.borrow_mut() = health_path.into();
+        if self.server_leaves.replace(leaving) != leaving {
+            self.reopen();
+        }
         if *self.server.borrow() == server {
             return;
         }
@@ -277,7 +283,8 @@
     }
 
     fn reopen(&self) {
-        let reason = self.leaving.get().then_some(NoRoom::Leaving);
+        let leaving = self.leaving.get() || self.server_leaves.get();
+        let reason = leaving.then_some(NoRoom::Leaving);
         self.room.borrow_mut().close(reason);
         if self.told.get().closed != reason.is_some() {
             self.tell();
--- a/crates/mesh/src/inbound.rs
+++ b/crates/mesh/src/inbound.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 
 use oriolering_http::Bytes;
@@ -20,8 +21,8 @@
 pub(crate) async fn accept(node: Rc<Node>, listener: TcpListener) {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => {
-                tokio::task::spawn_local(serve(Rc::clone(&node), stream));
+            Ok((stream, peer)) => {
+                tokio::task::spawn_local(serve(Rc::clone(&node), stream, peer));
             }
             Err(e) => {
                 log::warn!(error = e.to_string().as_str(); "a node's connection is not accepted");
@@ -51,7 +52,7 @@
     }
 }
 
-async fn serve(node: Rc<Node>, stream: TcpStream) {
+async fn serve(node: Rc<Node>, stream: TcpStream, peer: SocketAddr) {
     let outbox = Rc::new(Outbox::default());
     let calls = Rc::new(Calls::default());
     if let Err(e) = link::prepare(&stream) {
@@ -60,10 +61,9 @@
     }
     node.gate.listen(&outbox);
     news::announce(&node, &outbox);
-    let result = link::run(&stream, &outbox, |frame| {
-        take(&node, &outbox, &calls, frame)
-    })
-    .await;
+    let from = peer.ip();
+    let take = |frame| take(&node, from, &outbox, &calls, frame);
+    let result = link::run(&stream, &outbox, take).await;
     outbox.close();
     let running = std::mem::take(&mut *calls.running.borrow_mut());
     running.into_values().for_each(|task| task.abort());
@@ -72,7 +72,7 @@
     }
 }
 
-fn take(node: &Rc<Node>, outbox: &Rc<Outbox>, calls: &Rc<Calls>, frame: Frame) {
+fn take(node: &Rc<Node>, from: IpAddr, outbox: &Rc<Outbox>, calls: &Rc<Calls>, frame: Frame) {
     match frame {
         Frame::Offer {
             call,
@@ -116,7 +116,7 @@
             log::debug!(node = name.as_str(), incarnation; "a node is linked");
         }
         Frame::Known { .. } | Frame::Want { .. } | Frame::Routes { .. } | Frame::Servers { .. } => {
-            news::take(node, outbox, frame);
+            news::take(node, from, outbox, frame);
         }
         Frame::Pong | Frame::Ended { .. } | Frame::Load(_) => {}
     }
--- a/crates/mesh/src/news.rs
+++ b/crates/mesh/src/news.rs
@@ -3,16 +3,22 @@
 //! A node tells which version it knows, and who knows less asks for the rest. So a node that
 //! the store turns away, or that starts while the store is away, learns from its peers.
 
+use std::net::IpAddr;
 use std::rc::Rc;
 
 use oriolering::{RouteTable, ServerNote};
 use oriolering_platform::scan_config;
+use rand::seq::IteratorRandom;
 use serde_bytes::ByteBuf;
 
 use crate::frame::Frame;
 use crate::node::Node;
 use crate::outbound;
 use crate::outbox::Outbox;
+use crate::peer::Peer;
+
+/// How long an asked peer has to send news before another one is asked, in milliseconds.
+const ASK_MS: u64 = 150;
 
 /// Tells one peer what this node knows.
 pub(crate) fn announce(node: &Node, outbox: &Outbox) {
@@ -30,13 +36,31 @@
     Frame::Known {
         routes: node.version(),
         servers: node.list.borrow().revision(),
+        reading: node.reading.get(),
+    }
+}
+
+/// Notes whether this node watches the store, and tells all peers when that changes.
+pub(crate) fn set_reading(node: &Node, reading: bool) {
+    if node.reading.replace(reading) != reading {
+        log::info!(reading; "the watch of the store has changed");
+        announce_all(node);
     }
 }
 
 /// Takes in news, or answers a question about them.
-pub(crate) fn take(node: &Rc<Node>, outbox: &Outbox, frame: Frame) {
+pub(crate) fn take(node: &Rc<Node>, from: IpAddr, outbox: &Outbox, frame: Frame) {
     match frame {
-        Frame::Known { routes, servers } => compare(node, outbox, routes, servers),
+        Frame::Known {
+            routes,
+            servers,
+            reading,
+        } => {
+            if let Some(peer) = node.peer_at(from) {
+                peer.learn(routes, servers, reading);
+            }
+            compare(node, outbox, routes, servers);
+        }
         Frame::Want { routes, servers } => supply(node, outbox, routes, servers),
         Frame::Routes { text, .. } => {
             put_routes(node, text.into_vec());
@@ -53,16 +77,37 @@
     }
 }
 
-/// Asks a peer that knows more.
+/// Asks a peer that knows more, unless another one was asked a moment ago.
 fn compare(node: &Node, outbox: &Outbox, routes: u64, servers: u64) {
+    let now = node.now();
     let own_routes = node.version();
     let own_servers = node.list.borrow().revision();
-    if routes > own_routes || servers > own_servers {
-        outbox.push(Frame::Want {
-            routes: own_routes,
-            servers: own_servers,
-        });
+    let known = routes <= own_routes && servers <= own_servers;
+    if known || now.since(node.asked.get()) < ASK_MS {
+        return;
     }
+    node.asked.set(now);
+    outbox.push(Frame::Want {
+        routes: own_routes,
+        servers: own_servers,
+    });
+}
+
+/// Asks again for what some peer knows and this node does not.
+pub(crate) fn chase(node: &Node) {
+    let peers = node.peers.borrow();
+    let up: Vec<&Rc<Peer>> = peers.values().filter(|p| p.is_up()).collect();
+    let routes = node.version();
+    let servers = node.list.borrow().revision();
+    let ahead = up.into_iter().filter(|peer| {
+        let (version, revision) = peer.knows.get();
+        version > routes || revision > servers
+    });
+    let Some(peer) = ahead.choose(&mut rand::rng()) else {
+        return;
+    };
+    let (version, revision) = peer.knows.get();
+    compare(node, &peer.outbox(), version, revision);
 }
 
 /// Sends a peer what it lacks.
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -2,7 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 
 use compact_str::CompactString;
@@ -12,11 +12,20 @@
     WorkTimes,
 };
 use oriolering_platform::Settings;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::gate::Gate;
 use crate::peer::Peer;
 use crate::spots::{Spots, Way};
 
+/// How many nodes watch the store: one for each of three machines that may fail at once.
+const READERS: usize = 3;
+
+/// Returns the rank of a node among those that may watch the store; all nodes agree on it.
+fn rank(ip: IpAddr) -> u64 {
+    xxh3_64(ip.to_string().as_bytes())
+}
+
 /// The routes in force, and the text in which they were published.
 pub(crate) struct Published {
     pub(crate) table: RouteTable,
@@ -37,6 +46,10 @@
     pub(crate) work: RefCell<WorkTimes>,
     pub(crate) splitter: RefCell<Splitter>,
     budgets: RefCell<HashMap<CompactString, FleetBudget>>,
+    /// Whether this node watches the store.
+    pub(crate) reading: Cell<bool>,
+    /// When a peer was asked for news.
+    pub(crate) asked: Cell<Millis>,
     pub(crate) stopping: Cell<bool>,
     /// Whether new requests are refused, since the process is about to end.
     pub(crate) refusing: Cell<bool>,
@@ -63,6 +76,8 @@
             work: RefCell::default(),
             splitter: RefCell::default(),
             budgets: RefCell::default(),
+            reading: Cell::new(false),
+            asked: Cell::default(),
             stopping: Cell::new(false),
             refusing: Cell::new(false),
             active: Cell::new(0),
@@ -144,6 +159,32 @@
         fresh
     }
 
+    /// Returns the node on the instance with this address.
+    pub(crate) fn peer_at(&self, ip: IpAddr) -> Option<Rc<Peer>> {
+        let address = SocketAddr::new(ip, *self.settings.node_ports.start());
+        self.peers.borrow().get(&address).cloned()
+    }
+
+    /// Returns whether this node watches the store, by what it knows of its peers.
+    ///
+    /// A few watch, and the others learn from them. Each node decides alone: one that watches
+    /// goes on until enough with a higher rank do, another one begins when too few do.
+    pub(crate) fn should_read(&self) -> bool {
+        let own = rank(self.settings.ip);
+        let peers = self.peers.borrow();
+        let readers = peers.values().filter(|peer| peer.is_reading());
+        let counted = match self.reading.get() {
+            true => readers.filter(|p| rank(p.address.ip()) > own).count(),
+            false => readers.count(),
+        };
+        counted < READERS
+    }
+
+    /// Returns whether any peer watches the store.
+    pub(crate) fn is_informed(&self) -> bool {
+        self.peers.borrow().values().any(|peer| peer.is_reading())
+    }
+
     /// Tells the gate about the local backend server.
     fn describe_gate(&self, choices: &[(ServerRecord, Way)]) {
         let local = choices.iter().filter(|(_, way)| matches!(way, Way::Local));
@@ -156,7 +197,8 @@
             .as_ref()
             .and_then(|p| p.table.service(&record.service));
         let path = service.map_or("", |s| s.health_path.as_str());
-        self.gate.describe(&record.id, record.slots, path);
+        let leaving = record.state == ServerState::Draining;
+        self.gate.describe(&record.id, record.slots, path, leaving);
     }
 
     /// Puts newer routes in force; older ones are ignored. Returns whether they were newer.
--- a/crates/mesh/src/outbound.rs
+++ b/crates/mesh/src/outbound.rs
@@ -81,7 +81,7 @@
         Frame::Ping => peer.push(Frame::Pong),
         Frame::Known { .. } | Frame::Want { .. } | Frame::Routes { .. } | Frame::Servers { .. } => {
             let outbox = peer.outbox();
-            news::take(node, &outbox, frame);
+            news::take(node, peer.address.ip(), &outbox, frame);
         }
         Frame::Hello { .. }
         | Frame::Offer { .. }
--- a/crates/mesh/src/peer.rs
+++ b/crates/mesh/src/peer.rs
@@ -16,11 +16,11 @@
 /// How long a link with calls may be silent before it is asked, in milliseconds.
 const ASK_BUSY_MS: u64 = 200;
 /// How long a link without calls may be silent before it is asked, in milliseconds.
-const ASK_IDLE_MS: u64 = 2_000;
+const ASK_IDLE_MS: u64 = 1_000;
 /// How long the answer may take before the peer is avoided, in milliseconds.
 const SUSPECT_MS: u64 = 250;
 /// How long the answer may take before the link is given up, in milliseconds.
-const GIVE_UP_MS: u64 = 1_500;
+const GIVE_UP_MS: u64 = 1_200;
 
 struct Waiting {
     sender: oneshot::Sender<Reply>,
@@ -51,6 +51,10 @@
     numbers: Cell<u64>,
     heard: Cell<Millis>,
     asked: Cell<Option<Millis>>,
+    /// The version of the routes and the revision of the list that it told last.
+    pub(crate) knows: Cell<(u64, u64)>,
+    /// Whether it said that it watches the store.
+    reading: Cell<bool>,
 }
 
 impl Peer {
@@ -65,9 +69,22 @@
             numbers: Cell::new(0),
             heard: Cell::new(now),
             asked: Cell::new(None),
+            knows: Cell::new((0, 0)),
+            reading: Cell::new(false),
         }
     }
 
+    /// Notes what the peer told of itself.
+    pub(crate) fn learn(&self, routes: u64, servers: u64, reading: bool) {
+        self.knows.set((routes, servers));
+        self.reading.set(reading);
+    }
+
+    /// Returns whether the peer can be reached and watches the store.
+    pub(crate) fn is_reading(&self) -> bool {
+        self.up.get() && self.reading.get()
+    }
+
     /// Returns whether a link is up.
     pub(crate) fn is_up(&self) -> bool {
         self.up.get()
@@ -86,6 +103,7 @@
     /// Notes that the link ended; its calls are lost.
     pub(crate) fn close(&self) {
         self.up.set(false);
+        self.reading.set(false);
         self.outbox.borrow().close();
         let calls = std::mem::take(&mut *self.calls.borrow_mut());
         for waiting in calls.into_values() {
--- a/crates/mesh/src/source.rs
+++ b/crates/mesh/src/source.rs
@@ -23,16 +23,21 @@
 /// How long the store may take for an answer that does not wait, in milliseconds.
 const ANSWER_MS: u64 = 2_000;
 /// How long a watch waits for a change, in milliseconds.
-const WATCH_MS: u64 = 10_000;
+///
+/// A connection that falls silent for good shows only when this time is over, and a change has
+/// to be in force within two seconds.
+const WATCH_MS: u64 = 2_500;
 /// How long the answer to a watch may take beyond its time, in milliseconds.
-const WATCH_SLACK_MS: u64 = 1_500;
+const WATCH_SLACK_MS: u64 = 500;
 /// The first wait after a failure, in milliseconds.
 const BACKOFF_MIN_MS: u64 = 100;
 /// The longest wait after failures, in milliseconds.
 const BACKOFF_MAX_MS: u64 = 2_000;
 /// How long after the store's return a removal may be a lapse, in milliseconds; live backend
 /// servers are listed again within two seconds.
-const UNSETTLED_MS: u64 = 2_500;
+const UNSETTLED_MS: u64 = 2_000;
+/// The time between two looks whether this node is to watch the store, in milliseconds.
+const IDLE_MS: u64 = 250;
 
 /// Why a call to the store brought nothing.
 #[derive(Debug, Snafu)]
@@ -68,8 +73,13 @@
     loop {
         let result = source.follow(&mut backoff).await;
         source.conn = None;
-        if let Err(e) = result {
-            source.note_failure(&e);
+        news::set_reading(&source.node, false);
+        match result {
+            Ok(()) => {
+                source.wait_turn().await;
+                continue;
+            }
+            Err(e) => source.note_failure(&e),
         }
         let wait = rand::rng().random_range(backoff / 2..=backoff);
         sleep(Duration::from_millis(wait)).await;
@@ -78,12 +88,22 @@
 }
 
 impl Source {
-    /// Reads everything, then watches until something fails.
+    /// Waits until too few other nodes watch the store.
+    async fn wait_turn(&self) {
+        while !self.node.should_read() {
+            sleep(Duration::from_millis(IDLE_MS)).await;
+        }
+    }
+
+    /// Reads what this node does not know yet, then watches until something fails or enough
+    /// other nodes watch.
     async fn follow(&mut self, backoff: &mut u64) -> Result<(), SourceError> {
-        let mut revision = self.read_all().await?;
-        self.note_success();
-        *backoff = BACKOFF_MIN_MS;
-        loop {
+        let known = self.node.list.borrow().revision();
+        let mut revision = match known > 0 && self.node.version() > 0 {
+            true => known,
+            false => self.read_all().await?,
+        };
+        while self.node.should_read() {
             let path = watch_path(ALL_KEYS, revision, WATCH_MS);
             let watch = match self.watch(&path).await {
                 Err(SourceError::Store {
@@ -99,13 +119,16 @@
             self.note_success();
             revision = watch.revision;
             self.take(watch);
+            news::set_reading(&self.node, true);
         }
+        Ok(())
     }
 
     /// Reads the routes and the whole list, and returns the revision to watch from.
     async fn read_all(&mut self) -> Result<u64, SourceError> {
         let (notes, revision) = self.read_servers().await?;
         self.read_routes().await?;
+        self.note_success();
         let lapsed = self.is_unsettled();
         let now = self.node.now();
         self.node
@@ -257,8 +280,11 @@
 
     fn note_success(&mut self) {
         if self.failed {
-            log::info!("the store is back");
-            self.unsettled = self.node.now().0 + UNSETTLED_MS;
+            log::info!(peers = self.node.is_informed(); "the store is back");
+            // Where a peer has watched all the while, only this node was turned away.
+            if !self.node.is_informed() {
+                self.unsettled = self.node.now().0 + UNSETTLED_MS;
+            }
         }
         self.failed = false;
     }
--- a/crates/mesh/src/spots.rs
+++ b/crates/mesh/src/spots.rs
@@ -69,6 +69,10 @@
         self.services.clear();
         for (record, way) in records {
             let known = before.remove(&(record.id.clone(), record.born));
+            let state = known.as_ref().map(|spot| spot.record.state);
+            if state != Some(record.state) {
+                log::info!(server = record.id.as_str(), service = record.service.as_str(), ready = record.state == ServerState::Ready; "a backend server is listed");
+            }
             let site = known.map_or_else(
                 || Site::new(now, record.slots, record.zone != zone),
                 |spot| spot.site,
@@ -80,6 +84,9 @@
                 .push(index);
             self.spots.push(Spot { record, site, way });
         }
+        for (id, _) in before.into_keys() {
+            log::info!(server = id.as_str(); "a backend server is no longer listed");
+        }
     }
 
     /// Chooses a backend server of `service` that takes new work and was not tried yet.
--- a/crates/mesh/src/start.rs
+++ b/crates/mesh/src/start.rs
@@ -100,6 +100,7 @@
     let now = node.now();
     node.gate.probe();
     outbound::watch(node);
+    news::chase(node);
     if node.list.borrow_mut().tick(now) {
         news::apply_list(node);
     }
--- a/crates/oriolering/src/server_list.rs
+++ b/crates/oriolering/src/server_list.rs
@@ -10,7 +10,7 @@
 /// How long an entry that vanished around an outage of its source is kept, in milliseconds.
 ///
 /// A live backend server is listed again within two seconds of the source's return.
-const LAPSE_MS: u64 = 2_500;
+const LAPSE_MS: u64 = 2_000;
 /// How long a removal is remembered, in milliseconds; longer than news are under way.
 const REMOVAL_MS: u64 = 60_000;
 
