--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -57,7 +57,7 @@
     Ended,
 }
 
-struct Conn<L, C> {
+struct Conn<L, C, B: Fn(&Request, usize)> {
     stream: TcpStream,
     buf: BytesMut,
     out: BytesMut,
@@ -66,25 +66,37 @@
     pending: VecDeque<Pending>,
     limits: L,
     closing: C,
+    cut: B,
     since: Instant,
 }
 
+impl<L, C, B: Fn(&Request, usize)> Drop for Conn<L, C, B> {
+    fn drop(&mut self) {
+        if let Reading::Body(body) = &self.reading {
+            (self.cut)(&body.request, body.bytes.len());
+        }
+    }
+}
+
 /// Serves the requests of one caller's connection until it ends.
 ///
 /// `limits` is asked for each request, since they may change. While `closing` says so, the last
 /// answer that is due ends the connection. A caller that closes its connection has its requests
-/// dropped, since a half-closed connection cannot be told from one that is given up.
-pub async fn serve<H, F, L, C>(
+/// dropped, since a half-closed connection cannot be told from one that is given up. `cut` is
+/// told of a request whose body was still arriving then, with the bytes of it that had come.
+pub async fn serve<H, F, L, C, B>(
     stream: TcpStream,
     date: DateService,
     limits: L,
     closing: C,
+    cut: B,
     handler: H,
 ) where
     H: Fn(Request) -> F,
     F: Future<Output = Answer> + 'static,
     L: Fn() -> ConnLimits,
     C: Fn() -> bool,
+    B: Fn(&Request, usize),
 {
     let mut conn = Conn {
         stream,
@@ -95,6 +107,7 @@
         pending: VecDeque::new(),
         limits,
         closing,
+        cut,
         since: Instant::now(),
     };
     if let Err(e) = conn.run(handler).await {
@@ -102,10 +115,11 @@
     }
 }
 
-impl<L, C> Conn<L, C>
+impl<L, C, B> Conn<L, C, B>
 where
     L: Fn() -> ConnLimits,
     C: Fn() -> bool,
+    B: Fn(&Request, usize),
 {
     async fn run<H, F>(&mut self, handler: H) -> io::Result<()>
     where
--- /dev/null
+++ b/crates/mesh/src/counts.rs
@@ -0,0 +1,281 @@
+//! Plain counters of a node; a scrape reads them, and nothing else is done for a request.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use crate::trail::Event;
+
+/// The upper bounds of the buckets of a histogram of durations, in milliseconds: steps of about
+/// two from the shortest exchange on one instance to the longest documented time of a route.
+pub(crate) const BOUNDS_MS: [u64; 13] = [
+    1, 2, 5, 10, 20, 50, 100, 200, 500, 1_000, 2_000, 5_000, 10_000,
+];
+
+/// What becomes of a caller's request.
+pub(crate) const OUTCOMES: [&str; 7] = [
+    "answered",
+    "given_up",
+    "deadline",
+    "cancelled",
+    "unrouted",
+    "unready",
+    "body_cut",
+];
+/// The classes of the status of an answer.
+pub(crate) const CLASSES: [&str; 5] = ["1xx", "2xx", "3xx", "4xx", "5xx"];
+/// How an attempt ends, as the ingress learns it.
+pub(crate) const ATTEMPTS: [&str; 8] = [
+    "answered",
+    "server_error",
+    "refused",
+    "unexecuted",
+    "unsent",
+    "failed",
+    "lost",
+    "unlinked",
+];
+/// Why a gate refuses a request.
+pub(crate) const REFUSALS: [&str; 5] = ["elsewhere", "late", "full", "leaving", "down"];
+/// How an exchange with the local backend server ends.
+pub(crate) const RUNS: [&str; 4] = ["answered", "unexecuted", "unsent", "failed"];
+/// What a node loses and regains.
+pub(crate) const CHANGES: [&str; 12] = [
+    "store_lost",
+    "store_back",
+    "peer_up",
+    "peer_lost",
+    "peer_suspected",
+    "peer_cleared",
+    "peer_given_up",
+    "server_down",
+    "server_up",
+    "routes_taken",
+    "routes_rejected",
+    "settings_reloaded",
+];
+
+/// A number that only grows, or is set before a scrape.
+#[derive(Debug, Default)]
+pub(crate) struct Count(AtomicU64);
+
+impl Count {
+    /// Adds to the number.
+    pub(crate) fn add(&self, more: u64) {
+        // One thread writes, so that a plain store is enough.
+        let sum = self.get().wrapping_add(more);
+        self.0.store(sum, Ordering::Relaxed);
+    }
+
+    /// Replaces the number.
+    pub(crate) fn set(&self, value: u64) {
+        self.0.store(value, Ordering::Relaxed);
+    }
+
+    /// Returns the number.
+    pub(crate) fn get(&self) -> u64 {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
+/// One number for each of some words.
+#[derive(Debug)]
+pub(crate) struct Words<const N: usize> {
+    words: [&'static str; N],
+    counts: [Count; N],
+}
+
+impl<const N: usize> Words<N> {
+    fn new(words: [&'static str; N]) -> Self {
+        let counts = std::array::from_fn(|_| Count::default());
+        Self { words, counts }
+    }
+
+    /// Adds one to the number of a word; other words are not counted.
+    fn add(&self, word: &str) {
+        if let Some(index) = self.words.iter().position(|w| *w == word) {
+            self.counts[index].add(1);
+        }
+    }
+
+    /// Returns the words with their numbers.
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (&'static str, u64)> {
+        let counts = self.counts.iter().map(Count::get);
+        self.words.iter().copied().zip(counts)
+    }
+}
+
+/// How many durations lie within each bound, and their sum.
+#[derive(Debug, Default)]
+pub(crate) struct Durations {
+    counts: [Count; BOUNDS_MS.len()],
+    above: Count,
+    sum: Count,
+}
+
+impl Durations {
+    fn record(&self, ms: u64) {
+        let bucket = BOUNDS_MS.iter().position(|bound| ms <= *bound);
+        bucket.map_or(&self.above, |i| &self.counts[i]).add(1);
+        self.sum.add(ms);
+    }
+
+    /// Returns each bound with the number of durations up to it.
+    pub(crate) fn cumulated(&self) -> impl Iterator<Item = (u64, u64)> {
+        let counts = self.counts.iter().scan(0, |sum, count| {
+            *sum += count.get();
+            Some(*sum)
+        });
+        BOUNDS_MS.into_iter().zip(counts)
+    }
+
+    /// Returns the number of durations.
+    pub(crate) fn number(&self) -> u64 {
+        let within: u64 = self.counts.iter().map(Count::get).sum();
+        within + self.above.get()
+    }
+
+    /// Returns the sum of the durations, in milliseconds.
+    pub(crate) fn sum(&self) -> u64 {
+        self.sum.get()
+    }
+}
+
+/// All numbers of a node.
+#[derive(Debug)]
+pub(crate) struct Counts {
+    pub(crate) requests: Count,
+    pub(crate) outcomes: Words<{ OUTCOMES.len() }>,
+    pub(crate) answers: Words<{ CLASSES.len() }>,
+    pub(crate) late: Count,
+    pub(crate) attempts: Words<{ ATTEMPTS.len() }>,
+    pub(crate) second_tries: Count,
+    pub(crate) request_ms: Durations,
+    pub(crate) admitted: Count,
+    pub(crate) queued: Count,
+    pub(crate) refusals: Words<{ REFUSALS.len() }>,
+    pub(crate) runs: Words<{ RUNS.len() }>,
+    pub(crate) dropped: Count,
+    pub(crate) wait_ms: Durations,
+    pub(crate) run_ms: Durations,
+    pub(crate) changes: Words<{ CHANGES.len() }>,
+    pub(crate) lines_dropped: Count,
+    pub(crate) active: Count,
+    pub(crate) running: Count,
+    pub(crate) waiting: Count,
+    pub(crate) capacity: Count,
+    pub(crate) work_percent: Count,
+    pub(crate) peers_up: Count,
+    pub(crate) servers: Count,
+    pub(crate) version: Count,
+    pub(crate) list_revision: Count,
+}
+
+impl Default for Counts {
+    fn default() -> Self {
+        Self {
+            requests: Count::default(),
+            outcomes: Words::new(OUTCOMES),
+            answers: Words::new(CLASSES),
+            late: Count::default(),
+            attempts: Words::new(ATTEMPTS),
+            second_tries: Count::default(),
+            request_ms: Durations::default(),
+            admitted: Count::default(),
+            queued: Count::default(),
+            refusals: Words::new(REFUSALS),
+            runs: Words::new(RUNS),
+            dropped: Count::default(),
+            wait_ms: Durations::default(),
+            run_ms: Durations::default(),
+            changes: Words::new(CHANGES),
+            lines_dropped: Count::default(),
+            active: Count::default(),
+            running: Count::default(),
+            waiting: Count::default(),
+            capacity: Count::default(),
+            work_percent: Count::default(),
+            peers_up: Count::default(),
+            servers: Count::default(),
+            version: Count::default(),
+            list_revision: Count::default(),
+        }
+    }
+}
+
+impl Counts {
+    /// Counts an event, whether it is written down or not.
+    pub(crate) fn count(&self, event: &Event) {
+        match event {
+            Event::Routed { .. } | Event::Chosen { .. } => {}
+            Event::Unrouted { .. } => self.outcomes.add("unrouted"),
+            Event::Unready { .. } => self.outcomes.add("unready"),
+            Event::AttemptEnded { outcome, again, .. } => self.attempt(outcome, *again),
+            Event::GivenUp { .. } => self.outcomes.add("given_up"),
+            Event::Deadline { .. } => self.outcomes.add("deadline"),
+            Event::Cancelled { .. } => self.outcomes.add("cancelled"),
+            Event::BodyCut { .. } => self.outcomes.add("body_cut"),
+            Event::Answered {
+                status,
+                took_ms,
+                aim_ms,
+                own,
+                ..
+            } => self.answered(*status, *took_ms, *aim_ms, *own),
+            Event::Admitted { waited_ms, .. } => {
+                self.admitted.add(1);
+                self.wait_ms.record(*waited_ms);
+            }
+            Event::Queued { .. } => self.queued.add(1),
+            Event::Refused { why, .. } => self.refusals.add(why),
+            Event::Ran {
+                outcome, ran_ms, ..
+            } => {
+                self.runs.add(outcome);
+                self.run_ms.record(*ran_ms);
+            }
+            Event::Dropped { .. } => self.dropped.add(1),
+            Event::StoreLost { .. } => self.changes.add("store_lost"),
+            Event::StoreBack { .. } => self.changes.add("store_back"),
+            Event::PeerUp { .. } => self.changes.add("peer_up"),
+            Event::PeerLost { .. } => self.changes.add("peer_lost"),
+            Event::PeerSuspected { .. } => self.changes.add("peer_suspected"),
+            Event::PeerCleared { .. } => self.changes.add("peer_cleared"),
+            Event::PeerGivenUp { .. } => self.changes.add("peer_given_up"),
+            Event::ServerDown { .. } => self.changes.add("server_down"),
+            Event::ServerUp { .. } => self.changes.add("server_up"),
+            Event::RoutesTaken { .. } => self.changes.add("routes_taken"),
+            Event::RoutesRejected { .. } => self.changes.add("routes_rejected"),
+            Event::SettingsReloaded { .. } => self.changes.add("settings_reloaded"),
+            Event::ExchangeBroke { .. }
+            | Event::Started { .. }
+            | Event::Stopping { .. }
+            | Event::Stopped { .. }
+            | Event::SettingsRejected { .. }
+            | Event::StoreCompacted { .. }
+            | Event::StoreRead { .. }
+            | Event::StoreItemRejected { .. }
+            | Event::ListTaken { .. }
+            | Event::PeerGone { .. }
+            | Event::ServerListed { .. }
+            | Event::ServerGone { .. }
+            | Event::AcceptFailed { .. }
+            | Event::LinesDropped { .. } => {}
+        }
+    }
+
+    fn attempt(&self, outcome: &str, again: bool) {
+        self.attempts.add(outcome);
+        self.second_tries.add(u64::from(again));
+    }
+
+    /// Counts an answer; one that the node gives of `own` accord was counted with its reason.
+    fn answered(&self, status: u16, took_ms: u64, aim_ms: Option<u64>, own: bool) {
+        let class = usize::from(status / 100).clamp(1, CLASSES.len()) - 1;
+        self.answers.add(CLASSES[class]);
+        self.request_ms.record(took_ms);
+        self.late
+            .add(u64::from(aim_ms.is_some_and(|aim| took_ms > aim)));
+        if !own {
+            self.outcomes.add("answered");
+        }
+    }
+}
--- a/crates/mesh/src/dispatch.rs
+++ b/crates/mesh/src/dispatch.rs
@@ -14,6 +14,7 @@
 use crate::node::Node;
 use crate::reply::Reply;
 use crate::spots::{Chosen, Way};
+use crate::trail::{Seen, Standing, Story};
 
 /// The most gates that may refuse one request before its caller is told to come back.
 const REFUSALS_MAX: u32 = 4;
@@ -36,6 +37,8 @@
     pub(crate) target: String,
     pub(crate) headers: Headers,
     pub(crate) body: Bytes,
+    /// What is written down of it.
+    pub(crate) story: Story,
 }
 
 /// What is known of a request after some attempts.
@@ -52,19 +55,32 @@
     failure: Option<(Answered, Vec<u8>)>,
 }
 
+impl Progress {
+    fn standing(&self) -> Standing {
+        Standing {
+            sends: self.sends,
+            refusals: self.refusals,
+            uncertain: self.uncertain,
+        }
+    }
+}
+
 /// Sends a request to backend servers until one answers, or nothing more can be done.
 pub(crate) async fn dispatch(node: Rc<Node>, job: Job) -> Answer {
     node.with_budget(&job.service, |b| b.deposit(node.now()));
     let mut progress = Progress::default();
     let left = job.deadline.since(node.now());
     let attempts = attempts(&node, &job, &mut progress);
-    match timeout(Duration::from_millis(left), attempts).await {
+    let answer = match timeout(Duration::from_millis(left), attempts).await {
         Ok(answer) => answer,
         Err(_) => {
-            log::info!(request = job.request.as_str(), route = job.route.name.as_str(); "a request has used up its time");
+            job.story.deadline(progress.standing());
             Answer::new(StatusCode::GATEWAY_TIMEOUT)
         }
-    }
+    };
+    job.story
+        .answered(Some((&job.route, &job.service)), &answer);
+    answer
 }
 
 async fn attempts(node: &Rc<Node>, job: &Job, progress: &mut Progress) -> Answer {
@@ -93,8 +109,14 @@
                 "no backend server is expected to answer in time",
             );
         }
+        let revision = node.list.borrow().revision();
+        job.story.chosen(&job.service, &chosen, work_ms, revision);
         let (server, reply) = send(node, job, chosen, work_ms).await;
-        if let Some(answer) = follow(node, job, progress, server, reply) {
+        let seen = Seen::of(&reply);
+        let answer = follow(node, job, progress, server, reply);
+        job.story
+            .attempt_ended(&job.route, seen, progress.standing(), answer.is_none());
+        if let Some(answer) = answer {
             return answer;
         }
     }
@@ -155,12 +177,11 @@
             return answered_by(node, job, progress, server, answered, body);
         }
         Reply::Ended {
-            ending: Ending::Refused { why, back_ms },
+            ending: Ending::Refused { back_ms, .. },
             ..
         } => {
             progress.refusals += 1;
             progress.back_ms = Some(u64::from(back_ms));
-            log::debug!(request = job.request.as_str(), server = server.as_str(), why = why.as_str(); "a gate refused a request");
             progress.tried.push(server);
             if progress.refusals >= REFUSALS_MAX {
                 return Some(give_up(node, job, progress, "too many gates refused it"));
@@ -168,10 +189,9 @@
             return None;
         }
         Reply::Ended {
-            ending: Ending::Unexecuted { status },
+            ending: Ending::Unexecuted { .. },
             ..
         } => {
-            log::debug!(request = job.request.as_str(), server = server.as_str(), status; "a backend server did not run a request");
             progress.sends += 1;
             progress.tried.push(server);
         }
@@ -195,7 +215,6 @@
             progress.tried.push(server);
         }
         Reply::Lost => {
-            log::info!(request = job.request.as_str(), server = server.as_str(); "the link to the gate ended under a request");
             progress.sends += 1;
             progress.uncertain = true;
             progress.tried.push(server);
@@ -263,16 +282,8 @@
         return answer(answered, body);
     }
     let now = node.now();
-    log::info!(
-        request = job.request.as_str(),
-        route = job.route.name.as_str(),
-        service = job.service.as_str(),
-        uncertain = progress.uncertain,
-        refusals = progress.refusals,
-        left = job.deadline.since(now),
-        reason;
-        "a request is given up"
-    );
+    job.story
+        .given_up(reason, progress.standing(), job.deadline.since(now));
     if progress.uncertain {
         return Answer::new(StatusCode::BAD_GATEWAY);
     }
--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -18,6 +18,7 @@
 use crate::headers;
 use crate::outbox::Outbox;
 use crate::pool::Pool;
+use crate::trail::{Event, Known, Trail, Visit, clip};
 
 /// The age of the last word of the backend server from which it is asked, in milliseconds; a
 /// sixth of the time for which a noisy neighbour slows it down.
@@ -39,6 +40,7 @@
 /// The gate of the local backend server.
 pub(crate) struct Gate {
     clock: Clock,
+    trail: Rc<Trail>,
     pool: Pool,
     health_path: RefCell<CompactString>,
     room: RefCell<Room>,
@@ -49,16 +51,23 @@
     offered: Cell<Millis>,
     probing: Cell<bool>,
     probes_lost: Cell<u32>,
+    down_since: Cell<Option<Millis>>,
     leaving: Cell<bool>,
     server: RefCell<CompactString>,
 }
 
 impl Gate {
     /// Returns the gate of the backend server at `address`.
-    pub(crate) fn new(address: SocketAddr, date: DateService, clock: Clock) -> Self {
+    pub(crate) fn new(
+        address: SocketAddr,
+        date: DateService,
+        clock: Clock,
+        trail: Rc<Trail>,
+    ) -> Self {
         let now = clock.now();
         Self {
             clock,
+            trail,
             pool: Pool::new(address, date),
             health_path: RefCell::new(CompactString::default()),
             room: RefCell::new(Room::new(SLOTS)),
@@ -69,6 +78,7 @@
             offered: Cell::new(now),
             probing: Cell::new(false),
             probes_lost: Cell::new(0),
+            down_since: Cell::new(None),
             leaving: Cell::new(false),
             server: RefCell::default(),
         }
@@ -112,8 +122,10 @@
         let arrived = self.clock.now();
         self.offered.set(arrived);
         let work_ms = u64::from(offer.work_ms);
-        if let Err(why) = self.enter(arrived, &offer).await {
+        let mut visit = Visit::new(&self.trail, &offer);
+        if let Err(why) = self.enter(arrived, &offer, &mut visit).await {
             let back_ms = self.room.borrow().back_ms(work_ms) as u32;
+            visit.refused(why, u64::from(back_ms), self.known());
             return (Ending::Refused { why, back_ms }, Bytes::new());
         }
         let _permit = Permit(Rc::clone(&self));
@@ -121,17 +133,19 @@
         let left = u64::from(offer.left_ms).saturating_sub(spent);
         if left == 0 {
             let why = NoRoom::Late;
+            visit.refused(why, 0, self.known());
             return (Ending::Refused { why, back_ms: 0 }, Bytes::new());
         }
         let limit = Duration::from_millis(left + OVERTIME_MS);
-        match timeout(limit, self.exchange(offer, body, left)).await {
-            Ok(result) => result,
-            Err(_) => (Ending::Failed, Bytes::new()),
-        }
+        visit.admitted(self.known());
+        let result = timeout(limit, self.exchange(offer, body, left)).await;
+        let (ending, body) = result.unwrap_or((Ending::Failed, Bytes::new()));
+        visit.ran(&ending);
+        (ending, body)
     }
 
     /// Waits for a slot.
-    async fn enter(&self, now: Millis, offer: &Offer) -> Result<(), NoRoom> {
+    async fn enter(&self, now: Millis, offer: &Offer, visit: &mut Visit) -> Result<(), NoRoom> {
         let job = Job {
             priority: offer.priority,
             aim: now + u64::from(offer.aim_ms),
@@ -146,7 +160,10 @@
                 Ok(())
             }
             Entry::Refuse(why) => Err(why),
-            Entry::Wait(key) => self.wait(key).await,
+            Entry::Wait(key) => {
+                visit.queued(self.known());
+                self.wait(key).await
+            }
         }
     }
 
@@ -216,10 +233,10 @@
         match result {
             Ok(response) => {
                 self.pool.put(now, conn);
-                self.answered(response, now.since(started))
+                self.answered(id, response, now.since(started))
             }
             Err(e) => {
-                log::info!(request = id, error = e.to_string().as_str(); "a backend server's answer failed");
+                self.trail.exchange_broke(id, &e.to_string());
                 let ending = if e.is_unsent() {
                     Ending::Unsent
                 } else {
@@ -230,7 +247,7 @@
         }
     }
 
-    fn answered(&self, response: Response, ran_ms: u64) -> (Ending, Bytes) {
+    fn answered(&self, id: &str, response: Response, ran_ms: u64) -> (Ending, Bytes) {
         let percent = self.room.borrow().load().work_percent;
         self.hear(&response.headers);
         let after = self.room.borrow().load().work_percent;
@@ -242,7 +259,7 @@
         }
         let signed = response.headers.contains_key(HEADERS.signature);
         if response.status.is_success() && !signed {
-            log::info!("a backend server's answer has no signature and is dropped");
+            self.trail.exchange_broke(id, "the answer has no signature");
             return (Ending::Failed, Bytes::new());
         }
         let answered = Answered {
@@ -278,6 +295,7 @@
 
     fn reopen(&self) {
         let reason = self.leaving.get().then_some(NoRoom::Leaving);
+        self.note_up();
         self.room.borrow_mut().close(reason);
         if self.told.get().closed != reason.is_some() {
             self.tell();
@@ -288,11 +306,40 @@
         if self.leaving.get() || self.load().closed {
             return;
         }
-        log::warn!(error = e.to_string().as_str(); "the backend server is down");
+        self.note_lost(self.probes_lost.get(), &e.to_string());
         self.room.borrow_mut().close(Some(NoRoom::Down));
         self.tell();
     }
 
+    /// Returns what is known at a decision.
+    fn known(&self) -> Known {
+        Known {
+            load: self.load(),
+            age_ms: self.clock.now().since(self.heard.get()),
+        }
+    }
+
+    /// Writes down that the backend server is lost.
+    fn note_lost(&self, probes_lost: u32, error: &str) {
+        let now = self.clock.now();
+        self.down_since.set(Some(now));
+        self.trail.note(Event::ServerDown {
+            server: self.server.borrow().clone(),
+            error: clip(error),
+            probes_lost,
+            heard_ms: now.since(self.heard.get()),
+        });
+    }
+
+    /// Writes down that the backend server is back, if it was lost.
+    fn note_up(&self) {
+        if let Some(since) = self.down_since.take() {
+            let down_ms = self.clock.now().since(since);
+            let server = self.server.borrow().clone();
+            self.trail.note(Event::ServerUp { server, down_ms });
+        }
+    }
+
     /// Asks the backend server for its load if nothing else told it lately.
     pub(crate) fn probe(self: &Rc<Self>) {
         let now = self.clock.now();
@@ -337,7 +384,7 @@
                 self.probes_lost.set(lost);
                 self.heard.set(self.clock.now());
                 if lost == PROBES_LOST {
-                    log::warn!(probes = lost; "the backend server does not answer");
+                    self.note_lost(lost, "the probes have no answer");
                     self.room.borrow_mut().close(Some(NoRoom::Down));
                     self.tell();
                 }
--- a/crates/mesh/src/inbound.rs
+++ b/crates/mesh/src/inbound.rs
@@ -24,7 +24,7 @@
                 tokio::task::spawn_local(serve(Rc::clone(&node), stream));
             }
             Err(e) => {
-                log::warn!(error = e.to_string().as_str(); "a node's connection is not accepted");
+                node.trail.accept_failed("nodes", &e);
             }
         }
     }
--- a/crates/mesh/src/ingress.rs
+++ b/crates/mesh/src/ingress.rs
@@ -12,6 +12,7 @@
 use crate::dispatch::{self, Job};
 use crate::headers;
 use crate::node::Node;
+use crate::trail::Story;
 
 /// The most requests of one connection that run at once.
 const PIPELINED: usize = 64;
@@ -32,7 +33,7 @@
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
             Err(e) => {
-                log::warn!(error = e.to_string().as_str(); "a caller's connection is not accepted");
+                node.trail.accept_failed("callers", &e);
                 continue;
             }
         };
@@ -41,12 +42,13 @@
             continue;
         }
         let (limits, closing, handler) = (Rc::clone(&node), Rc::clone(&node), Rc::clone(&node));
-        let date = node.date.clone();
+        let (date, trail) = (node.date.clone(), Rc::clone(&node.trail));
         tokio::task::spawn_local(async move {
             let handler = move |request| handle(Rc::clone(&handler), request);
             let closing = move || closing.stopping.get();
-            oriolering_http::serve(stream, date, move || limits_of(&limits), closing, handler)
-                .await;
+            let limits = move || limits_of(&limits);
+            let cut = move |request: &Request, bytes| trail.body_cut(request, bytes);
+            oriolering_http::serve(stream, date, limits, closing, cut, handler).await;
         });
     }
 }
@@ -100,8 +102,13 @@
 
 /// Finds the route of a request and the part of it that takes it.
 fn plan(node: &Rc<Node>, request: &Request) -> Result<Job, Answer> {
+    let id = headers::text(&request.headers, HEADERS.request).unwrap_or_default();
+    let story = Story::new(&node.trail, id);
     let Some(published) = node.routes() else {
-        return Err(dispatch::unavailable(UNREADY_BACK_MS));
+        story.unready();
+        let answer = dispatch::unavailable(UNREADY_BACK_MS);
+        story.answered(None, &answer);
+        return Err(answer);
     };
     let now = node.now();
     let map = &request.headers;
@@ -109,16 +116,19 @@
         .or_else(|| request.uri.host())
         .unwrap_or_default();
     let Some((_, route)) = published.table.find(host, request.uri.path()) else {
-        log::info!(host, path = request.uri.path(), version = published.table.version(); "no route takes a request");
-        return Err(Answer::new(StatusCode::NOT_FOUND));
+        story.unrouted(host, request.uri.path(), published.table.version());
+        let answer = Answer::new(StatusCode::NOT_FOUND);
+        story.answered(None, &answer);
+        return Err(answer);
     };
     let part = node.splitter.borrow_mut().choose(route, &mut rand::rng());
     let waits = headers::text(map, HEADERS.deadline).and_then(scan_deadline);
     let limit = waits.unwrap_or(route.timeout_ms).min(route.timeout_ms);
+    let routes = (published.table.version(), now.since(published.since));
+    story.routed(route, part, routes, request.body.len());
     Ok(Job {
-        request: headers::text(map, HEADERS.request)
-            .unwrap_or_default()
-            .into(),
+        story,
+        request: id.into(),
         service: route.parts[part].service.clone(),
         route: Rc::new(Route::clone(route)),
         route_hash: xxh3_64(route.name.as_bytes()),
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -8,6 +8,7 @@
 //! Decisions are in [`oriolering`], connections in [`oriolering_http`], and the platform's
 //! names and formats in [`oriolering_platform`].
 
+mod counts;
 mod dispatch;
 mod frame;
 mod gate;
@@ -15,15 +16,19 @@
 mod inbound;
 mod ingress;
 mod link;
+mod metrics;
 mod news;
 mod node;
 mod outbound;
 mod outbox;
 mod peer;
 mod pool;
+mod reload;
 mod reply;
 mod source;
 mod spots;
 mod start;
+mod trail;
 
 pub use start::{StartError, run};
+pub use trail::{Dropped, Lines, Rank};
--- a/crates/mesh/src/news.rs
+++ b/crates/mesh/src/news.rs
@@ -13,6 +13,7 @@
 use crate::node::Node;
 use crate::outbound;
 use crate::outbox::Outbox;
+use crate::trail::{Event, clip};
 
 /// Tells one peer what this node knows.
 pub(crate) fn announce(node: &Node, outbox: &Outbox) {
@@ -89,7 +90,10 @@
     let set = match scan_config(&text) {
         Ok(set) => set,
         Err(e) => {
-            log::warn!(error = e.to_string().as_str(), version = node.version(); "published routes cannot be used; those in force stay");
+            node.trail.note(Event::RoutesRejected {
+                version: node.version(),
+                error: clip(&e.to_string()),
+            });
             return false;
         }
     };
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -11,21 +11,25 @@
     Clock, FleetBudget, Millis, RouteTable, ServerList, ServerRecord, ServerState, Splitter,
     WorkTimes,
 };
-use oriolering_platform::Settings;
+use oriolering_platform::{Bounds, Settings};
 
 use crate::gate::Gate;
 use crate::peer::Peer;
 use crate::spots::{Spots, Way};
+use crate::trail::{Event, Lines, Trail};
 
 /// The routes in force, and the text in which they were published.
 pub(crate) struct Published {
     pub(crate) table: RouteTable,
+    /// When they came into force.
+    pub(crate) since: Millis,
     pub(crate) text: Vec<u8>,
 }
 
 /// All that a node knows; it runs on one thread.
 pub(crate) struct Node {
     pub(crate) settings: Settings,
+    pub(crate) trail: Rc<Trail>,
     pub(crate) clock: Clock,
     pub(crate) date: DateService,
     pub(crate) incarnation: u64,
@@ -38,18 +42,28 @@
     pub(crate) splitter: RefCell<Splitter>,
     budgets: RefCell<HashMap<CompactString, FleetBudget>>,
     pub(crate) stopping: Cell<bool>,
+    /// The bounds in force, which may change while the node runs.
+    pub(crate) bounds: Cell<Bounds>,
     /// The requests of callers that run.
     pub(crate) active: Cell<usize>,
 }
 
 impl Node {
     /// Returns a node that knows nothing yet.
-    pub(crate) fn new(settings: Settings) -> Rc<Self> {
+    pub(crate) fn new(settings: Settings, lines: Lines) -> Rc<Self> {
         let clock = Clock::system();
+        let trail = Rc::new(Trail::new(&settings.node, clock.clone(), lines));
         let date = DateService::default();
-        let gate = Gate::new(settings.backend.address, date.clone(), clock.clone());
+        let gate = Gate::new(
+            settings.backend.address,
+            date.clone(),
+            clock.clone(),
+            Rc::clone(&trail),
+        );
         Rc::new(Self {
+            bounds: Cell::new(settings.bounds),
             settings,
+            trail,
             clock,
             date,
             incarnation: rand::random(),
@@ -90,7 +104,7 @@
         service: &str,
         change: impl FnOnce(&mut FleetBudget) -> T,
     ) -> T {
-        let bounds = &self.settings.bounds;
+        let bounds = self.bounds.get();
         let nodes = self.peers.borrow().len() as u64 + 1;
         let slack = bounds.budget_slack / nodes;
         let mut budgets = self.budgets.borrow_mut();
@@ -108,6 +122,7 @@
     pub(crate) fn apply_list(&self) -> Vec<Rc<Peer>> {
         let now = self.now();
         let records: Vec<ServerRecord> = self.list.borrow().servers().cloned().collect();
+        self.trail.list(&records, self.list.borrow().revision());
         let mut fresh = Vec::new();
         let mut choices = Vec::with_capacity(records.len());
         let mut peers = self.peers.borrow_mut();
@@ -161,8 +176,11 @@
         if table.version() <= self.version() {
             return false;
         }
-        log::info!(version = table.version(), before = self.version(); "routes are in force");
-        *self.published.borrow_mut() = Some(Rc::new(Published { table, text }));
+        let (version, before) = (table.version(), self.version());
+        self.trail.note(Event::RoutesTaken { version, before });
+        let since = self.now();
+        let published = Published { table, since, text };
+        *self.published.borrow_mut() = Some(Rc::new(published));
         true
     }
 
--- a/crates/mesh/src/outbound.rs
+++ b/crates/mesh/src/outbound.rs
@@ -12,6 +12,7 @@
 use crate::news;
 use crate::node::Node;
 use crate::peer::{Peer, Silence, load_of};
+use crate::trail::{Event, clip};
 
 /// How long a connection to another node may take, in milliseconds.
 const CONNECT_MS: u64 = 800;
@@ -38,6 +39,7 @@
         backoff = (backoff * 2).min(BACKOFF_MAX_MS);
     }
     node.peers.borrow_mut().remove(&peer.address);
+    node.trail.note(Event::PeerGone { peer: peer.address });
 }
 
 async fn run(node: &Rc<Node>, peer: &Rc<Peer>, stream: TcpStream) {
@@ -46,22 +48,28 @@
         return;
     }
     let outbox = peer.open(node.now());
-    log::info!(peer = peer.address.to_string().as_str(); "a link is up");
+    node.trail.note(Event::PeerUp { peer: peer.address });
     outbox.push(Frame::Hello {
         node: node.settings.node.clone(),
         incarnation: node.incarnation,
     });
     news::announce(node, &outbox);
     let result = link::run(&stream, &outbox, |frame| take(node, peer, frame)).await;
-    peer.close();
+    let calls = peer.close();
     if let Err(e) = result {
-        log::info!(peer = peer.address.to_string().as_str(), error = e.to_string().as_str(); "a link ended");
+        node.trail.note(Event::PeerLost {
+            peer: peer.address,
+            error: clip(&e.to_string()),
+            calls: calls as u64,
+        });
     }
 }
 
 fn take(node: &Rc<Node>, peer: &Rc<Peer>, frame: Frame) {
     let now = node.now();
-    peer.hear(now);
+    if peer.hear(now) {
+        node.trail.note(Event::PeerCleared { peer: peer.address });
+    }
     if let Some(load) = load_of(&frame) {
         node.spots
             .borrow_mut()
@@ -99,13 +107,20 @@
         match peer.watch(now) {
             Silence::None => {}
             Silence::Suspect => {
+                if !peer.suspected.replace(true) {
+                    let silent_ms = peer.silent_ms(now);
+                    let peer = peer.address;
+                    node.trail.note(Event::PeerSuspected { peer, silent_ms });
+                }
                 let until = now + AVOID_MS;
                 node.spots
                     .borrow_mut()
                     .with_peer(&peer, |site| site.suspect = until);
             }
             Silence::Over => {
-                log::warn!(peer = peer.address.to_string().as_str(); "a silent link is given up");
+                let silent_ms = peer.silent_ms(now);
+                let peer = peer.address;
+                node.trail.note(Event::PeerGivenUp { peer, silent_ms });
             }
         }
     }
--- a/crates/mesh/src/peer.rs
+++ b/crates/mesh/src/peer.rs
@@ -47,6 +47,8 @@
     up: Cell<bool>,
     /// Whether the list no longer names it.
     pub(crate) unlisted: Cell<bool>,
+    /// Whether it is silent and avoided.
+    pub(crate) suspected: Cell<bool>,
     calls: RefCell<HashMap<CallKey, Waiting>>,
     numbers: Cell<u64>,
     heard: Cell<Millis>,
@@ -61,6 +63,7 @@
             outbox: RefCell::default(),
             up: Cell::new(false),
             unlisted: Cell::new(false),
+            suspected: Cell::new(false),
             calls: RefCell::default(),
             numbers: Cell::new(0),
             heard: Cell::new(now),
@@ -79,19 +82,22 @@
         *self.outbox.borrow_mut() = Rc::clone(&outbox);
         self.heard.set(now);
         self.asked.set(None);
+        self.suspected.set(false);
         self.up.set(true);
         outbox
     }
 
-    /// Notes that the link ended; its calls are lost.
-    pub(crate) fn close(&self) {
+    /// Notes that the link ended; its calls are lost. Returns how many they are.
+    pub(crate) fn close(&self) -> usize {
         self.up.set(false);
         self.outbox.borrow().close();
         let calls = std::mem::take(&mut *self.calls.borrow_mut());
+        let count = calls.len();
         for waiting in calls.into_values() {
             // The caller may have left, and nobody waits then.
             let _ = waiting.sender.send(Reply::Lost);
         }
+        count
     }
 
     /// Sends a message if a link is up.
@@ -106,10 +112,16 @@
         Rc::clone(&self.outbox.borrow())
     }
 
-    /// Notes that the peer was heard.
-    pub(crate) fn hear(&self, now: Millis) {
+    /// Notes that the peer was heard, and returns whether it was suspected.
+    pub(crate) fn hear(&self, now: Millis) -> bool {
         self.heard.set(now);
         self.asked.set(None);
+        self.suspected.replace(false)
+    }
+
+    /// Returns how long the peer is silent, in milliseconds.
+    pub(crate) fn silent_ms(&self, now: Millis) -> u64 {
+        now.since(self.heard.get())
     }
 
     /// Asks a silent peer whether it is there, and returns what its silence means.
--- /dev/null
+++ b/crates/mesh/src/reload.rs
@@ -0,0 +1,129 @@
+//! The settings of a running node, read again when they change.
+//!
+//! What a node reads at each use can change while it runs; the rest takes a new start and is
+//! told.
+
+use std::path::PathBuf;
+use std::time::SystemTime;
+
+use compact_str::CompactString;
+use oriolering::Millis;
+use oriolering_platform::{Bounds, Settings};
+
+use crate::node::Node;
+use crate::trail::{Event, clip};
+
+/// The time between two looks at the file of settings, in milliseconds; a platform that sends
+/// no signal is followed within two seconds.
+const LOOK_MS: u64 = 1_000;
+
+/// What tells two versions of a file apart without reading it.
+type Stamp = Option<(SystemTime, u64)>;
+
+/// The file of settings, and when it was looked at.
+pub(crate) struct Reload {
+    path: PathBuf,
+    stamp: Stamp,
+    looked: Millis,
+    /// The settings that were read last.
+    read: Settings,
+}
+
+impl Reload {
+    /// Returns the state after a start with `settings` from `path`.
+    pub(crate) fn new(path: PathBuf, settings: Settings, now: Millis) -> Self {
+        let mut reload = Self {
+            path,
+            stamp: None,
+            looked: now,
+            read: settings,
+        };
+        reload.stamp = reload.stamp_now();
+        reload
+    }
+
+    /// Reads the file again if it has changed, from time to time.
+    pub(crate) fn tick(&mut self, node: &Node) {
+        let now = node.now();
+        if now.since(self.looked) < LOOK_MS {
+            return;
+        }
+        self.looked = now;
+        let stamp = self.stamp_now();
+        // A file that is gone for a moment is being replaced.
+        if stamp.is_some() && stamp != self.stamp {
+            self.run(node, "file");
+        }
+    }
+
+    /// Reads the file again, and puts in force what can change.
+    pub(crate) fn run(&mut self, node: &Node, cause: &'static str) {
+        self.stamp = self.stamp_now();
+        let settings = match Settings::load(&self.path) {
+            Ok(settings) => settings,
+            Err(e) => {
+                let error = clip(&e.to_string());
+                node.trail.note(Event::SettingsRejected { cause, error });
+                return;
+            }
+        };
+        let changed = apply(node, settings.bounds);
+        let needs_restart = differences(&self.read, &settings);
+        self.read = settings;
+        node.trail.note(Event::SettingsReloaded {
+            cause,
+            changed: join(&changed),
+            needs_restart: join(&needs_restart),
+        });
+    }
+
+    fn stamp_now(&self) -> Stamp {
+        let data = std::fs::metadata(&self.path).ok()?;
+        Some((data.modified().ok()?, data.len()))
+    }
+}
+
+/// Puts new bounds in force, and returns the names of those that changed.
+fn apply(node: &Node, next: Bounds) -> Vec<&'static str> {
+    let mut bounds = node.bounds.get();
+    let mut changed = Vec::new();
+    if bounds.grace_ms != next.grace_ms {
+        bounds.grace_ms = next.grace_ms;
+        changed.push("bounds.grace_s");
+    }
+    if bounds.budget_slack != next.budget_slack {
+        bounds.budget_slack = next.budget_slack;
+        changed.push("bounds.budget_slack");
+    }
+    node.bounds.set(bounds);
+    changed
+}
+
+/// Returns the names of the settings that differ and take a new start.
+fn differences(before: &Settings, after: &Settings) -> Vec<&'static str> {
+    let with_fixed = |settings: &Settings| Bounds {
+        grace_ms: 0,
+        budget_slack: 0,
+        ..settings.bounds
+    };
+    let all = [
+        ("node", before.node != after.node),
+        ("zone", before.zone != after.zone),
+        ("ip", before.ip != after.ip),
+        ("app_addr, service", before.backend != after.backend),
+        ("listen", before.listen != after.listen),
+        ("internal_ports", before.node_ports != after.node_ports),
+        ("bounds", with_fixed(before) != with_fixed(after)),
+        ("limits", before.limits != after.limits),
+        ("platform", before.store != after.store),
+        ("seeds", before.seeds != after.seeds),
+        ("heartbeat_ms", before.heartbeat_ms != after.heartbeat_ms),
+        ("bootstrap", before.first_start != after.first_start),
+    ];
+    let differ = all.into_iter().filter(|(_, differs)| *differs);
+    differ.map(|(name, _)| name).collect()
+}
+
+fn join(names: &[&str]) -> CompactString {
+    names.join(", ").into()
+}
--- a/crates/mesh/src/source.rs
+++ b/crates/mesh/src/source.rs
@@ -5,7 +5,7 @@
 
 use compact_str::CompactString;
 use ntex::http::ResponseHead;
-use oriolering::ServerNote;
+use oriolering::{Millis, ServerNote};
 use oriolering_http::{Bytes, ClientConn, ExchangeError, HeaderMap, Method, Request, Uri};
 use oriolering_platform::{
     ALL_KEYS, Answer, CONFIG_KEY, Change, Event, Range, SERVERS_PREFIX, StoreError, Watch,
@@ -17,6 +17,7 @@
 
 use crate::news;
 use crate::node::Node;
+use crate::trail::{Event as Decision, Trail, clip};
 
 /// How long a connection to the store may take, in milliseconds.
 const CONNECT_MS: u64 = 1_000;
@@ -52,6 +53,7 @@
     node: Rc<Node>,
     conn: Option<ClientConn>,
     failed: bool,
+    lost_at: Millis,
     /// Until when removals may be lapses, in the node's time.
     unsettled: u64,
 }
@@ -62,6 +64,7 @@
         node,
         conn: None,
         failed: false,
+        lost_at: Millis::default(),
         unsettled: 0,
     };
     let mut backoff = BACKOFF_MIN_MS;
@@ -89,7 +92,7 @@
                 Err(SourceError::Store {
                     source: StoreError::Compacted,
                 }) => {
-                    log::info!(revision; "the store has dropped its history; reading everything");
+                    self.node.trail.note(Decision::StoreCompacted { revision });
                     revision = self.read_all().await?;
                     continue;
                 }
@@ -114,6 +117,10 @@
             .replace(now, notes, revision, lapsed);
         news::apply_list(&self.node);
         news::announce_all(&self.node);
+        let servers = self.node.list.borrow().servers().count() as u64;
+        self.node
+            .trail
+            .note(Decision::StoreRead { revision, servers });
         Ok(revision)
     }
 
@@ -127,10 +134,13 @@
             // Pages are not a snapshot, so changes since the first one are watched again.
             let revision = *first.get_or_insert(range.revision);
             for broken in &range.broken {
-                log::warn!(error = broken.error.to_string().as_str(); "an item of the store cannot be read");
+                self.node.trail.item_rejected("", &broken.error.to_string());
             }
+            let trail = &self.node.trail;
             let items = range.items.into_iter();
-            notes.extend(items.filter_map(|i| note(&i.key, Some(&i.value), i.revision, false)));
+            notes.extend(
+                items.filter_map(|i| note(trail, &i.key, Some(&i.value), i.revision, false)),
+            );
             match range.more {
                 Some(key) => after = Some(key),
                 None => return Ok((notes, revision)),
@@ -147,10 +157,7 @@
             }
             Err(SourceError::Store {
                 source: StoreError::Missing,
-            }) => {
-                log::info!("no routes are published yet");
-                Ok(())
-            }
+            }) => Ok(()),
             Err(e) => Err(e),
         }
     }
@@ -165,7 +172,7 @@
         let now = self.node.now();
         let mut changed = false;
         for broken in &watch.broken {
-            log::warn!(error = broken.error.to_string().as_str(); "a change of the store cannot be read");
+            self.node.trail.item_rejected("", &broken.error.to_string());
         }
         for Event {
             key,
@@ -183,7 +190,7 @@
                 Change::Put(value) => Some(value.as_slice()),
                 Change::Deleted => None,
             };
-            if let Some(note) = note(&key, value, revision, lapsed) {
+            if let Some(note) = note(&self.node.trail, &key, value, revision, lapsed) {
                 changed |= self.node.list.borrow_mut().note(now, note);
             }
         }
@@ -250,14 +257,22 @@
 
     fn note_failure(&mut self, e: &SourceError) {
         if !self.failed {
-            log::warn!(error = e.to_string().as_str(); "the store is lost");
+            self.lost_at = self.node.now();
+            self.node.trail.note(Decision::StoreLost {
+                error: clip(&e.to_string()),
+                revision: self.node.list.borrow().revision(),
+            });
         }
         self.failed = true;
     }
 
     fn note_success(&mut self) {
         if self.failed {
-            log::info!("the store is back");
+            let now = self.node.now();
+            self.node.trail.note(Decision::StoreBack {
+                lost_ms: now.since(self.lost_at),
+                revision: self.node.list.borrow().revision(),
+            });
             self.unsettled = self.node.now().0 + UNSETTLED_MS;
         }
         self.failed = false;
@@ -265,12 +280,18 @@
 }
 
 /// Returns what a key of the list says, or nothing for other keys.
-fn note(key: &str, value: Option<&[u8]>, revision: u64, lapsed: bool) -> Option<ServerNote> {
+fn note(
+    trail: &Trail,
+    key: &str,
+    value: Option<&[u8]>,
+    revision: u64,
+    lapsed: bool,
+) -> Option<ServerNote> {
     let id = key.strip_prefix(SERVERS_PREFIX)?;
     let record = match value.map(|v| scan_entry(key, v)) {
         Some(Ok(record)) => Some(record),
         Some(Err(e)) => {
-            log::warn!(key, error = e.to_string().as_str(); "an entry names no backend server");
+            trail.item_rejected(key, &e.to_string());
             None
         }
         None => None,
--- a/crates/mesh/src/spots.rs
+++ b/crates/mesh/src/spots.rs
@@ -1,6 +1,7 @@
 //! The backend servers that an ingress can choose from.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use compact_str::CompactString;
@@ -27,6 +28,14 @@
         }
     }
 
+    /// Returns the address of the other node, if there is one.
+    pub(crate) fn address(&self) -> Option<SocketAddr> {
+        match self {
+            Self::Local => None,
+            Self::Remote(peer) => Some(peer.address),
+        }
+    }
+
     fn leads_to(&self, peer: &Rc<Peer>) -> bool {
         match self {
             Self::Local => false,
@@ -49,6 +58,10 @@
     pub(crate) way: Way,
     /// What is expected of it.
     pub(crate) place: Place,
+    /// What was known of it.
+    pub(crate) site: Site,
+    /// How many could have been chosen.
+    pub(crate) open: usize,
 }
 
 /// The backend servers that are listed, by service.
@@ -97,12 +110,15 @@
             .filter(|i| self.is_usable(**i) && !tried.contains(&self.spots[**i].record.id))
             .map(|i| (*i, &self.spots[*i].site))
             .collect();
+        let count = open.len();
         let place = choose_place(now, work_ms, open.into_iter(), rng)?;
         let spot = &self.spots[place.index];
         Some(Chosen {
             server: spot.record.id.clone(),
             way: spot.way.clone(),
             place,
+            site: spot.site,
+            open: count,
         })
     }
 
--- a/crates/mesh/src/start.rs
+++ b/crates/mesh/src/start.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -13,7 +14,9 @@
 use tokio::time::{Instant, MissedTickBehavior, interval, sleep};
 
 use crate::node::Node;
-use crate::{inbound, ingress, news, outbound, source};
+use crate::reload::Reload;
+use crate::trail::{Event, Lines};
+use crate::{inbound, ingress, metrics, news, outbound, source};
 
 /// The time between two looks at links, the list and the backend server, in milliseconds.
 const TICK_MS: u64 = 25;
@@ -56,19 +59,24 @@
 
 /// Runs a node until the platform tells it to stop.
 ///
+/// `path` is the file that the settings were read from; it is read again on SIGHUP and when it
+/// changes. Decisions are written to `lines`.
+///
 /// # Errors
 ///
 /// Returns an error when an address of the settings cannot be listened on.
-pub async fn run(settings: Settings) -> Result<(), StartError> {
+pub async fn run(settings: Settings, path: PathBuf, lines: Lines) -> Result<(), StartError> {
     let listen = settings.listen;
     let links = SocketAddr::new(settings.ip, *settings.node_ports.start());
-    let node = Node::new(settings);
-    log::info!(node = node.settings.node.as_str(), service = node.settings.backend.service.as_str(), incarnation = node.incarnation; "started");
+    let node = Node::new(settings.clone(), lines);
+    let mut file = Reload::new(path, settings, node.now());
     let callers = bind(listen.callers).await?;
     let polls = bind(listen.ready).await?;
     let links = bind(links).await?;
     let mut stop = signal(SignalKind::terminate()).context(SignalSnafu)?;
     let mut reload = signal(SignalKind::hangup()).context(SignalSnafu)?;
+    note_start(&node);
+    tokio::task::spawn_local(metrics::serve(Rc::clone(&node)));
     tokio::task::spawn_local(ingress::accept(Rc::clone(&node), callers));
     tokio::task::spawn_local(inbound::accept(Rc::clone(&node), links));
     tokio::task::spawn_local(answer_polls(Rc::clone(&node), polls));
@@ -78,14 +86,26 @@
     loop {
         tokio::select! {
             _ = stop.recv() => break,
-            _ = reload.recv() => log::info!("the settings file may have changed"),
-            _ = ticks.tick() => tick(&node),
+            _ = reload.recv() => file.run(&node, "signal"),
+            _ = ticks.tick() => {
+                tick(&node);
+                file.tick(&node);
+            }
         }
     }
     end(&node).await;
     Ok(())
 }
 
+fn note_start(node: &Node) {
+    let settings = &node.settings;
+    node.trail.note(Event::Started {
+        service: settings.backend.service.clone(),
+        zone: settings.zone.clone(),
+        incarnation: node.incarnation,
+    });
+}
+
 async fn bind(address: SocketAddr) -> Result<TcpListener, StartError> {
     TcpListener::bind(address)
         .await
@@ -94,6 +114,7 @@
 
 fn tick(node: &Rc<Node>) {
     let now = node.now();
+    node.trail.tick();
     node.gate.probe();
     outbound::watch(node);
     if node.list.borrow_mut().tick(now) {
@@ -103,10 +124,14 @@
 
 /// Serves what is under way, and callers that do not know yet that the node leaves.
 async fn end(node: &Rc<Node>) {
-    log::info!(active = node.active.get(); "told to stop");
+    let grace = node.bounds.get().grace_ms;
+    node.trail.note(Event::Stopping {
+        active: node.active.get() as u64,
+        grace_ms: grace,
+    });
+    node.trail.stop();
     node.stopping.set(true);
     node.gate.leave();
-    let grace = node.settings.bounds.grace_ms;
     let begun = Instant::now();
     let notice = begun + Duration::from_millis(NOTICE_MS.min(grace));
     let last = begun + Duration::from_millis(grace.saturating_sub(MARGIN_MS));
@@ -117,9 +142,13 @@
             break;
         }
         outbound::watch(node);
+        node.trail.tick();
         sleep(Duration::from_millis(STOP_TICK_MS)).await;
     }
-    log::info!(active = node.active.get(); "stopped");
+    node.trail.note(Event::Stopped {
+        active: node.active.get() as u64,
+        after_ms: begun.elapsed().as_millis() as u64,
+    });
 }
 
 async fn answer_polls(node: Rc<Node>, listener: TcpListener) {
@@ -130,7 +159,8 @@
         let (date, polled) = (node.date.clone(), Rc::clone(&node));
         let handler = move |request| answer_poll(Rc::clone(&polled), request);
         tokio::task::spawn_local(async move {
-            oriolering_http::serve(stream, date, || READY_LIMITS, || false, handler).await;
+            oriolering_http::serve(stream, date, || READY_LIMITS, || false, |_, _| {}, handler)
+                .await;
         });
     }
 }
--- /dev/null
+++ b/crates/mesh/src/trail.rs
@@ -0,0 +1,222 @@
+//! The trail of decisions: what a node decided about each request and believes of others.
+//!
+//! Each decision is a typed [`Event`]. Events of one request are kept until it ends: those of a
+//! request that failed, was refused, came late or needed a second try are written, and of the
+//! others those of a fixed share by the hash of the identity, so that all nodes keep the same
+//! requests. Nothing is formatted for the rest.
+
+mod event;
+mod lines;
+mod listed;
+mod story;
+mod visit;
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::io;
+use std::sync::Arc;
+use std::time::{Duration, SystemTime};
+
+use compact_str::{CompactString, ToCompactString};
+use oriolering::{Clock, Millis};
+use oriolering_http::Request;
+use oriolering_platform::HEADERS;
+use serde::Serialize;
+use xxhash_rust::xxh3::xxh3_64;
+
+pub(crate) use event::Event;
+pub use lines::{Dropped, Lines};
+pub(crate) use story::{Seen, Standing, Story};
+pub(crate) use visit::{Known, Visit};
+
+use crate::counts::Counts;
+use crate::headers;
+
+use listed::Listed;
+
+/// The share of requests that go well and are written down: one in this many. At the documented
+/// rates of requests a node then writes a few lines a second on a calm day.
+const SAMPLE: u64 = 16;
+/// How often the lines go to the output, in milliseconds; a killed process loses that much.
+const FLUSH_MS: u64 = 100;
+/// How often dropped lines are told, in milliseconds.
+const TELL_MS: u64 = 1_000;
+/// The longest text from outside that a line repeats, in bytes.
+const TEXT_BYTES: usize = 128;
+
+/// What goes first when not all lines can be written, and how grave it is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Rank {
+    /// A dependency or another part of the node's world is lost.
+    Trouble,
+    /// What the node believes has changed.
+    Change,
+    /// A request failed, was refused, came late or needed a second try.
+    Failure,
+    /// A request went well.
+    Success,
+}
+
+impl Rank {
+    fn level(self) -> &'static str {
+        match self {
+            Self::Trouble | Self::Failure => "WARN",
+            Self::Change | Self::Success => "INFO",
+        }
+    }
+}
+
+#[derive(Serialize)]
+struct Line<'a> {
+    time: CompactString,
+    level: &'static str,
+    node: &'a str,
+    #[serde(flatten)]
+    event: &'a Event,
+}
+
+/// Writes the decisions of a node and counts them.
+pub(crate) struct Trail {
+    node: CompactString,
+    clock: Clock,
+    lines: Lines,
+    /// The counters that a scrape reads.
+    pub(crate) counts: Arc<Counts>,
+    scratch: RefCell<Vec<u8>>,
+    listed: RefCell<HashMap<CompactString, Listed>>,
+    flushed: Cell<Millis>,
+    told: Cell<Millis>,
+    stopping: Cell<bool>,
+}
+
+impl Trail {
+    /// Returns the trail of the node with this name.
+    pub(crate) fn new(node: &str, clock: Clock, lines: Lines) -> Self {
+        let now = clock.now();
+        Self {
+            node: node.into(),
+            clock,
+            lines,
+            counts: Arc::default(),
+            scratch: RefCell::default(),
+            listed: RefCell::default(),
+            flushed: Cell::new(now),
+            told: Cell::new(now),
+            stopping: Cell::new(false),
+        }
+    }
+
+    /// Writes down a change of what the node believes, or a failure that concerns one request.
+    pub(crate) fn note(&self, event: Event) {
+        self.counts.count(&event);
+        self.write(self.clock.now(), event.rank(), &event);
+    }
+
+    /// Writes down that a listener did not accept a connection.
+    pub(crate) fn accept_failed(&self, listener: &'static str, error: &io::Error) {
+        self.note(Event::AcceptFailed {
+            listener,
+            error: clip(&error.to_string()),
+        });
+    }
+
+    /// Writes down that the exchange with the backend server broke.
+    pub(crate) fn exchange_broke(&self, request: &str, error: &str) {
+        self.note(Event::ExchangeBroke {
+            request: clip(request),
+            error: clip(error),
+        });
+    }
+
+    /// Writes down that something in the store is passed over.
+    pub(crate) fn item_rejected(&self, key: &str, error: &str) {
+        self.note(Event::StoreItemRejected {
+            key: clip(key),
+            error: clip(error),
+        });
+    }
+
+    /// Writes down that a connection ended within the body of a request.
+    pub(crate) fn body_cut(&self, request: &Request, bytes: usize) {
+        let id = headers::text(&request.headers, HEADERS.request);
+        self.note(Event::BodyCut {
+            request: clip(id.unwrap_or_default()),
+            method: clip(request.method.as_str()),
+            path: clip(request.uri.path()),
+            bytes: bytes as u64,
+            stopping: self.stopping.get(),
+        });
+    }
+
+    /// Notes that the node was told to stop.
+    pub(crate) fn stop(&self) {
+        self.stopping.set(true);
+    }
+
+    /// Returns whether the node was told to stop.
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.stopping.get()
+    }
+
+    /// Hands the lines to the output, and tells once a second what was dropped.
+    pub(crate) fn tick(&self) {
+        let now = self.clock.now();
+        if now.since(self.flushed.get()) < FLUSH_MS {
+            return;
+        }
+        self.flushed.set(now);
+        if now.since(self.told.get()) >= TELL_MS {
+            self.told.set(now);
+            self.tell_dropped();
+        }
+        self.lines.flush();
+    }
+
+    fn tell_dropped(&self) {
+        let dropped = self.lines.take_dropped();
+        if dropped.lines() == 0 {
+            return;
+        }
+        self.counts.lines_dropped.add(dropped.lines());
+        self.note(Event::LinesDropped {
+            lines: dropped.lines(),
+            successes: dropped.successes,
+            failures: dropped.failures,
+            changes: dropped.changes,
+            queue_full: dropped.queue_full,
+        });
+    }
+
+    /// Writes a line, if the budget allows it.
+    fn write(&self, at: Millis, rank: Rank, event: &Event) {
+        if !self.lines.allows(rank) {
+            return;
+        }
+        let age = Duration::from_millis(self.clock.now().since(at));
+        let time = SystemTime::now() - age;
+        let line = Line {
+            time: humantime::format_rfc3339_millis(time).to_compact_string(),
+            level: rank.level(),
+            node: &self.node,
+            event,
+        };
+        let mut scratch = self.scratch.borrow_mut();
+        scratch.clear();
+        // Writing to memory does not fail, and an event has no keys but texts.
+        if serde_json::to_writer(&mut *scratch, &line).is_ok() {
+            scratch.push(b'\n');
+            self.lines.push(rank, &scratch);
+        }
+    }
+}
+
+/// Returns whether a request is written down even if it goes well; all nodes decide the same.
+fn is_sampled(request: &str) -> bool {
+    !request.is_empty() && xxh3_64(request.as_bytes()).is_multiple_of(SAMPLE)
+}
+
+/// Returns a text from outside, cut to what a line repeats.
+pub(crate) fn clip(text: &str) -> CompactString {
+    let end = text.floor_char_boundary(TEXT_BYTES);
+    text[..end].into()
+}
--- /dev/null
+++ b/crates/mesh/src/trail/listed.rs
@@ -0,0 +1,74 @@
+//! What of the list of backend servers was written down.
+
+use std::collections::HashMap;
+
+use compact_str::CompactString;
+use oriolering::{ServerRecord, ServerState};
+
+use super::{Event, Trail};
+
+/// A backend server as it was written down last.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct Listed {
+    service: CompactString,
+    state: ServerState,
+    slots: u32,
+}
+
+impl Listed {
+    fn of(record: &ServerRecord) -> Self {
+        Self {
+            service: record.service.clone(),
+            state: record.state,
+            slots: record.slots,
+        }
+    }
+
+    fn event(&self, record: &ServerRecord, list_revision: u64) -> Event {
+        Event::ServerListed {
+            server: record.id.clone(),
+            service: self.service.clone(),
+            address: record.address,
+            state: match self.state {
+                ServerState::Ready => "ready",
+                ServerState::Draining => "draining",
+            },
+            slots: self.slots,
+            list_revision,
+        }
+    }
+}
+
+impl Trail {
+    /// Writes down what a new list changes; the first one takes a single line.
+    pub(crate) fn list(&self, records: &[ServerRecord], list_revision: u64) {
+        let mut listed = self.listed.borrow_mut();
+        let mut before = std::mem::take(&mut *listed);
+        let first = before.is_empty();
+        for record in records {
+            let now = Listed::of(record);
+            if before.remove(&record.id).as_ref() != Some(&now) && !first {
+                self.note(now.event(record, list_revision));
+            }
+            listed.insert(record.id.clone(), now);
+        }
+        if first && !records.is_empty() {
+            let servers = records.len() as u64;
+            self.note(Event::ListTaken {
+                servers,
+                list_revision,
+            });
+        }
+        self.note_gone(before, list_revision);
+    }
+
+    fn note_gone(&self, gone: HashMap<CompactString, Listed>, list_revision: u64) {
+        for (server, Listed { service, .. }) in gone {
+            self.note(Event::ServerGone {
+                server,
+                service,
+                list_revision,
+            });
+        }
+    }
+}
--- a/crates/node/src/error.rs
+++ b/crates/node/src/error.rs
@@ -49,6 +49,12 @@
         /// What the logger reported.
         source: flexi_logger::FlexiLoggerError,
     },
+    /// The thread that writes log lines cannot be started.
+    #[snafu(display("the log cannot be written: {source}; check the limits of the process"))]
+    Lines {
+        /// What the system reported.
+        source: std::io::Error,
+    },
     /// The control part cannot be started.
     #[snafu(display("{source}"))]
     Control {
--- a/crates/node/src/logging.rs
+++ b/crates/node/src/logging.rs
@@ -1,22 +1,55 @@
-//! Structured log lines on standard error: one JSON object a line.
+//! Structured log lines: one JSON object a line.
 
-use flexi_logger::{DeferredNow, Logger, LoggerHandle};
+use flexi_logger::writers::LogWriter;
+use flexi_logger::{DeferredNow, FlexiLoggerError, Logger, LoggerHandle};
 use log::Record;
 use log::kv::{Error, Key, Value, VisitSource};
+use oriolering_mesh::Lines;
 use serde_json::{Map, Value as Json};
 
-/// Starts the logger; the handle must live as long as the process logs.
+/// Starts the logger on standard error; the handle must live as long as the process logs.
 ///
 /// # Errors
 ///
 /// Returns an error when the level is not understood or a logger is running already.
-pub(crate) fn start(level: &str) -> Result<LoggerHandle, flexi_logger::FlexiLoggerError> {
+pub(crate) fn start(level: &str) -> Result<LoggerHandle, FlexiLoggerError> {
+    logger(level)?.format(line).log_to_stderr().start()
+}
+
+/// Starts the logger of a node on a platform, whose lines go where its decisions go.
+///
+/// # Errors
+///
+/// Returns an error when the level is not understood or a logger is running already.
+pub(crate) fn start_with(level: &str, lines: Lines) -> Result<LoggerHandle, FlexiLoggerError> {
+    let writer = Box::new(Queued { lines });
+    logger(level)?.log_to_writer(writer).start()
+}
+
+fn logger(level: &str) -> Result<Logger, FlexiLoggerError> {
     Logger::try_with_str(format!(
         "{level}, ntex=warn, tarpc=warn, opentelemetry=warn"
-    ))?
-    .format(line)
-    .log_to_stderr()
-    .start()
+    ))
+}
+
+/// Adds lines to those that wait for the output, so that no caller of the logger waits for it.
+struct Queued {
+    lines: Lines,
+}
+
+impl LogWriter for Queued {
+    fn write(&self, now: &mut DeferredNow, record: &Record<'_>) -> std::io::Result<()> {
+        let mut text = Vec::new();
+        line(&mut text, now, record)?;
+        text.push(b'\n');
+        self.lines.push_other(&text);
+        Ok(())
+    }
+
+    fn flush(&self) -> std::io::Result<()> {
+        self.lines.flush();
+        Ok(())
+    }
 }
 
 /// Writes one line: time, level, event and the fields of the event.
--- a/crates/node/src/platform.rs
+++ b/crates/node/src/platform.rs
@@ -1,5 +1,8 @@
 //! Runs a node on a platform that writes its settings.
 
+use std::path::PathBuf;
+
+use oriolering_mesh::Lines;
 use oriolering_platform::{SETTINGS_VARIABLE, Settings};
 use snafu::ResultExt;
 
@@ -15,10 +18,12 @@
 ///
 /// Returns an error when the settings cannot be used or a part cannot be started.
 pub(crate) fn run() -> Result<(), NodeError> {
-    let path = std::env::var_os(SETTINGS_VARIABLE).unwrap_or_default();
-    let settings = Settings::load(path).context(error::PlatformSettingsSnafu)?;
-    let _logger = logging::start(LOG).context(error::LogSnafu)?;
+    let path = PathBuf::from(std::env::var_os(SETTINGS_VARIABLE).unwrap_or_default());
+    let settings = Settings::load(&path).context(error::PlatformSettingsSnafu)?;
+    let lines = Lines::start(std::io::stdout()).context(error::LinesSnafu)?;
+    let _logger = logging::start_with(LOG, lines.clone()).context(error::LogSnafu)?;
     let system = ntex::rt::System::new("oriolering-node");
-    let result = system.block_on(oriolering_mesh::run(settings));
+    let result = system.block_on(oriolering_mesh::run(settings, path, lines.clone()));
+    lines.finish();
     result.context(error::MeshSnafu)
 }
