Write whole lines at once and sample one good request in 64

The trail read the clock several times for each step. Change: at most 4,096 bytes of whole lines for each write; one reading of the clock for each step; calls of a backend server are sampled with the request that they belong to.

--- a/crates/mesh/src/trail.rs
+++ b/crates/mesh/src/trail.rs
@@ -36,9 +36,9 @@
 
 /// The share of requests that go well and are written down: one in this many. At the documented
 /// rates of requests a node then writes a few lines a second on a calm day.
-const SAMPLE: u64 = 16;
+const SAMPLE: u64 = 64;
 /// How often the lines go to the output, in milliseconds; a killed process loses that much.
-const FLUSH_MS: u64 = 100;
+const FLUSH_MS: u64 = 250;
 /// How often dropped lines are told, in milliseconds.
 const TELL_MS: u64 = 1_000;
 /// The longest text from outside that a line repeats, in bytes.
@@ -66,6 +66,25 @@
     }
 }
 
+/// The time of day at a point of the node's clock.
+#[derive(Clone, Copy)]
+struct Wall {
+    at: Millis,
+    time: SystemTime,
+}
+
+impl Wall {
+    fn new(at: Millis) -> Self {
+        let time = SystemTime::now();
+        Self { at, time }
+    }
+
+    /// Returns the time of day at an earlier point.
+    fn time_of(self, earlier: Millis) -> SystemTime {
+        self.time - Duration::from_millis(self.at.since(earlier))
+    }
+}
+
 #[derive(Serialize)]
 struct Line<'a> {
     time: CompactString,
@@ -109,7 +128,8 @@
     /// Writes down a change of what the node believes, or a failure that concerns one request.
     pub(crate) fn note(&self, event: Event) {
         self.counts.count(&event);
-        self.write(self.clock.now(), event.rank(), &event);
+        let wall = Wall::new(self.clock.now());
+        self.write(wall, wall.at, event.rank(), &event);
     }
 
     /// Writes down that a listener did not accept a connection.
@@ -173,7 +193,7 @@
     }
 
     fn tell_dropped(&self) {
-        let dropped = self.lines.take_dropped();
+        let dropped = self.lines.renew();
         if dropped.lines() == 0 {
             return;
         }
@@ -188,14 +208,12 @@
     }
 
     /// Writes a line, if the budget allows it.
-    fn write(&self, at: Millis, rank: Rank, event: &Event) {
+    fn write(&self, wall: Wall, at: Millis, rank: Rank, event: &Event) {
         if !self.lines.allows(rank) {
             return;
         }
-        let age = Duration::from_millis(self.clock.now().since(at));
-        let time = SystemTime::now() - age;
         let line = Line {
-            time: humantime::format_rfc3339_millis(time).to_compact_string(),
+            time: humantime::format_rfc3339_millis(wall.time_of(at)).to_compact_string(),
             level: rank.level(),
             node: &self.node,
             event,
@@ -211,8 +229,12 @@
 }
 
 /// Returns whether a request is written down even if it goes well; all nodes decide the same.
+///
+/// The calls that a backend server makes for a request carry its identity before a full stop,
+/// and are kept with it.
 fn is_sampled(request: &str) -> bool {
-    !request.is_empty() && xxh3_64(request.as_bytes()).is_multiple_of(SAMPLE)
+    let whole = request.split('.').next().unwrap_or_default();
+    !whole.is_empty() && xxh3_64(whole.as_bytes()).is_multiple_of(SAMPLE)
 }
 
 /// Returns a text from outside, cut to what a line repeats.
--- a/crates/mesh/src/trail/lines.rs
+++ b/crates/mesh/src/trail/lines.rs
@@ -6,7 +6,7 @@
 
 use std::io::{self, Write};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use super::Rank;
 
@@ -17,10 +17,11 @@
 const BYTES_PER_S: usize = 128 * 1024;
 /// The bytes that wait at most: two seconds of the budget.
 const QUEUE_BYTES: usize = 2 * BYTES_PER_S;
-/// The length of the window of the budget.
-const WINDOW: Duration = Duration::from_secs(1);
 /// How long the end of the process waits for the output to take the last lines.
 const FINISH_WAIT: Duration = Duration::from_millis(200);
+/// The bytes that go to the output at once at most. A pipe takes so much as a whole, so that
+/// lines of several processes on one pipe do not mix.
+const WRITE_BYTES: usize = 4_096;
 /// The stack of the writing thread, in bytes; it calls nothing deep.
 const STACK_BYTES: usize = 64 * 1024;
 
@@ -53,8 +54,8 @@
 }
 
 /// What was written in the current second.
+#[derive(Default)]
 struct Quota {
-    begun: Instant,
     lines: u32,
     bytes: usize,
 }
@@ -64,10 +65,7 @@
     ///
     /// Successes take half of the budget at most and failures seven eighths, so that a flood of
     /// one rank leaves room for the ranks above it.
-    fn allows(&mut self, rank: Rank) -> bool {
-        if self.begun.elapsed() >= WINDOW {
-            *self = Self::new();
-        }
+    fn allows(&self, rank: Rank) -> bool {
         let eighths = match rank {
             Rank::Success => 4,
             Rank::Failure => 7,
@@ -76,14 +74,6 @@
         self.lines < LINES_PER_S * eighths / 8 && self.bytes < BYTES_PER_S * eighths as usize / 8
     }
 
-    fn new() -> Self {
-        Self {
-            begun: Instant::now(),
-            lines: 0,
-            bytes: 0,
-        }
-    }
-
     fn spend(&mut self, bytes: usize) {
         self.lines += 1;
         self.bytes += bytes;
@@ -125,7 +115,7 @@
     pub fn start(out: impl Write + Send + 'static) -> io::Result<Self> {
         let state = State {
             waiting: Vec::new(),
-            quota: Quota::new(),
+            quota: Quota::default(),
             dropped: Dropped::default(),
             due: false,
             busy: false,
@@ -172,9 +162,11 @@
         }
     }
 
-    /// Returns what was dropped since the last call.
-    pub fn take_dropped(&self) -> Dropped {
-        std::mem::take(&mut self.0.lock().dropped)
+    /// Begins the budget of the next second, and returns what was dropped in the last one.
+    pub fn renew(&self) -> Dropped {
+        let mut state = self.0.lock();
+        state.quota = Quota::default();
+        std::mem::take(&mut state.dropped)
     }
 
     /// Has the thread write what waits; returns at once.
@@ -214,8 +206,28 @@
         state.busy = true;
         std::mem::swap(&mut state.waiting, &mut batch);
         drop(state);
-        // An output that fails is tried again with the next lines; there is no other to tell.
-        let _ = out.write_all(&batch).and_then(|()| out.flush());
+        for part in Parts(&batch) {
+            // An output that fails is tried again with the next; there is no other to tell.
+            let _ = out.write_all(part).and_then(|()| out.flush());
+        }
         batch.clear();
     }
 }
+
+/// Whole lines, as many at a time as go to the output at once.
+struct Parts<'a>(&'a [u8]);
+
+impl<'a> Iterator for Parts<'a> {
+    type Item = &'a [u8];
+
+    fn next(&mut self) -> Option<Self::Item> {
+        let ends = |bytes: &[u8]| bytes.iter().rposition(|byte| *byte == b'\n');
+        let near = &self.0[..self.0.len().min(WRITE_BYTES)];
+        // A line that is longer goes alone.
+        let first = || self.0.iter().position(|byte| *byte == b'\n');
+        let end = ends(near).or_else(first)?;
+        let (part, rest) = self.0.split_at(end + 1);
+        self.0 = rest;
+        Some(part)
+    }
+}
--- a/crates/mesh/src/trail/story.rs
+++ b/crates/mesh/src/trail/story.rs
@@ -7,7 +7,7 @@
 use oriolering::{Millis, Route};
 use oriolering_http::Answer;
 
-use super::{Event, Rank, Trail, clip, is_sampled};
+use super::{Event, Rank, Trail, Wall, clip, is_sampled};
 use crate::frame::Ending;
 use crate::reply::Reply;
 use crate::spots::Chosen;
@@ -111,16 +111,19 @@
 
     /// Tells the route, and the part of it that takes the request.
     pub(crate) fn routed(&self, route: &Route, part: usize, routes: (u64, u64), body: usize) {
-        self.step(Event::Routed {
-            request: self.request.clone(),
-            route: route.name.clone(),
-            service: route.parts[part].service.clone(),
-            parts: route.parts.len() as u64,
-            version: routes.0,
-            version_age_ms: routes.1,
-            limit_ms: route.timeout_ms,
-            body_bytes: body as u64,
-        });
+        self.step(
+            self.begun,
+            Event::Routed {
+                request: self.request.clone(),
+                route: route.name.clone(),
+                service: route.parts[part].service.clone(),
+                parts: route.parts.len() as u64,
+                version: routes.0,
+                version_age_ms: routes.1,
+                limit_ms: route.timeout_ms,
+                body_bytes: body as u64,
+            },
+        );
     }
 
     /// Tells that no route takes the request.
@@ -150,25 +153,28 @@
         let number = attempt.number;
         drop(attempt);
         let site = &chosen.site;
-        self.step(Event::Chosen {
-            request: self.request.clone(),
-            attempt: number,
-            service: service.into(),
-            server: chosen.server.clone(),
-            peer: chosen.way.address(),
-            expected_ms: chosen.place.expected_ms,
-            next_ms: chosen.place.next_ms,
-            work_ms,
-            open: chosen.open as u64,
-            load_age_ms: now.since(site.told),
-            running: site.load.running,
-            waiting: site.load.waiting,
-            capacity: site.load.capacity,
-            sent: site.sent,
-            work_percent: site.load.work_percent,
-            failures_permille: site.failure_rate(now),
-            list_revision: revision,
-        });
+        self.step(
+            now,
+            Event::Chosen {
+                request: self.request.clone(),
+                attempt: number,
+                service: service.into(),
+                server: chosen.server.clone(),
+                peer: chosen.way.address(),
+                expected_ms: chosen.place.expected_ms,
+                next_ms: chosen.place.next_ms,
+                work_ms,
+                open: chosen.open as u64,
+                load_age_ms: now.since(site.told),
+                running: site.load.running,
+                waiting: site.load.waiting,
+                capacity: site.load.capacity,
+                sent: site.sent,
+                work_percent: site.load.work_percent,
+                failures_permille: site.failure_rate(now),
+                list_revision: revision,
+            },
+        );
     }
 
     /// Tells how an attempt ended, and whether another follows.
@@ -177,21 +183,25 @@
             self.kept.set(true);
         }
         let attempt = self.attempt.borrow().clone();
-        self.step(Event::AttemptEnded {
-            request: self.request.clone(),
-            attempt: attempt.number,
-            server: attempt.server,
-            outcome: seen.outcome,
-            status: seen.status,
-            why: seen.why,
-            took_ms: self.trail.clock.now().since(attempt.begun),
-            sends: now.sends,
-            attempts_max: route.attempts,
-            refusals: now.refusals,
-            uncertain: now.uncertain,
-            idempotent: route.kind.is_idempotent(),
-            again,
-        });
+        let at = self.trail.clock.now();
+        self.step(
+            at,
+            Event::AttemptEnded {
+                request: self.request.clone(),
+                attempt: attempt.number,
+                server: attempt.server,
+                outcome: seen.outcome,
+                status: seen.status,
+                why: seen.why,
+                took_ms: at.since(attempt.begun),
+                sends: now.sends,
+                attempts_max: route.attempts,
+                refusals: now.refusals,
+                uncertain: now.uncertain,
+                idempotent: route.kind.is_idempotent(),
+                again,
+            },
+        );
     }
 
     /// Tells that nothing more can be done.
@@ -223,24 +233,28 @@
     /// Tells the answer that the caller gets; the story ends with it.
     pub(crate) fn answered(&self, route: Option<(&Route, &str)>, answer: &Answer) {
         self.done.set(true);
-        let took_ms = self.trail.clock.now().since(self.begun);
+        let now = self.trail.clock.now();
+        let took_ms = now.since(self.begun);
         let aim_ms = route.map(|(route, _)| route.aim_ms);
         let status = answer.status.as_u16();
         if status >= 500 || aim_ms.is_some_and(|aim| took_ms > aim) {
             self.kept.set(true);
         }
         let back = crate::headers::text(&answer.headers, "retry-after");
-        self.step(Event::Answered {
-            request: self.request.clone(),
-            route: route.map_or_else(CompactString::default, |(route, _)| route.name.clone()),
-            service: route.map_or_else(CompactString::default, |(_, service)| service.into()),
-            status,
-            took_ms,
-            aim_ms,
-            attempts: self.attempt.borrow().number,
-            own: self.own.get(),
-            retry_after: back.map(clip),
-        });
+        self.step(
+            now,
+            Event::Answered {
+                request: self.request.clone(),
+                route: route.map_or_else(CompactString::default, |(route, _)| route.name.clone()),
+                service: route.map_or_else(CompactString::default, |(_, service)| service.into()),
+                status,
+                took_ms,
+                aim_ms,
+                attempts: self.attempt.borrow().number,
+                own: self.own.get(),
+                retry_after: back.map(clip),
+            },
+        );
         self.tell();
     }
 
@@ -248,14 +262,12 @@
     fn fail(&self, event: Event) {
         self.kept.set(true);
         self.own.set(true);
-        self.step(event);
+        self.step(self.trail.clock.now(), event);
     }
 
-    fn step(&self, event: Event) {
+    fn step(&self, now: Millis, event: Event) {
         self.trail.counts.count(&event);
-        self.steps
-            .borrow_mut()
-            .push((self.trail.clock.now(), event));
+        self.steps.borrow_mut().push((now, event));
     }
 
     /// Writes the steps down, if the request is one of those that are.
@@ -290,8 +302,9 @@
             true => Rank::Failure,
             false => Rank::Success,
         };
+        let wall = Wall::new(self.clock.now());
         for (at, event) in steps {
-            self.write(*at, rank, event);
+            self.write(wall, *at, rank, event);
         }
     }
 }
--- a/crates/mesh/src/trail/visit.rs
+++ b/crates/mesh/src/trail/visit.rs
@@ -56,57 +56,69 @@
 
     /// Tells that the request waits.
     pub(crate) fn queued(&mut self, known: Known) {
-        self.step(Event::Queued {
-            request: self.request.clone(),
-            server: self.server.clone(),
-            priority: self.priority,
-            aim_ms: self.aim_ms,
-            left_ms: self.left_ms,
-            work_ms: self.work_ms,
-            running: known.load.running,
-            waiting: known.load.waiting,
-            capacity: known.load.capacity,
-            work_percent: known.load.work_percent,
-            load_age_ms: known.age_ms,
-        });
+        let now = self.now();
+        self.step(
+            now,
+            Event::Queued {
+                request: self.request.clone(),
+                server: self.server.clone(),
+                priority: self.priority,
+                aim_ms: self.aim_ms,
+                left_ms: self.left_ms,
+                work_ms: self.work_ms,
+                running: known.load.running,
+                waiting: known.load.waiting,
+                capacity: known.load.capacity,
+                work_percent: known.load.work_percent,
+                load_age_ms: known.age_ms,
+            },
+        );
     }
 
     /// Tells that the request is refused; the visit ends with it.
     pub(crate) fn refused(&mut self, why: NoRoom, back_ms: u64, known: Known) {
         self.done = true;
         self.kept = true;
-        self.step(Event::Refused {
-            request: self.request.clone(),
-            server: self.server.clone(),
-            why: why.as_str(),
-            back_ms,
-            waited_ms: self.age(),
-            left_ms: self.left_ms,
-            work_ms: self.work_ms,
-            elsewhere_ms: self.elsewhere_ms,
-            running: known.load.running,
-            waiting: known.load.waiting,
-            capacity: known.load.capacity,
-            work_percent: known.load.work_percent,
-            load_age_ms: known.age_ms,
-        });
+        let now = self.now();
+        self.step(
+            now,
+            Event::Refused {
+                request: self.request.clone(),
+                server: self.server.clone(),
+                why: why.as_str(),
+                back_ms,
+                waited_ms: now.since(self.arrived),
+                left_ms: self.left_ms,
+                work_ms: self.work_ms,
+                elsewhere_ms: self.elsewhere_ms,
+                running: known.load.running,
+                waiting: known.load.waiting,
+                capacity: known.load.capacity,
+                work_percent: known.load.work_percent,
+                load_age_ms: known.age_ms,
+            },
+        );
     }
 
     /// Tells that the request runs.
     pub(crate) fn admitted(&mut self, known: Known) {
-        self.started = Some(self.trail.clock.now());
-        let waited_ms = self.age();
-        self.step(Event::Admitted {
-            request: self.request.clone(),
-            server: self.server.clone(),
-            waited_ms,
-            left_ms: u64::from(self.left_ms).saturating_sub(waited_ms),
-            running: known.load.running,
-            waiting: known.load.waiting,
-            capacity: known.load.capacity,
-            work_percent: known.load.work_percent,
-            load_age_ms: known.age_ms,
-        });
+        let now = self.now();
+        self.started = Some(now);
+        let waited_ms = now.since(self.arrived);
+        self.step(
+            now,
+            Event::Admitted {
+                request: self.request.clone(),
+                server: self.server.clone(),
+                waited_ms,
+                left_ms: u64::from(self.left_ms).saturating_sub(waited_ms),
+                running: known.load.running,
+                waiting: known.load.waiting,
+                capacity: known.load.capacity,
+                work_percent: known.load.work_percent,
+                load_age_ms: known.age_ms,
+            },
+        );
     }
 
     /// Tells how the exchange with the backend server ended; the visit ends with it.
@@ -120,27 +132,30 @@
         };
         self.done = true;
         let good = outcome == "answered" && status.is_some_and(|s| s < 500);
-        self.kept |= !good || self.age() > u64::from(self.aim_ms);
-        let ran_ms = self
-            .started
-            .map_or(0, |at| self.trail.clock.now().since(at));
-        self.step(Event::Ran {
-            request: self.request.clone(),
-            server: self.server.clone(),
-            outcome,
-            status,
-            ran_ms,
-            waited_ms: self.age().saturating_sub(ran_ms),
-        });
+        let now = self.now();
+        let age = now.since(self.arrived);
+        self.kept |= !good || age > u64::from(self.aim_ms);
+        let ran_ms = self.started.map_or(0, |at| now.since(at));
+        self.step(
+            now,
+            Event::Ran {
+                request: self.request.clone(),
+                server: self.server.clone(),
+                outcome,
+                status,
+                ran_ms,
+                waited_ms: age.saturating_sub(ran_ms),
+            },
+        );
     }
 
-    fn age(&self) -> u64 {
-        self.trail.clock.now().since(self.arrived)
+    fn now(&self) -> Millis {
+        self.trail.clock.now()
     }
 
-    fn step(&mut self, event: Event) {
+    fn step(&mut self, now: Millis, event: Event) {
         self.trail.counts.count(&event);
-        self.steps.push((self.trail.clock.now(), event));
+        self.steps.push((now, event));
     }
 }
 
@@ -152,13 +167,17 @@
                 Some(_) => "running",
                 None => "waiting",
             };
-            self.step(Event::Dropped {
-                request: self.request.clone(),
-                server: self.server.clone(),
-                stage,
-                after_ms: self.age(),
-                stopping: self.trail.is_stopping(),
-            });
+            let now = self.now();
+            self.step(
+                now,
+                Event::Dropped {
+                    request: self.request.clone(),
+                    server: self.server.clone(),
+                    stage,
+                    after_ms: now.since(self.arrived),
+                    stopping: self.trail.is_stopping(),
+                },
+            );
         }
         if self.kept {
             self.trail.write_all(&self.steps);
