--- a/crates/mesh/src/news.rs
+++ b/crates/mesh/src/news.rs
@@ -16,6 +16,7 @@
 use crate::outbound;
 use crate::outbox::Outbox;
 use crate::peer::Peer;
+use crate::trail::{Event, clip};
 
 /// How long an asked peer has to send news before another one is asked, in milliseconds.
 const ASK_MS: u64 = 150;
@@ -134,7 +135,10 @@
     let set = match scan_config(&text) {
         Ok(set) => set,
         Err(e) => {
-            log::warn!(error = e.to_string().as_str(), version = node.version(); "published routes cannot be used; those in force stay");
+            node.trail.note(Event::RoutesRejected {
+                version: node.version(),
+                error: clip(&e.to_string()),
+            });
             return false;
         }
     };
--- a/crates/node/src/platform.rs
+++ b/crates/node/src/platform.rs
@@ -1,7 +1,9 @@
 //! Runs a node on a platform that writes its settings.
 
 use std::error::Error;
+use std::path::PathBuf;
 
+use oriolering_mesh::Lines;
 use oriolering_platform::{SETTINGS_VARIABLE, Settings};
 
 /// The level of log lines; lines below it are not formatted.
@@ -13,10 +15,14 @@
 ///
 /// Returns an error when the settings cannot be used or a part cannot be started.
 pub(crate) fn run() -> Result<(), Box<dyn Error>> {
-    let path = std::env::var_os(SETTINGS_VARIABLE).unwrap_or_default();
-    let settings = Settings::load(path)?;
-    let _logger = oriolering_node::start_log(LOG)?;
+    let path = PathBuf::from(std::env::var_os(SETTINGS_VARIABLE).unwrap_or_default());
+    let settings = Settings::load(&path)?;
+    let lines = Lines::start(std::io::stdout())?;
+    let others = lines.clone();
+    let take = Box::new(move |line: &[u8]| others.push_other(line));
+    let _logger = oriolering_node::start_log_with(LOG, take)?;
     let system = ntex::rt::System::new("oriolering-node");
-    system.block_on(oriolering_mesh::run(settings))?;
-    Ok(())
+    let result = system.block_on(oriolering_mesh::run(settings, path, lines.clone()));
+    lines.finish();
+    Ok(result?)
 }
