Mend framing, closing and leaving on the connection of a caller

Cause, one failing test each in crates/http/tests/server.rs: a transfer encoding other than chunked, beside a length, or in HTTP/1.0 was ignored, so the body was read as the next request; `connection: x-a, close` was not understood, since the codec reads only the first word; a caller that left was not noticed while as many of its requests ran as may; an offer of another protocol was answered 501; an empty line behind a body cut the idle time to the time for a head. Ruled out: the order of reading and answering; requests below the limit were dropped at once. Change: the framing of each head is checked for doubt; the words of `connection` are read here; up to 64 KiB are read ahead while requests run; bytes behind the last request are dropped; the offer of another protocol is not taken up, and the connection ends after the answer.

--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -9,6 +9,7 @@
 
 mod answer;
 mod client;
+mod connection;
 mod error;
 mod io;
 mod limits;
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -8,22 +8,31 @@
 use ntex::http::body::BodySize;
 use ntex::http::error::DecodeError;
 use ntex::http::h1::{Codec, Message, PayloadDecoder, PayloadItem, PayloadType};
-use ntex::http::{ConnectionType, DateService, Response, StatusCode};
-use ntex::util::BytesMut;
+use ntex::http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use ntex::http::{ConnectionType, DateService, Method, RequestHead, Response, StatusCode, Version};
+use ntex::util::{Buf, BytesMut};
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep_until};
 
+use crate::connection::{CLOSE, names};
 use crate::io::{fill, flush};
 use crate::{Answer, ConnLimits, Request};
 
 /// How long the end of a connection waits for the caller to take the last answer.
 const LINGER_MS: u64 = 1_000;
+/// How many bytes are read ahead while as many requests run as may, so that a caller's end is
+/// noticed; some small requests.
+const AHEAD_BYTES: usize = 64 * 1024;
+/// The empty line that some callers send behind a body.
+const EMPTY_LINE: &[u8] = b"\r\n";
 const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
 
 /// A request that runs, or the answer to one that was rejected while it was read.
 struct Pending {
     codec: Codec,
+    /// Whether the connection may stay after the answer.
+    keep: bool,
     work: Work,
 }
 
@@ -45,6 +54,7 @@
 struct Body {
     request: Request,
     codec: Codec,
+    keep: bool,
     decoder: PayloadDecoder,
     bytes: BytesMut,
 }
@@ -128,10 +138,12 @@
     async fn step(&mut self) -> io::Result<()> {
         let deadline = self.since + self.patience();
         let idle = self.is_idle();
-        let reads = self.pending.len() < (self.limits)().pipelined;
+        let reads = self.reads();
         tokio::select! {
             biased;
-            answer = front(&mut self.pending), if !self.pending.is_empty() => self.answer(answer),
+            (turn, answer) = front(&mut self.pending), if !self.pending.is_empty() => {
+                self.answer(turn, answer);
+            }
             result = flush(&self.stream, &mut self.out), if !self.out.is_empty() => result?,
             result = fill(&self.stream, &mut self.buf), if reads => self.filled(result?)?,
             () = sleep_until(deadline), if idle => {}
@@ -145,6 +157,10 @@
             self.pending.clear();
             return Err(io::ErrorKind::UnexpectedEof.into());
         }
+        if matches!(self.reading, Reading::Ended) {
+            // What follows the last request is never read as one.
+            self.buf.clear();
+        }
         if self.buf.len() == count {
             // The first bytes of a request end the time without one.
             self.since = Instant::now();
@@ -152,6 +168,12 @@
         Ok(())
     }
 
+    /// Returns whether more bytes are taken from the caller.
+    fn reads(&self) -> bool {
+        let room = self.pending.len() < (self.limits)().pipelined;
+        room || self.buf.len() < AHEAD_BYTES
+    }
+
     /// Returns whether no request is on its way in or out.
     fn is_idle(&self) -> bool {
         self.pending.is_empty() && self.out.is_empty()
@@ -199,6 +221,9 @@
     }
 
     fn read_head(&mut self, limits: ConnLimits) -> Step {
+        while self.buf.starts_with(EMPTY_LINE) {
+            self.buf.advance(EMPTY_LINE.len());
+        }
         if self.buf.is_empty() {
             return Step::More(Reading::Head);
         }
@@ -223,6 +248,11 @@
         self.since = Instant::now();
         let expects = message.head().expect();
         let head = message.head_mut();
+        if is_doubtful(head, &payload) {
+            log::debug!("the framing of a request is in doubt");
+            return Step::Reject(StatusCode::BAD_REQUEST);
+        }
+        let keep = self.codec.keepalive() && !names(&head.headers, CLOSE);
         let request = Request {
             method: std::mem::take(&mut head.method),
             uri: std::mem::take(&mut head.uri),
@@ -231,7 +261,11 @@
         };
         let codec = self.codec.clone();
         match payload {
-            PayloadType::None => Step::Whole(Box::new(Arrived { codec, request })),
+            PayloadType::None => Step::Whole(Box::new(Arrived {
+                codec,
+                keep,
+                request,
+            })),
             PayloadType::Payload(decoder) => {
                 if expects && self.is_idle() {
                     self.out.extend_from_slice(CONTINUE);
@@ -240,11 +274,20 @@
                 Step::Goes(Reading::Body(Box::new(Body {
                     request,
                     codec,
+                    keep,
                     decoder,
                     bytes,
                 })))
             }
-            PayloadType::Stream(_) => Step::Reject(StatusCode::NOT_IMPLEMENTED),
+            PayloadType::Stream(_) if request.method == Method::CONNECT => {
+                Step::Reject(StatusCode::NOT_IMPLEMENTED)
+            }
+            // An offer of another protocol is not taken up; what may follow it is not read.
+            PayloadType::Stream(_) => Step::Whole(Box::new(Arrived {
+                codec,
+                keep: false,
+                request,
+            })),
         }
     }
 
@@ -254,8 +297,17 @@
                 Ok(Some(PayloadItem::Chunk(chunk))) => body.bytes.extend_from_slice(&chunk),
                 Ok(Some(PayloadItem::Eof)) => {
                     body.request.body = body.bytes.freeze();
-                    let (codec, request) = (body.codec, body.request);
-                    return Step::Whole(Box::new(Arrived { codec, request }));
+                    let Body {
+                        codec,
+                        keep,
+                        request,
+                        ..
+                    } = *body;
+                    return Step::Whole(Box::new(Arrived {
+                        codec,
+                        keep,
+                        request,
+                    }));
                 }
                 Ok(None) => return Step::More(Reading::Body(body)),
                 Err(e) => {
@@ -275,14 +327,18 @@
         H: Fn(Request) -> F,
         F: Future<Output = Answer> + 'static,
     {
-        let Arrived { codec, request } = arrived;
-        self.reading = match codec.keepalive() {
+        let Arrived {
+            codec,
+            keep,
+            request,
+        } = arrived;
+        self.reading = match keep {
             true => Reading::Head,
             false => Reading::Ended,
         };
         let task = tokio::task::spawn_local(handler(request));
         let work = Work::Running(AbortOnDrop(task));
-        self.pending.push_back(Pending { codec, work });
+        self.pending.push_back(Pending { codec, keep, work });
     }
 
     fn reject(&mut self, status: StatusCode) {
@@ -291,13 +347,15 @@
         answer.close = true;
         let codec = self.codec.clone();
         let work = Work::Done(answer);
-        self.pending.push_back(Pending { codec, work });
+        let keep = false;
+        self.pending.push_back(Pending { codec, keep, work });
     }
 
     /// Writes an answer behind those before it.
-    fn answer(&mut self, (codec, answer): (Codec, Answer)) {
+    fn answer(&mut self, turn: Turn, answer: Answer) {
+        let Turn { codec, keep } = turn;
         let last = self.pending.is_empty();
-        let close = answer.close || !codec.keepalive() || (last && (self.closing)());
+        let close = answer.close || !keep || (last && (self.closing)());
         let mut head = Response::new(answer.status);
         *head.headers_mut() = answer.headers;
         if close {
@@ -343,9 +401,16 @@
 /// A whole request, with the codec that writes its answer.
 struct Arrived {
     codec: Codec,
+    keep: bool,
     request: Request,
 }
 
+/// What is left of a request when its answer is there.
+struct Turn {
+    codec: Codec,
+    keep: bool,
+}
+
 /// What the reading of a connection came to.
 enum Step {
     /// More bytes are needed.
@@ -359,7 +424,7 @@
 }
 
 /// Waits for the answer to the oldest request.
-async fn front(pending: &mut VecDeque<Pending>) -> (Codec, Answer) {
+async fn front(pending: &mut VecDeque<Pending>) -> (Turn, Answer) {
     let Some(first) = pending.front_mut() else {
         return std::future::pending().await;
     };
@@ -376,8 +441,9 @@
     match pending.pop_front() {
         Some(Pending {
             codec,
+            keep,
             work: Work::Done(answer),
-        }) => (codec, answer),
+        }) => (Turn { codec, keep }, answer),
         Some(Pending {
             work: Work::Running(_),
             ..
@@ -385,3 +451,15 @@
         | None => std::future::pending().await,
     }
 }
+
+/// Returns whether two readers of a request might disagree on where it ends.
+///
+/// The codec itself rejects a length beside chunks, several lengths and unknown encodings.
+fn is_doubtful(head: &RequestHead, payload: &PayloadType) -> bool {
+    let length = head.headers.contains_key(CONTENT_LENGTH);
+    if let Some(encoding) = head.headers.get(TRANSFER_ENCODING) {
+        let chunked = encoding.as_bytes().eq_ignore_ascii_case(b"chunked");
+        return length || !chunked || head.version != Version::HTTP_11;
+    }
+    length && matches!(payload, PayloadType::Stream(_))
+}
