Mend early, old and unwanted answers on a connection to a server

Cause, one failing test each in crates/http/tests/client.rs: an answer that was sent before a reset was lost when the reset met the writing of the body first; a body with `transfer-encoding: identity` was taken as empty; an unwanted 304 or 204 with a length, or a 101, left its length in the codec and ended the task in debug builds; an empty answer in HTTP/1.0 was waited for until the server closed, and its connection counted as reusable; `Timeout=` in upper case was not read. Ruled out: answers that end early; all lengths end in an error, by close and by reset. Change: what has arrived is read after writing failed; each answer has its own codec; framing and closing are read from the head.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -8,13 +8,16 @@
 use ntex::http::body::BodySize;
 use ntex::http::error::{DecodeError, PayloadError};
 use ntex::http::h1::{ClientCodec, Message, MessageType};
-use ntex::http::header::{CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING};
-use ntex::http::{DateService, Method, RequestHead, RequestHeadType, ResponseHead, StatusCode};
+use ntex::http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use ntex::http::{
+    DateService, Method, RequestHead, RequestHeadType, ResponseHead, StatusCode, Version,
+};
 use ntex::util::BytesMut;
 use snafu::ResultExt;
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::timeout;
 
+use crate::connection::{CLOSE, KEEP_ALIVE, names};
 use crate::error::{self, ExchangeError};
 use crate::io::{fill, flush, try_fill};
 use crate::{Request, Response};
@@ -27,6 +30,8 @@
 const IDLE_MS: u64 = 4_000;
 /// The parameter of the `Keep-Alive` header that announces the idle time in seconds.
 const TIMEOUT: &str = "timeout=";
+/// The encoding of a body whose length is not known in advance.
+const CHUNKED: &[u8] = b"chunked";
 
 /// A connection to a server.
 #[derive(Debug)]
@@ -35,6 +40,8 @@
     date: DateService,
     buf: BytesMut,
     reusable: bool,
+    /// Whether the rest of a request can still be written.
+    writable: bool,
     idle_ms: u64,
 }
 
@@ -62,6 +69,7 @@
             date,
             buf: BytesMut::new(),
             reusable: true,
+            writable: true,
             idle_ms: IDLE_MS,
         })
     }
@@ -100,16 +108,17 @@
         self.reusable = false;
         let is_head = request.method == Method::HEAD;
         let mut out = BytesMut::new();
-        let mut codec = ClientCodec::new(self.date.clone(), true);
-        encode(&codec, request, &mut out)?;
+        let sender = ClientCodec::new(self.date.clone(), true);
+        encode(&sender, request, &mut out)?;
         loop {
+            // What one answer left in a codec does not concern the next.
+            let codec = ClientCodec::new(self.date.clone(), true);
             let head = self.read_head(&codec, &mut out).await?;
-            let (next, body) = self.read_body(codec, &head, is_head, &mut out).await?;
-            codec = next;
+            let body = self.read_body(codec, &head, is_head, &mut out).await?;
             if head.status.is_informational() || !wanted(&head) {
                 continue;
             }
-            self.note_end(&codec, &head, out.is_empty());
+            self.note_end(&head, sender.keepalive() && out.is_empty());
             return Ok(Response {
                 status: head.status,
                 headers: head.headers,
@@ -119,12 +128,17 @@
     }
 
     /// Waits for bytes of the answer while the rest of the request is written.
+    ///
+    /// A server may answer and end before it has read everything, so what it sent is still read
+    /// when nothing more can be written.
     async fn fill(&mut self, out: &mut BytesMut) -> io::Result<usize> {
         loop {
             tokio::select! {
                 biased;
                 result = fill(&self.stream, &mut self.buf) => return result,
-                result = flush(&self.stream, out), if !out.is_empty() => result?,
+                result = flush(&self.stream, out), if !out.is_empty() && self.writable => {
+                    self.writable = result.is_ok();
+                }
             }
         }
     }
@@ -149,32 +163,29 @@
         }
     }
 
-    /// Reads the body that belongs to `head`, and returns the codec for the next answer.
+    /// Reads the body that belongs to `head`.
     async fn read_body(
         &mut self,
         codec: ClientCodec,
         head: &ResponseHead,
         is_head: bool,
         out: &mut BytesMut,
-    ) -> Result<(ClientCodec, ntex::util::Bytes), ExchangeError> {
+    ) -> Result<ntex::util::Bytes, ExchangeError> {
         if is_head || is_bodiless(head) {
-            return Ok((codec, ntex::util::Bytes::new()));
+            return Ok(ntex::util::Bytes::new());
         }
-        let unframed = !head.headers.contains_key(CONTENT_LENGTH)
-            && !head.headers.contains_key(TRANSFER_ENCODING);
-        if unframed {
-            let body = self.read_to_end(out).await?;
-            return Ok((codec, body));
+        if !is_framed(head) {
+            return self.read_to_end(out).await;
         }
-        if codec.message_type() == MessageType::None {
-            return Ok((codec, ntex::util::Bytes::new()));
+        if codec.message_type() == MessageType::None || is_empty(head) {
+            return Ok(ntex::util::Bytes::new());
         }
         let payload = codec.into_payload_codec();
         let mut body = BytesMut::new();
         loop {
             match payload.decode(&mut self.buf) {
                 Ok(Some(Some(chunk))) => append(&mut body, &chunk)?,
-                Ok(Some(None)) => return Ok((payload.into_message_codec(), body.freeze())),
+                Ok(Some(None)) => return Ok(body.freeze()),
                 Ok(None) => self.fill_body(body.len(), out).await?,
                 Err(e) => return Err(spoiled(e)),
             }
@@ -204,11 +215,9 @@
     }
 
     /// Notes whether the connection can be used again, and for how long.
-    fn note_end(&mut self, codec: &ClientCodec, head: &ResponseHead, sent: bool) {
-        let framed = head.headers.contains_key(CONTENT_LENGTH)
-            || head.headers.contains_key(TRANSFER_ENCODING)
-            || is_bodiless(head);
-        self.reusable = sent && framed && codec.keepalive() && !is_closing(head);
+    fn note_end(&mut self, head: &ResponseHead, sent: bool) {
+        let framed = is_framed(head) || is_bodiless(head);
+        self.reusable = sent && framed && stays_open(head);
         if let Some(ms) = scan_keep_alive(head) {
             self.idle_ms = ms;
         }
@@ -275,14 +284,30 @@
         || head.status == StatusCode::NOT_MODIFIED
 }
 
-fn is_closing(head: &ResponseHead) -> bool {
-    let value = head.headers.get(CONNECTION).and_then(|v| v.to_str().ok());
-    value.is_some_and(|v| v.to_ascii_lowercase().contains("close"))
+/// Returns whether the head says where its body ends.
+fn is_framed(head: &ResponseHead) -> bool {
+    let encoding = head.headers.get(TRANSFER_ENCODING);
+    let chunked = encoding.is_some_and(|e| e.as_bytes().eq_ignore_ascii_case(CHUNKED));
+    chunked || head.headers.contains_key(CONTENT_LENGTH)
+}
+
+/// Returns whether the head says that the body is empty; the codec does not see it in the old
+/// version.
+fn is_empty(head: &ResponseHead) -> bool {
+    let length = head.headers.get(CONTENT_LENGTH);
+    length.is_some_and(|l| l.as_bytes().iter().all(|b| *b == b'0'))
+}
+
+/// Returns whether the server keeps the connection after this answer.
+fn stays_open(head: &ResponseHead) -> bool {
+    let kept = head.version == Version::HTTP_11 || names(&head.headers, KEEP_ALIVE);
+    kept && !names(&head.headers, CLOSE)
 }
 
 /// Returns the idle time that a server announces, with a margin for what is under way.
 fn scan_keep_alive(head: &ResponseHead) -> Option<u64> {
     let value = head.headers.get("keep-alive")?.to_str().ok()?;
+    let value = value.to_ascii_lowercase();
     let mut parameters = value.split(',').map(str::trim);
     let seconds = parameters.find_map(|p| p.strip_prefix(TIMEOUT))?;
     let seconds: u64 = seconds.parse().ok()?;
