Begin the turns of a split anywhere, so that many nodes add up to the weights

Cause: a node began a split with random credits below each weight, so a part with a small weight was never among the first turns: of the first three requests of 600 nodes, a part of one tenth got none. Each new version of the weights began anew. Ruled out: the turns after the start; their shares hold. Change: a node skips a random number of turns of the cycle when it begins.

--- a/crates/oriolering/src/split.rs
+++ b/crates/oriolering/src/split.rs
@@ -7,6 +7,9 @@
 
 use crate::Route;
 
+/// The most turns that are skipped at the start; a share of a thousandth has its place in them.
+const SKIP_MAX: u64 = 10_000;
+
 /// The debts of the parts of one route, in units of weight.
 #[derive(Clone, Debug)]
 struct Turns {
@@ -14,6 +17,36 @@
     credit: Vec<i64>,
 }
 
+impl Turns {
+    /// Begins anywhere in the order of turns, so that the first requests of many nodes already
+    /// add up to the weights.
+    fn start(weights: Vec<u32>, rng: &mut impl Rng) -> Self {
+        let cycle: u64 = weights.iter().map(|w| u64::from(*w)).sum();
+        let skipped = rng.random_range(0..cycle.clamp(1, SKIP_MAX));
+        let credit = vec![0; weights.len()];
+        let mut turns = Self { weights, credit };
+        for _ in 0..skipped {
+            turns.next();
+        }
+        turns
+    }
+
+    /// Returns the part whose turn it is.
+    fn next(&mut self) -> usize {
+        for (credit, weight) in self.credit.iter_mut().zip(&self.weights) {
+            *credit += i64::from(*weight);
+        }
+        let open = self.credit.iter().zip(&self.weights).enumerate();
+        let best = open
+            .filter(|(_, (_, weight))| **weight > 0)
+            .max_by_key(|(_, (credit, _))| **credit)
+            .map_or(0, |(i, _)| i);
+        let total: i64 = self.weights.iter().map(|w| i64::from(*w)).sum();
+        self.credit[best] -= total;
+        best
+    }
+}
+
 /// Chooses the part of a route for each request, so that the shares hold over few requests.
 ///
 /// Each part gains its weight with every request, and the part with the highest credit takes
@@ -36,31 +69,13 @@
             return 0;
         }
         let weights: Vec<u32> = route.parts.iter().map(|p| p.weight).collect();
-        let total: i64 = weights.iter().map(|w| i64::from(*w)).sum();
-        let turns = self
-            .routes
-            .entry(route.name.clone())
-            .or_insert_with(|| Turns {
-                weights: Vec::new(),
-                credit: Vec::new(),
-            });
-        if turns.weights != weights {
-            // A random start keeps many nodes from choosing the same part at the same time.
-            turns.credit = weights
-                .iter()
-                .map(|w| rng.random_range(0..=i64::from(*w)))
-                .collect();
-            turns.weights = weights;
-        }
-        for (credit, weight) in turns.credit.iter_mut().zip(&turns.weights) {
-            *credit += i64::from(*weight);
+        let known = self.routes.get_mut(&route.name);
+        if let Some(turns) = known.filter(|t| t.weights == weights) {
+            return turns.next();
         }
-        let open = turns.credit.iter().zip(&turns.weights).enumerate();
-        let best = open
-            .filter(|(_, (_, weight))| **weight > 0)
-            .max_by_key(|(_, (credit, _))| **credit)
-            .map_or(0, |(i, _)| i);
-        turns.credit[best] -= total;
-        best
+        let mut turns = Turns::start(weights, rng);
+        let part = turns.next();
+        self.routes.insert(route.name.clone(), turns);
+        part
     }
 }
