--- /dev/null
+++ b/crates/oriolering/tests/load/fleet.rs
@@ -0,0 +1,399 @@
+//! A fleet of ingresses and gates that plays a load in its own time.
+
+use oriolering::{Entry, GateLoad, Job, Millis, Site, Turn, WorkTimes, choose_place};
+use rand::rngs::SmallRng;
+use rand::seq::SliceRandom;
+use rand::{Rng, SeedableRng};
+
+use crate::events::{Event, Events};
+use crate::figures::Figures;
+use crate::gate::Gate;
+use crate::settings::{Load, Strategy};
+
+const ROUTE: u64 = 1;
+// What keeps the sources of randomness of one seed apart.
+const NOISE: u64 = 1 << 32;
+const CHOICES: u64 = 1 << 33;
+
+struct Ingress {
+    sites: Vec<Site>,
+    work: WorkTimes,
+}
+
+struct Call {
+    ingress: usize,
+    arrived: u64,
+    tried: Vec<usize>,
+    started: Option<u64>,
+    percent: u32,
+    over: bool,
+}
+
+/// What the fleet is at a moment.
+pub(crate) struct Fleet {
+    load: Load,
+    strategy: Strategy,
+    /// What callers do; the same for each strategy.
+    callers: SmallRng,
+    /// Which backend servers are slow; the same for each strategy.
+    noise: SmallRng,
+    choices: SmallRng,
+    now: u64,
+    /// The next arrival, with its part of a millisecond.
+    arrival: f64,
+    events: Events,
+    ingresses: Vec<Ingress>,
+    gates: Vec<Gate>,
+    calls: Vec<Call>,
+    /// The calls in the single queue.
+    queue: Vec<usize>,
+    figures: Figures,
+}
+
+/// Plays a load, and returns what callers got.
+pub(crate) fn play(load: Load, strategy: Strategy) -> Figures {
+    let mut fleet = Fleet::new(load, strategy);
+    fleet.events.add(0, Event::Redraw);
+    fleet.events.add(0, Event::Probe);
+    fleet.events.add(0, Event::Call);
+    while let Some((now, event)) = fleet.events.next() {
+        fleet.now = now;
+        fleet.apply(event);
+    }
+    fleet.figures
+}
+
+impl Fleet {
+    fn new(load: Load, strategy: Strategy) -> Self {
+        let site = || Site::new(Millis(0), load.slots, false);
+        let ingress = |_| Ingress {
+            sites: (0..load.servers).map(|_| site()).collect(),
+            work: WorkTimes::default(),
+        };
+        Self {
+            load,
+            strategy,
+            callers: SmallRng::seed_from_u64(load.seed),
+            noise: SmallRng::seed_from_u64(load.seed + NOISE),
+            choices: SmallRng::seed_from_u64(load.seed + CHOICES),
+            now: 0,
+            arrival: 0.0,
+            events: Events::default(),
+            ingresses: (0..load.ingresses).map(ingress).collect(),
+            gates: (0..load.servers).map(|_| Gate::new(load.slots)).collect(),
+            calls: Vec::new(),
+            queue: Vec::new(),
+            figures: Figures::default(),
+        }
+    }
+
+    fn apply(&mut self, event: Event) {
+        match event {
+            Event::Call => self.call(),
+            Event::Offer {
+                call,
+                gate,
+                work_ms,
+                elsewhere_ms,
+            } => self.offer(call, gate, work_ms, elsewhere_ms),
+            Event::Refused { call, gate, load } => self.refused(call, gate, load),
+            Event::End { call, gate } => self.end(call, gate),
+            Event::Answer {
+                call,
+                gate,
+                load,
+                ran_ms,
+                percent,
+            } => self.answer(call, gate, load, ran_ms, percent),
+            Event::Expire { call } => self.expire(call),
+            Event::Wake { gate } => self.pump(gate),
+            Event::Probe => self.probe(),
+            Event::Redraw => self.redraw(),
+            Event::Hint { gate, load } => self.hint(gate, load),
+        }
+    }
+
+    fn goes_on(&self) -> bool {
+        self.now < self.load.duration_ms
+    }
+
+    fn call(&mut self) {
+        let call = self.calls.len();
+        let ingress = self.callers.random_range(0..self.load.ingresses);
+        self.calls.push(Call {
+            ingress,
+            arrived: self.now,
+            tried: Vec::new(),
+            started: None,
+            percent: 100,
+            over: false,
+        });
+        self.figures.requests += 1;
+        let deadline = self.now + self.load.deadline_ms;
+        self.events.add(deadline, Event::Expire { call });
+        match self.strategy {
+            Strategy::Adaptive | Strategy::Random => self.dispatch(call),
+            Strategy::OneQueue => {
+                self.queue.push(call);
+                self.drain();
+            }
+        }
+        let gap = -self.load.gap_ms() * (1.0 - self.callers.random::<f64>()).ln();
+        self.arrival += gap;
+        let next = self.arrival as u64;
+        if next < self.load.duration_ms {
+            self.events.add(next, Event::Call);
+        }
+    }
+
+    /// Sends a request to a gate, or refuses it.
+    fn dispatch(&mut self, call: usize) {
+        let now = Millis(self.now);
+        let ingress = &self.ingresses[self.calls[call].ingress];
+        let work_ms = ingress.work.estimate(ROUTE, self.load.aim_ms);
+        let tried = &self.calls[call].tried;
+        let open = ingress.sites.iter().enumerate();
+        let mut open = open.filter(|(i, _)| !tried.contains(i));
+        let (gate, expected_ms, elsewhere_ms) = match self.strategy {
+            Strategy::Adaptive => match choose_place(now, work_ms, open, &mut self.choices) {
+                Some(place) => (place.index, place.expected_ms, place.next_ms),
+                None => return self.refuse(call),
+            },
+            Strategy::Random | Strategy::OneQueue => {
+                let count = self.load.servers - tried.len();
+                let index = self.choices.random_range(0..count);
+                match open.nth(index) {
+                    Some((gate, _)) => (gate, 0, None),
+                    None => return self.refuse(call),
+                }
+            }
+        };
+        if self.now + expected_ms > self.deadline(call) {
+            return self.refuse(call);
+        }
+        let ingress = &mut self.ingresses[self.calls[call].ingress];
+        ingress.sites[gate].sent += 1;
+        let event = Event::Offer {
+            call,
+            gate,
+            work_ms,
+            elsewhere_ms,
+        };
+        self.events.add(self.now + self.load.hop_ms, event);
+    }
+
+    fn offer(&mut self, call: usize, gate: usize, work_ms: u64, elsewhere_ms: Option<u64>) {
+        if self.calls[call].over {
+            return;
+        }
+        let arrived = self.calls[call].arrived;
+        let job = Job {
+            priority: 0,
+            aim: Millis(arrived + self.load.aim_ms),
+            deadline: Millis(arrived + self.load.deadline_ms),
+            work_ms,
+            elsewhere_ms,
+        };
+        match self.gates[gate].room.offer(Millis(self.now), job) {
+            Entry::Start => self.start(call, gate),
+            Entry::Wait(key) => {
+                self.gates[gate].waiting.insert(key, call);
+            }
+            Entry::Refuse(_) => self.send_refusal(call, gate),
+        }
+        self.pump(gate);
+    }
+
+    fn send_refusal(&mut self, call: usize, gate: usize) {
+        let load = self.gates[gate].room.load();
+        let back = self.now + self.load.hop_ms;
+        self.events.add(back, Event::Refused { call, gate, load });
+    }
+
+    fn refused(&mut self, call: usize, gate: usize, load: GateLoad) {
+        self.hear(call, gate, load);
+        if self.calls[call].over {
+            return;
+        }
+        self.calls[call].tried.push(gate);
+        match self.calls[call].tried.len() >= self.load.refusals_max {
+            true => self.refuse(call),
+            false => self.dispatch(call),
+        }
+    }
+
+    /// Begins a run for which the gate has made room.
+    fn start(&mut self, call: usize, gate: usize) {
+        self.figures.runs += 1;
+        let server = &mut self.gates[gate].server;
+        self.calls[call].started = Some(self.now);
+        self.calls[call].percent = server.percent();
+        let end = server.start(self.now, call, self.load.work_ms);
+        self.events.add(end, Event::End { call, gate });
+    }
+
+    fn end(&mut self, call: usize, gate: usize) {
+        // The pace may have changed since this end was foreseen.
+        if self.gates[gate].server.end(call) != Some(self.now) {
+            return;
+        }
+        self.gates[gate].server.stop(call);
+        let percent = self.gates[gate].server.percent();
+        let ran_ms = self.now - self.calls[call].started.unwrap_or(self.now);
+        let percent = self.calls[call].percent.midpoint(percent);
+        self.leave(gate);
+        let event = Event::Answer {
+            call,
+            gate,
+            load: self.gates[gate].room.load(),
+            ran_ms,
+            percent,
+        };
+        self.events.add(self.now + self.load.hop_ms, event);
+    }
+
+    /// Frees the place of a run, and learns the pace with its answer.
+    fn leave(&mut self, gate: usize) {
+        if self.strategy == Strategy::OneQueue {
+            return self.drain();
+        }
+        let percent = self.gates[gate].server.percent();
+        self.gates[gate].room.finish();
+        self.gates[gate].room.set_pace(percent);
+        self.pump(gate);
+    }
+
+    fn answer(&mut self, call: usize, gate: usize, load: GateLoad, ran_ms: u64, percent: u32) {
+        self.hear(call, gate, load);
+        let ingress = self.calls[call].ingress;
+        self.ingresses[ingress].work.record(ROUTE, ran_ms, percent);
+        if std::mem::replace(&mut self.calls[call].over, true) {
+            self.figures.runs_in_vain += 1;
+            return;
+        }
+        let took = self.now - self.calls[call].arrived;
+        let (aim, deadline) = (self.load.aim_ms, self.load.deadline_ms);
+        self.figures.answer(took, aim, deadline);
+    }
+
+    fn refuse(&mut self, call: usize) {
+        self.calls[call].over = true;
+        let took = self.now - self.calls[call].arrived;
+        self.figures.refuse(took, self.load.aim_ms);
+    }
+
+    /// Ends a request whose caller has left.
+    fn expire(&mut self, call: usize) {
+        if std::mem::replace(&mut self.calls[call].over, true) {
+            return;
+        }
+        self.figures.expired += 1;
+        self.queue.retain(|c| *c != call);
+        for gate in 0..self.gates.len() {
+            self.gates[gate].leave(call);
+            if self.gates[gate].server.stop(call) {
+                self.figures.runs_in_vain += 1;
+                self.leave(gate);
+            }
+        }
+    }
+
+    /// Takes the turns of a gate.
+    fn pump(&mut self, gate: usize) {
+        while let Some(turn) = self.gates[gate].room.next(Millis(self.now)) {
+            let (Turn::Start(key) | Turn::Refuse(key, _)) = turn;
+            let call = self.gates[gate].waiting.remove(&key).expect("it waits");
+            match turn {
+                Turn::Start(_) => self.start(call, gate),
+                Turn::Refuse(..) => self.send_refusal(call, gate),
+            }
+        }
+        if let Some(at) = self.gates[gate].room.next_wake(Millis(self.now)) {
+            self.events.add(at.0, Event::Wake { gate });
+        }
+        if let Some(load) = self.gates[gate].news(self.load.hint_step) {
+            let at = self.now + self.load.hint_ms;
+            self.events.add(at, Event::Hint { gate, load });
+        }
+    }
+
+    fn hint(&mut self, gate: usize, load: GateLoad) {
+        for ingress in &mut self.ingresses {
+            ingress.sites[gate].tell(Millis(self.now), load);
+        }
+    }
+
+    /// Takes in the load that comes with an answer or a refusal.
+    fn hear(&mut self, call: usize, gate: usize, load: GateLoad) {
+        let ingress = self.calls[call].ingress;
+        self.ingresses[ingress].sites[gate].tell(Millis(self.now), load);
+    }
+
+    fn probe(&mut self) {
+        for gate in 0..self.gates.len() {
+            let percent = self.gates[gate].server.percent();
+            self.gates[gate].room.set_pace(percent);
+            self.pump(gate);
+        }
+        if self.goes_on() {
+            let next = self.now + self.load.probe_ms;
+            self.events.add(next, Event::Probe);
+        }
+    }
+
+    fn redraw(&mut self) {
+        let count = self.load.servers * self.load.slow_share / 100;
+        let mut order: Vec<usize> = (0..self.load.servers).collect();
+        order.shuffle(&mut self.noise);
+        for (place, gate) in order.into_iter().enumerate() {
+            let slow = place < count;
+            let percent = if slow { self.load.slow_percent } else { 100 };
+            let ends = self.gates[gate].server.set_percent(self.now, percent);
+            for (call, end) in ends {
+                self.events.add(end, Event::End { call, gate });
+            }
+        }
+        if self.strategy == Strategy::OneQueue {
+            self.drain();
+        }
+        if self.goes_on() {
+            let next = self.now + self.load.redraw_ms;
+            self.events.add(next, Event::Redraw);
+        }
+    }
+
+    fn deadline(&self, call: usize) -> u64 {
+        self.calls[call].arrived + self.load.deadline_ms
+    }
+
+    /// Returns whether a request that begins now at this pace ends within `limit_ms`.
+    fn fits(&self, call: usize, percent: u32, limit_ms: u64) -> bool {
+        let run = self.load.work_ms * u64::from(percent) / 100 + self.load.hop_ms;
+        self.now + run <= self.calls[call].arrived + limit_ms
+    }
+
+    /// Gives the free slots of all backend servers to the single queue.
+    ///
+    /// A slot at the usual pace goes to who can still meet the aim, in order of arrival; who
+    /// cannot any more takes any slot in which there is time enough.
+    fn drain(&mut self) {
+        let (aim, deadline) = (self.load.aim_ms, self.load.deadline_ms);
+        let mut gates: Vec<usize> = (0..self.gates.len()).collect();
+        gates.sort_by_key(|g| self.gates[*g].server.percent());
+        for gate in gates {
+            let percent = self.gates[gate].server.percent();
+            while self.gates[gate].server.running() < self.load.usable_slots as usize {
+                let meets = |c: &usize| self.fits(*c, percent, aim);
+                let missed =
+                    |c: &usize| !self.fits(*c, 100, aim) && self.fits(*c, percent, deadline);
+                let queue = &self.queue;
+                let first = queue.iter().position(meets);
+                let Some(index) = first.or_else(|| queue.iter().position(missed)) else {
+                    break;
+                };
+                let call = self.queue.remove(index);
+                self.start(call, gate);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/oriolering/tests/load/gate.rs
@@ -0,0 +1,50 @@
+//! A gate in front of a backend server.
+
+use std::collections::HashMap;
+
+use oriolering::{GateLoad, JobKey, Room};
+
+use crate::server::Server;
+
+pub(crate) struct Gate {
+    pub(crate) room: Room,
+    pub(crate) server: Server,
+    pub(crate) waiting: HashMap<JobKey, usize>,
+    pub(crate) told: GateLoad,
+}
+
+impl Gate {
+    pub(crate) fn new(slots: u32) -> Self {
+        let room = Room::new(slots);
+        let told = room.load();
+        Self {
+            room,
+            server: Server::new(),
+            waiting: HashMap::new(),
+            told,
+        }
+    }
+
+    /// Returns the load if it has changed enough to be told.
+    pub(crate) fn news(&mut self, step: u32) -> Option<GateLoad> {
+        let (load, told) = (self.room.load(), self.told);
+        let busy = load.running + load.waiting;
+        let changed = busy.abs_diff(told.running + told.waiting) >= step;
+        if !changed && load.work_percent == told.work_percent {
+            return None;
+        }
+        self.told = load;
+        Some(load)
+    }
+
+    /// Removes a waiting request.
+    pub(crate) fn leave(&mut self, call: usize) -> bool {
+        let found = self.waiting.iter().find(|(_, c)| **c == call);
+        let Some(key) = found.map(|(key, _)| *key) else {
+            return false;
+        };
+        self.waiting.remove(&key);
+        self.room.leave(key);
+        true
+    }
+}
