Weigh bytes between zones, count late with a margin, and start second runs

Trial, not measured in full yet: large bodies stay in their availability zone where the time allows; a waiting request counts as late at a gate with a margin; an idempotent request whose backend server becomes slow is sent to a second one within the budget.

--- a/crates/mesh/src/dispatch.rs
+++ b/crates/mesh/src/dispatch.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use compact_str::CompactString;
-use oriolering::{Millis, Route};
+use oriolering::{Load, Millis, Route};
 use oriolering_http::{Answer, Bytes, HeaderMap, StatusCode};
 use smallvec::SmallVec;
 use tokio::time::timeout;
@@ -12,6 +12,7 @@
 use crate::frame::{Answered, Ending, Headers, Offer};
 use crate::headers;
 use crate::node::Node;
+use crate::race;
 use crate::reply::Reply;
 use crate::spots::{Chosen, Way};
 use crate::trail::{Seen, Standing, Story};
@@ -43,7 +44,7 @@
 
 /// What is known of a request after some attempts.
 #[derive(Default)]
-struct Progress {
+pub(crate) struct Progress {
     tried: SmallVec<[CompactString; 4]>,
     /// The backend servers that it was sent to.
     sends: u32,
@@ -56,6 +57,23 @@
 }
 
 impl Progress {
+    /// Notes a backend server that a request was sent to and may have run at.
+    pub(crate) fn add_send(&mut self, server: CompactString) {
+        self.sends += 1;
+        self.uncertain = true;
+        self.tried.push(server);
+    }
+
+    /// Notes a backend server that is not to be tried again.
+    pub(crate) fn add_tried(&mut self, server: CompactString) {
+        self.tried.push(server);
+    }
+
+    /// Returns the backend servers that are not to be tried again.
+    pub(crate) fn tried(&self) -> &[CompactString] {
+        &self.tried
+    }
+
     fn standing(&self) -> Standing {
         Standing {
             sends: self.sends,
@@ -86,17 +104,12 @@
 async fn attempts(node: &Rc<Node>, job: &Job, progress: &mut Progress) -> Answer {
     loop {
         let now = node.now();
-        let work_ms = node
-            .work
-            .borrow()
-            .estimate(job.route_hash, job.route.aim_ms);
-        let chosen = node.spots.borrow().choose(
-            now,
-            &job.service,
-            work_ms,
-            &progress.tried,
-            &mut rand::rng(),
-        );
+        let load = load_of(node, job);
+        let work_ms = load.work_ms;
+        let chosen =
+            node.spots
+                .borrow()
+                .choose(now, &job.service, load, &progress.tried, &mut rand::rng());
         let Some(chosen) = chosen else {
             return give_up(node, job, progress, "no backend server is open");
         };
@@ -111,7 +124,7 @@
         }
         let revision = node.list.borrow().revision();
         job.story.chosen(&job.service, &chosen, work_ms, revision);
-        let (server, reply) = send(node, job, chosen, work_ms).await;
+        let (server, reply) = race::run(node, job, progress, chosen, work_ms).await;
         let seen = Seen::of(&reply);
         let answer = follow(node, job, progress, server, reply);
         job.story
@@ -122,8 +135,22 @@
     }
 }
 
+/// Returns what a request asks of a backend server, as far as is known of its route.
+pub(crate) fn load_of(node: &Node, job: &Job) -> Load {
+    let work = node.work.borrow();
+    Load {
+        work_ms: work.estimate(job.route_hash, job.route.aim_ms),
+        bytes: job.body.len() as u64 + work.answer_bytes(job.route_hash),
+    }
+}
+
 /// Sends a request to the chosen gate.
-async fn send(node: &Rc<Node>, job: &Job, chosen: Chosen, work_ms: u64) -> (CompactString, Reply) {
+pub(crate) async fn send(
+    node: &Rc<Node>,
+    job: &Job,
+    chosen: Chosen,
+    work_ms: u64,
+) -> (CompactString, Reply) {
     let now = node.now();
     let offer = Offer {
         server: chosen.server.clone(),
@@ -244,6 +271,8 @@
         node.work
             .borrow_mut()
             .record(job.route_hash, ran_ms, answered.work_percent);
+        let bytes = body.len() as u64;
+        node.work.borrow_mut().record_bytes(job.route_hash, bytes);
         return Some(answer(answered, body));
     }
     progress.sends += 1;
@@ -266,6 +295,19 @@
     if progress.sends >= job.route.attempts {
         return false;
     }
+    spend(node, job)
+}
+
+/// Returns whether a second run may begin beside one that is under way, and spends from the
+/// budget if so.
+pub(crate) fn may_send_second(node: &Rc<Node>, job: &Job, progress: &Progress) -> bool {
+    if progress.sends + 1 >= job.route.attempts {
+        return false;
+    }
+    spend(node, job)
+}
+
+fn spend(node: &Rc<Node>, job: &Job) -> bool {
     let now = node.now();
     node.with_budget(&job.service, |budget| {
         let allowed = budget.allows(now);
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -23,6 +23,7 @@
 mod outbox;
 mod peer;
 mod pool;
+mod race;
 mod reload;
 mod reply;
 mod source;
--- /dev/null
+++ b/crates/mesh/src/race.rs
@@ -0,0 +1,114 @@
+//! An attempt that may become two, of which the first good answer counts.
+
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+use compact_str::CompactString;
+use oriolering::{Run, wants_second_run};
+use tokio::time::sleep;
+
+use crate::dispatch::{self, Job, Progress};
+use crate::frame::Ending;
+use crate::node::Node;
+use crate::reply::Reply;
+use crate::spots::Chosen;
+
+/// The time between two looks at a run, in milliseconds; a tenth of the time for which a noisy
+/// neighbour slows a backend server down.
+const LOOK_MS: u64 = 30;
+
+/// Sends a request to the chosen gate, and to a second one if the first run becomes too slow.
+pub(crate) async fn run(
+    node: &Rc<Node>,
+    job: &Job,
+    progress: &mut Progress,
+    chosen: Chosen,
+    work_ms: u64,
+) -> (CompactString, Reply) {
+    let server = chosen.server.clone();
+    let mut first = pin!(dispatch::send(node, job, chosen, work_ms));
+    if !job.route.kind.is_idempotent() {
+        return first.await;
+    }
+    let second = tokio::select! {
+        biased;
+        result = &mut first => return result,
+        second = wait_for_second(node, job, progress, &server, work_ms) => second,
+    };
+    progress.add_send(server);
+    let mut second = pin!(dispatch::send(node, job, second, work_ms));
+    tokio::select! {
+        biased;
+        result = &mut first => match is_good(&result.1) {
+            true => result,
+            false => second.await,
+        },
+        result = &mut second => match is_good(&result.1) {
+            true => result,
+            false => {
+                progress.add_tried(result.0);
+                first.await
+            }
+        },
+    }
+}
+
+/// Waits until a second run is worth its cost, and returns where.
+async fn wait_for_second(
+    node: &Rc<Node>,
+    job: &Job,
+    progress: &Progress,
+    server: &CompactString,
+    work_ms: u64,
+) -> Chosen {
+    let started = node.now();
+    loop {
+        sleep(Duration::from_millis(LOOK_MS)).await;
+        let now = node.now();
+        let load = dispatch::load_of(node, job);
+        let mut tried = progress.tried().to_vec();
+        tried.push(server.clone());
+        let spots = node.spots.borrow();
+        let chosen = spots.choose(now, &job.service, load, &tried, &mut rand::rng());
+        let percent = spots.pace(now, server).unwrap_or(100);
+        drop(spots);
+        let Some(chosen) = chosen else {
+            continue;
+        };
+        let run = Run {
+            elapsed_ms: now.since(started),
+            work_ms,
+            percent,
+            elsewhere_ms: chosen.place.expected_ms,
+            aim_ms: (job.arrived + job.route.aim_ms).since(now),
+            left_ms: job.deadline.since(now),
+        };
+        if wants_second_run(run) && dispatch::may_send_second(node, job, progress) {
+            job.story.chosen(
+                &job.service,
+                &chosen,
+                work_ms,
+                node.list.borrow().revision(),
+            );
+            return chosen;
+        }
+    }
+}
+
+/// Returns whether a reply is an answer that the caller can use.
+fn is_good(reply: &Reply) -> bool {
+    match reply {
+        Reply::Ended {
+            ending: Ending::Answered(answered),
+            ..
+        } => answered.status < 500,
+        Reply::Ended {
+            ending:
+                Ending::Refused { .. } | Ending::Unexecuted { .. } | Ending::Unsent | Ending::Failed,
+            ..
+        }
+        | Reply::Lost
+        | Reply::Unlinked => false,
+    }
+}
--- a/crates/mesh/src/spots.rs
+++ b/crates/mesh/src/spots.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 
 use compact_str::CompactString;
-use oriolering::{GateLoad, Millis, Place, ServerRecord, ServerState, Site, choose_place};
+use oriolering::{GateLoad, Load, Millis, Place, ServerRecord, ServerState, Site, choose_place};
 use rand::Rng;
 use smallvec::SmallVec;
 
@@ -107,7 +107,7 @@
         &self,
         now: Millis,
         service: &str,
-        work_ms: u64,
+        load: Load,
         tried: &[CompactString],
         rng: &mut impl Rng,
     ) -> Option<Chosen> {
@@ -118,7 +118,7 @@
             .map(|i| (*i, &self.spots[*i].site))
             .collect();
         let count = open.len();
-        let place = choose_place(now, work_ms, open.into_iter(), rng)?;
+        let place = choose_place(now, load, open.into_iter(), rng)?;
         let spot = &self.spots[place.index];
         Some(Chosen {
             server: spot.record.id.clone(),
@@ -134,6 +134,12 @@
         spot.record.state == ServerState::Ready && spot.way.is_up()
     }
 
+    /// Returns how long work takes at a backend server now, as a percentage of the usual.
+    pub(crate) fn pace(&self, now: Millis, server: &str) -> Option<u64> {
+        let spot = self.spots.iter().find(|s| s.record.id == server)?;
+        Some(spot.site.pace(now))
+    }
+
     /// Changes what is known of one backend server.
     pub(crate) fn with_site(&mut self, server: &str, change: impl Fn(&mut Site)) {
         let found = self.spots.iter_mut().find(|s| s.record.id == server);
--- a/crates/oriolering/src/lib.rs
+++ b/crates/oriolering/src/lib.rs
@@ -53,6 +53,7 @@
 mod roster;
 mod route;
 mod route_table;
+mod second_run;
 mod section;
 mod server;
 mod server_list;
@@ -97,7 +98,7 @@
 pub use offer::{Decision, Finish, GateEvent, GateSettings, Offer};
 pub use outcome::{Cause, Outcome, Refusal};
 pub use pause::{Pause, SETTLE_MS, TICK_MAX_MS};
-pub use placement::{Place, Site, choose_place};
+pub use placement::{Load, Place, Site, choose_place};
 pub use policy::{ChoiceSettings, Policy};
 pub use pool::Candidate;
 pub use quarantine::{Crash, Quarantine, QuarantineEntry, QuarantineSettings, Verdict};
@@ -110,6 +111,7 @@
 pub use roster::{MEMBERS_MAX, MemberNote, NOTE_AGE_MAX_MS, Roster};
 pub use route::{Route, RoutePart};
 pub use route_table::{CallerLimits, RouteSet, RouteTable, RoutedService};
+pub use second_run::{Run, wants_second_run};
 pub use section::{
     Digest, SECTION_MAX_BYTES, SECTION_MIN_BYTES, SECTIONS_MAX, Section, VALUE_BYTES, pack, split,
     unpack,
--- a/crates/oriolering/src/placement.rs
+++ b/crates/oriolering/src/placement.rs
@@ -17,6 +17,10 @@
 const UNKNOWN_PERCENT: u64 = 160;
 /// The time that a hop to another availability zone adds, in milliseconds.
 const FAR_MS: u64 = 2;
+/// The bytes between availability zones that are worth a millisecond of a caller's time.
+const FAR_BYTES_PER_MS: u64 = 1_000;
+/// The most milliseconds that bytes between availability zones are worth.
+const FAR_BYTES_MAX_MS: u64 = 80;
 /// The part of an estimate by which two choices count as equal, in percent.
 const SPREAD_PERCENT: u64 = 12;
 /// The share of a new outcome in the failure rate, as a power of two: one eighth.
@@ -100,8 +104,9 @@
         (told * (span - faded) + UNKNOWN_PERCENT * faded) / span
     }
 
-    /// Returns how long a request with `work_ms` of usual work is expected to take here.
-    pub fn expected_ms(&self, now: Millis, work_ms: u64) -> u64 {
+    /// Returns how long a request is expected to take here, in milliseconds.
+    pub fn expected_ms(&self, now: Millis, load: Load) -> u64 {
+        let work_ms = load.work_ms;
         let pace = self.pace(now);
         let capacity = u64::from(self.load.capacity.max(1));
         let busy = u64::from(self.load.running + self.load.waiting + self.sent);
@@ -110,7 +115,7 @@
         let wait = ahead * run / capacity;
         // A part of what runs shares the instance's processor with the rest.
         let crowd = run * busy.min(capacity) / capacity / 8;
-        let hop = if self.far { FAR_MS } else { 0 };
+        let hop = if self.far { load.far_ms() } else { 0 };
         let alive = u64::from(FAILURE_ONE - self.failure_rate(now).min(FAILURE_ONE - 50));
         (run + wait + crowd + hop) * u64::from(FAILURE_ONE) / alive
     }
@@ -121,6 +126,22 @@
     }
 }
 
+/// What a request asks of a backend server and of the way there.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Load {
+    /// How long it takes at the usual pace, in milliseconds.
+    pub work_ms: u64,
+    /// The bytes of the request and of its answer.
+    pub bytes: u64,
+}
+
+impl Load {
+    /// Returns what the way to another availability zone is worth, in milliseconds.
+    fn far_ms(self) -> u64 {
+        FAR_MS + (self.bytes / FAR_BYTES_PER_MS).min(FAR_BYTES_MAX_MS)
+    }
+}
+
 /// The choice for a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Place {
@@ -132,13 +153,13 @@
     pub next_ms: Option<u64>,
 }
 
-/// Chooses among the sites where a request with `work_ms` of usual work is expected to end first.
+/// Chooses among the sites where a request is expected to end first.
 ///
 /// Sites that are about as good are chosen at random, so that many ingresses with the same
 /// hints do not all choose the same one.
 pub fn choose_place<'a>(
     now: Millis,
-    work_ms: u64,
+    load: Load,
     sites: impl Iterator<Item = (usize, &'a Site)>,
     rng: &mut impl Rng,
 ) -> Option<Place> {
@@ -148,7 +169,7 @@
         if !site.is_open(now) {
             continue;
         }
-        let expected = site.expected_ms(now, work_ms);
+        let expected = site.expected_ms(now, load);
         let jitter = rng.random_range(0..=SPREAD_PERCENT);
         let score = expected * (100 + jitter);
         match best {
--- a/crates/oriolering/src/room.rs
+++ b/crates/oriolering/src/room.rs
@@ -15,6 +15,9 @@
 const BUSY_PERCENT: u32 = 80;
 /// The time that an answer needs to reach its caller, in milliseconds.
 const RETURN_MS: u64 = 8;
+/// The part of its usual duration by which a run may outlast what is expected of it, in percent;
+/// a request that makes its aim only without it counts as late.
+const MARGIN_PERCENT: u64 = 40;
 /// How many times as many requests may wait as run at once.
 const WAIT_FACTOR: usize = 2;
 /// By how much a request must be expected to end sooner elsewhere to be sent there, in percent.
@@ -192,7 +195,8 @@
         }
         let pace = u64::from(self.percent);
         let order = |job: &Job| {
-            let end = now + job.work_ms * pace / 100 + RETURN_MS;
+            let margin = job.work_ms * MARGIN_PERCENT / 100;
+            let end = now + job.work_ms * pace / 100 + margin + RETURN_MS;
             let late = end > job.aim;
             let due = if late { job.deadline } else { job.aim };
             (late, job.priority, due)
--- a/crates/oriolering/src/work.rs
+++ b/crates/oriolering/src/work.rs
@@ -13,6 +13,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct WorkTimes {
     routes: HashMap<u64, u64>,
+    bytes: HashMap<u64, u64>,
 }
 
 impl WorkTimes {
@@ -27,6 +28,20 @@
         *known = *known - (*known >> SHIFT) + (usual_us >> SHIFT);
     }
 
+    /// Records the size of an answer on a route, in bytes.
+    pub fn record_bytes(&mut self, route: u64, bytes: u64) {
+        if self.bytes.len() >= ROUTES_MAX && !self.bytes.contains_key(&route) {
+            self.bytes.clear();
+        }
+        let known = self.bytes.entry(route).or_insert(bytes);
+        *known = *known - (*known >> SHIFT) + (bytes >> SHIFT);
+    }
+
+    /// Returns the usual size of an answer on a route, in bytes.
+    pub fn answer_bytes(&self, route: u64) -> u64 {
+        self.bytes.get(&route).copied().unwrap_or(0)
+    }
+
     /// Returns the usual duration of a route with this aim, in milliseconds.
     pub fn estimate(&self, route: u64, aim_ms: u64) -> u64 {
         match self.routes.get(&route) {
