Send a request elsewhere as soon as that is expected to be sooner

Cause: a gate that is full or slow kept requests until another one was half as long again better, and a margin for lateness let requests wait that could still have made their aim.

--- a/crates/oriolering/src/room.rs
+++ b/crates/oriolering/src/room.rs
@@ -15,15 +15,12 @@
 const BUSY_PERCENT: u32 = 80;
 /// The time that an answer needs to reach its caller, in milliseconds.
 const RETURN_MS: u64 = 8;
-/// The part of its usual duration by which a run may outlast what is expected of it, in percent;
-/// a request that makes its aim only without it counts as late.
-const MARGIN_PERCENT: u64 = 40;
 /// How many times as many requests may wait as run at once.
 const WAIT_FACTOR: usize = 2;
 /// By how much a request must be expected to end sooner elsewhere to be sent there, in percent.
-const ELSEWHERE_PERCENT: u64 = 150;
+const ELSEWHERE_PERCENT: u64 = 110;
 /// The slower pace from which a request is sent elsewhere, as a percentage of the usual.
-const SLOW_PERCENT: u32 = 180;
+const SLOW_PERCENT: u32 = 120;
 /// The shortest time after which a refused caller is told to come back, in milliseconds.
 const BACK_MIN_MS: u64 = 20;
 
@@ -195,8 +192,7 @@
         }
         let pace = u64::from(self.percent);
         let order = |job: &Job| {
-            let margin = job.work_ms * MARGIN_PERCENT / 100;
-            let end = now + job.work_ms * pace / 100 + margin + RETURN_MS;
+            let end = now + job.work_ms * pace / 100 + RETURN_MS;
             let late = end > job.aim;
             let due = if late { job.deadline } else { job.aim };
             (late, job.priority, due)
