--- a/crates/bench/tests/whole_path.rs
+++ b/crates/bench/tests/whole_path.rs
@@ -1,8 +1,11 @@
 //! The whole path as separate processes on loopback addresses.
 
+use std::io::{self, BufRead, BufReader, Read, Write};
+use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
 use ntex::util::Bytes;
+use oriolering::{Cause, Outcome};
 use oriolering_bench::{Caller, Fleet, FleetPlan, Mix, Request, Told, Trial, Upload, seed_or};
 use serde_json::json;
 
@@ -56,3 +59,55 @@
         assert!(peak < idle + MEMORY_ABOVE_IDLE, "{}: {peak}", member.id);
     }
 }
+
+#[ntex::main]
+#[test]
+async fn a_refusal_in_the_middle_of_an_upload_reaches_its_caller() {
+    let fleet = Fleet::start(&FleetPlan::new("bitacora", 1)).await.unwrap();
+    let caller = Caller::new(Instant::now());
+    let mut request = Request::new(fleet.members[0].ingress, "nobody", "POST", "refused");
+    request.upload = Upload::Parts {
+        part: Bytes::from(vec![7; PART_BYTES]),
+        count: 5,
+        pause: Duration::from_millis(20),
+    };
+    let told = caller.send(&request).await.told;
+    let invalid = Told::Refused(Outcome::Rejected, Some(Cause::Invalid));
+    assert_eq!(told, invalid);
+}
+
+/// Reads the head and the body of an answer of plain text; returns the head.
+fn read_answer(stream: &mut BufReader<TcpStream>) -> io::Result<String> {
+    let mut head = String::new();
+    while !head.ends_with("\r\n\r\n") {
+        if stream.read_line(&mut head)? == 0 {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+    }
+    let head = head.to_ascii_lowercase();
+    let (_, length) = head.split_once("content-length: ").unwrap();
+    let length = length.lines().next().unwrap().parse().unwrap();
+    stream.read_exact(&mut vec![0; length])?;
+    Ok(head)
+}
+
+#[ntex::main]
+#[test]
+async fn a_connection_lasts_until_an_answer_says_that_it_closes() {
+    let fleet = Fleet::start(&FleetPlan::new("bitacora", 1)).await.unwrap();
+    let stream = TcpStream::connect(fleet.members[0].ingress).unwrap();
+    let mut stream = BufReader::new(stream);
+    let head = "POST / HTTP/1.1\r\nhost: node\r\noriolering-service: nobody\r\n";
+    let request = format!("{head}content-length: 4\r\n\r\nbody");
+    for _ in 0..5 {
+        stream.get_mut().write_all(request.as_bytes()).unwrap();
+        if read_answer(&mut stream)
+            .unwrap()
+            .contains("connection: close")
+        {
+            return;
+        }
+        // An announced end is seen at once; one without a word comes a moment later.
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
--- a/crates/node/src/admit.rs
+++ b/crates/node/src/admit.rs
@@ -3,13 +3,13 @@
 use std::rc::Rc;
 
 use futures_util::future::{Either, select};
-use ntex::http::Payload;
 use ntex::web::{HttpRequest, HttpResponse};
 use oriolering::{CallId, Cause, Fate, Millis, Offer, Refusal};
 use tokio::sync::OwnedMutexGuard;
 
 use crate::forward::{self, Job};
 use crate::headers;
+use crate::incoming::Incoming;
 use crate::permit::Permit;
 use crate::reply::Reply;
 use crate::timer::{sleep, within};
@@ -28,7 +28,7 @@
 const COLLECT_POLL_MS: u64 = 5;
 
 /// Serves a request of an ingress.
-pub(crate) async fn serve(wire: Rc<Wire>, request: HttpRequest, payload: Payload) -> HttpResponse {
+pub(crate) async fn serve(wire: Rc<Wire>, request: HttpRequest, payload: Incoming) -> HttpResponse {
     match standing(&wire, &request) {
         Standing::Peer => {}
         Standing::Unready => return Reply::not_run(UNREADY).response(),
@@ -138,7 +138,7 @@
 }
 
 /// Runs a call: admission, dispatch and the answer of the backend server.
-async fn run(wire: Rc<Wire>, request: HttpRequest, payload: Payload, id: CallId) -> HttpResponse {
+async fn run(wire: Rc<Wire>, request: HttpRequest, payload: Incoming, id: CallId) -> HttpResponse {
     // The time left counts from here on, whatever the call waits for.
     let end = deadline(&wire, &request);
     let alone = match suspicion(&wire, &request) {
--- a/crates/node/src/body.rs
+++ b/crates/node/src/body.rs
@@ -8,7 +8,6 @@
 use std::time::Duration;
 
 use futures_util::{Stream, StreamExt};
-use ntex::http::Payload;
 use ntex::http::body::{BodySize, MessageBody};
 use ntex::http::client::ClientResponse;
 use ntex::http::error::PayloadError;
@@ -16,13 +15,15 @@
 use ntex::util::{Bytes, BytesMut};
 use oriolering::{Clock, Millis};
 
+use crate::incoming::Incoming;
+
 /// The longest time between two chunks of an answer.
 const STALL_LIMIT: Duration = Duration::from_secs(10);
 
 /// The part of a body that has been read before it turned out to be long, and the rest.
 pub(crate) struct Upload {
     head: Option<Bytes>,
-    rest: Payload,
+    rest: Incoming,
     length: Option<u64>,
     clock: Clock,
     progress: Rc<Cell<Millis>>,
@@ -30,7 +31,7 @@
 
 impl Upload {
     /// Joins `head` and `rest`; `length` is the declared length of both together.
-    pub(crate) fn new(head: Bytes, rest: Payload, length: Option<u64>, clock: Clock) -> Self {
+    pub(crate) fn new(head: Bytes, rest: Incoming, length: Option<u64>, clock: Clock) -> Self {
         let progress = Rc::new(Cell::new(clock.now()));
         Self {
             head: Some(head).filter(|part| !part.is_empty()),
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -3,10 +3,10 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
+use ntex::http::StatusCode;
 use ntex::http::client::error::SendRequestError;
 use ntex::http::client::{ClientRequest, ClientResponse};
 use ntex::http::header::HeaderMap;
-use ntex::http::{Payload, StatusCode};
 use ntex::util::Bytes;
 use ntex::web::{HttpRequest, HttpResponse};
 use opentelemetry_sdk::trace::Span;
@@ -17,6 +17,7 @@
 use crate::answers::Answer;
 use crate::body::{self, Ending, Upload, WholeBody};
 use crate::headers;
+use crate::incoming::Incoming;
 use crate::permit::Permit;
 use crate::recover::is_unsent;
 use crate::reply::Reply;
@@ -70,7 +71,7 @@
     job: Job,
     mut permit: Permit,
     request: HttpRequest,
-    payload: Payload,
+    payload: Incoming,
 ) -> HttpResponse {
     let mut span = wire.node.traces.incoming("gate", request.headers());
     let (outgoing, mut hop) = outgoing(&wire, &request, &span);
@@ -111,7 +112,7 @@
     job: &Job,
     outgoing: ClientRequest,
     request: &HttpRequest,
-    payload: Payload,
+    payload: Incoming,
 ) -> Result<ClientResponse, Missing> {
     let left = job.deadline.since(wire.node.clock.now());
     let outgoing = outgoing.set_header(oriolering::DEADLINE, left.to_string());
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use futures_util::StreamExt;
-use ntex::http::{Method, Payload};
+use ntex::http::Method;
 use ntex::util::{Bytes, BytesMut};
 use ntex::web::{HttpRequest, HttpResponse};
 use opentelemetry_sdk::trace::Span;
@@ -18,6 +18,7 @@
 use crate::forward;
 use crate::headers;
 use crate::hedge;
+use crate::incoming::Incoming;
 use crate::reply::Reply;
 use crate::traces;
 use crate::wire::Wire;
@@ -34,7 +35,7 @@
 const UNKNOWN_RETRY_MS: u32 = 1_000;
 
 /// Serves a request of a caller.
-pub(crate) async fn serve(wire: Rc<Wire>, request: HttpRequest, payload: Payload) -> HttpResponse {
+pub(crate) async fn serve(wire: Rc<Wire>, request: HttpRequest, payload: Incoming) -> HttpResponse {
     let start = std::time::Instant::now();
     let metrics = &wire.node.metrics;
     metrics.calls.add(1, &[]);
@@ -59,7 +60,7 @@
 }
 
 /// Runs the filters and reads the body as far as it is held.
-async fn prepare(wire: &Wire, request: HttpRequest, payload: Payload) -> Result<Call, Reply> {
+async fn prepare(wire: &Wire, request: HttpRequest, payload: Incoming) -> Result<Call, Reply> {
     let mut call = begin(wire, request)?;
     filters::run(&filters::HEAD, &wire.node, &mut call)?;
     call.body = read_body(wire, &call, payload).await?.into();
@@ -107,7 +108,7 @@
 }
 
 /// Reads a short body whole; a longer one stays a stream.
-async fn read_body(wire: &Wire, call: &Call, mut payload: Payload) -> Result<CallBody, Reply> {
+async fn read_body(wire: &Wire, call: &Call, mut payload: Incoming) -> Result<CallBody, Reply> {
     let headers = call.request.headers();
     let length = headers::number(headers, "content-length");
     let chunked = headers.contains_key("transfer-encoding");
