Judge the limit of a gate by enough service times, and halve it only without spare slots

Cause: a limit was judged by 32 to 48 service times, whose median is off by a fifth when they are exponential, and was halved at the first window with the limit used up, to check the baseline. Chance then confirmed the check about once in five times and halved it again. The gate refused calls while half of the slots were free. Ruled out: a shorter halving (the noise grows); the mean instead of the median (a few long calls carry it off); ending a check when calls wait (none would ever end under load). Change: windows of 64 to 256 service times; the limit falls only when the median is above the baseline by more than two standard errors; a window in which half of the limit was free is the check, without a halving. The tests of the limit pass unchanged.

--- a/crates/oriolering/src/latency.rs
+++ b/crates/oriolering/src/latency.rs
@@ -78,3 +78,16 @@
     }
     Some(*sorted.select_nth_unstable(middle).1)
 }
+
+/// Returns the value that the true median is not below, but for one case in about forty.
+///
+/// The rank of the median in a sample deviates by half the square root of its size.
+pub(crate) fn scan_low(samples: &[u32]) -> u32 {
+    let middle = samples.len() / 2;
+    let rank = middle.saturating_sub(samples.len().isqrt());
+    let mut sorted = samples.to_vec();
+    if sorted.is_empty() {
+        return 0;
+    }
+    *sorted.select_nth_unstable(rank).1
+}
--- a/crates/oriolering/src/limit.rs
+++ b/crates/oriolering/src/limit.rs
@@ -1,12 +1,16 @@
 //! The concurrency limit of a backend server, adapted to the slots that it really has.
 
 use crate::Millis;
-use crate::latency::scan_median;
+use crate::latency::{scan_low, scan_median};
 
-/// The fewest service times that a limit is judged by.
-const WINDOW_MIN: usize = 32;
+/// The fewest service times that a limit is judged by; the median of as many that are exponential
+/// has a standard error of 18%.
+const WINDOW_MIN: usize = 64;
 /// The most service times that a limit is judged by.
 const WINDOW_MAX: usize = 256;
+/// The service times in a window for each call that the limit allows; at a dozen slots the standard
+/// error of the median is 10%.
+const WINDOW_CALLS: usize = 16;
 /// The inflation of the service time, in percent, from which two windows lower the limit.
 const INFLATED_PERCENT: u64 = 125;
 /// The inflation of the service time, in percent, from which one window lowers the limit.
@@ -35,13 +39,14 @@
 
 /// A limit on the calls that run at once, between a floor and a ceiling.
 ///
-/// The limit is judged by windows of service times of calls that started under it. The median
-/// of a window over the baseline shows that calls wait inside the backend server: the limit
+/// The limit is judged by windows of service times of calls that started under it. A median that
+/// is above the baseline beyond chance shows that calls wait inside the backend server: the limit
 /// falls to the share that was really served. A decrease that does not shorten the service
 /// time shows that the backend server itself became slower: the baseline follows, and the
 /// limit is restored. A window in which the limit was used up without inflation raises it by
 /// one. A limit that stays used up is halved for one window now and then, to learn whether
-/// the baseline itself was taken while calls waited.
+/// the baseline itself was taken while calls waited; a window in which half of the limit was free
+/// shows that without a halving.
 #[derive(Debug)]
 pub struct Limit {
     value: u32,
@@ -52,6 +57,7 @@
     samples: Vec<u32>,
     failures: usize,
     full: bool,
+    spare: bool,
     inflated: bool,
     baseline: u32,
     decrease: Option<Decrease>,
@@ -81,6 +87,7 @@
             samples: Vec::new(),
             failures: 0,
             full: false,
+            spare: false,
             inflated: false,
             baseline: 0,
             decrease: None,
@@ -155,9 +162,9 @@
 
     /// Records that a call started, and that `running` calls run now.
     pub fn start(&mut self, now: Millis, running: u32) {
-        if running >= self.value(now) {
-            self.full = true;
-        }
+        let value = self.value(now);
+        self.full |= running >= value;
+        self.spare |= running <= value / 2;
     }
 
     /// Records the service time of a successful call that started in `epoch`.
@@ -166,16 +173,14 @@
             return;
         }
         self.samples.push(us.max(1));
-        let window = (4 * self.value as usize).clamp(WINDOW_MIN, WINDOW_MAX);
+        let window = (WINDOW_CALLS * self.value as usize).clamp(WINDOW_MIN, WINDOW_MAX);
         if self.samples.len() < window {
             return;
         }
         if let Some(median) = scan_median(&self.samples) {
             self.judge(median);
         }
-        self.samples.clear();
-        self.failures = 0;
-        self.full = false;
+        self.clear();
     }
 
     /// Records a failed call, which is no evidence of free slots.
@@ -207,7 +212,7 @@
         if let Some(before) = self.decrease.take() {
             return self.conclude(before, median);
         }
-        let percent = u64::from(median) * 100 / u64::from(self.baseline);
+        let percent = u64::from(scan_low(&self.samples)) * 100 / u64::from(self.baseline);
         let inflated = percent >= INFLATED_PERCENT;
         let congested = percent >= CONGESTED_PERCENT || (inflated && self.inflated);
         self.inflated = inflated;
@@ -219,6 +224,11 @@
             return;
         }
         self.follow(median);
+        if self.spare {
+            // With half of the limit free no call waited, so the baseline needs no check.
+            self.unchecked = 0;
+            self.check_after = self.check_after.max(CHECK_MIN);
+        }
         if self.full {
             self.check_or_grow(median);
         }
@@ -269,7 +279,7 @@
     /// Moves the baseline toward the median; upward only while slots are free.
     fn follow(&mut self, median: u32) {
         let gap = i64::from(median) - i64::from(self.baseline);
-        let step = match (self.full, gap < 0) {
+        let step = match (self.full && !self.spare, gap < 0) {
             (false, _) => gap / 4,
             (true, true) => gap / 16,
             (true, false) => 0,
@@ -297,9 +307,15 @@
     fn change(&mut self, value: u32) {
         self.value = value.clamp(self.min, self.max);
         self.epoch = self.epoch.wrapping_add(1);
+        self.inflated = false;
+        self.clear();
+    }
+
+    /// Starts a new window.
+    fn clear(&mut self) {
         self.samples.clear();
         self.failures = 0;
         self.full = false;
-        self.inflated = false;
+        self.spare = false;
     }
 }
--- a/crates/oriolering/tests/gate/main.rs
+++ b/crates/oriolering/tests/gate/main.rs
@@ -2,5 +2,6 @@
 
 mod fixture;
 mod identity;
+mod load;
 mod server;
 mod waiting;
