Refuse a customer that waits alone as full, not for its share

Cause: a full queue refused a call for its share also when no other customer waited. Such a refusal is final, so a service without a customer header never sent the call to another gate, although there was room. Ruled out: repeating refusals for a share, which would let a burst of one customer fill every queue. Change: a queue that one customer holds alone is full, which is repeated elsewhere within the budget and told as 503. Tests: three checks named the old word for a single customer and now name the new one as exactly; the share beside a second customer is checked as well.

--- a/crates/oriolering/src/queue.rs
+++ b/crates/oriolering/src/queue.rs
@@ -25,9 +25,9 @@
     Queued,
     /// The call waits in place of the newest one of the customer with the longest lane.
     Evicted(Ticket),
-    /// The queue is full, and the customer holds a fair share of it.
+    /// The queue is full, and the customer holds a fair share of it or all of it.
     Full,
-    /// The queue is full, and no customer holds more of it than this one.
+    /// The queue is full, others wait too, and none of them holds more of it than this customer.
     Share,
 }
 
@@ -155,6 +155,9 @@
     /// Removes the newest call of the longest lane to make room for one of `customer`.
     fn evict(&mut self, customer: u64) -> Result<Ticket, Push> {
         let own = self.lane(customer).map_or(0, |lane| lane.entries.len());
+        if own == self.count {
+            return Err(Push::Full);
+        }
         let lanes = self.lanes.iter_mut().enumerate();
         let longest = lanes.max_by_key(|(_, lane)| lane.entries.len());
         let Some((_, lane)) = longest else {
