Give the modules of node and ctl one direction of imports

Cause: state, wire, watch, permit, poll, cancel and reserved imported each other in circles, and so did admit and forward, attempt and recover, and the command line with its commands. Change: no behaviour. Settings of the parts come from settings.rs; watch.rs holds what is known and probe.rs finds it out; cancels.rs holds what cancel.rs sends; refuse.rs answers for the gate; reached.rs and word.rs stand below attempt.rs and recover.rs; arguments of several commands are in args.rs, and the completion gets the whole command as an argument. The data path starts the task that sends cancellations, and the wire no longer does.

--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -1,8 +1,6 @@
 //! The command line.
 
-use std::net::SocketAddr;
-
-use clap::{Arg, ArgAction, Command};
+use clap::Command;
 
 use crate::{bundle, check, completion, diff, explain, render, schema, status, trace};
 
@@ -40,19 +38,3 @@
             completion::command(),
         ])
 }
-
-/// Returns the argument that names a node by its admin address.
-pub(crate) fn node_arg() -> Arg {
-    Arg::new("node")
-        .long("node")
-        .value_name("IP:PORT")
-        .required(true)
-        .action(ArgAction::Append)
-        .value_parser(parse_address)
-        .help("The admin address of a node")
-}
-
-fn parse_address(text: &str) -> Result<SocketAddr, String> {
-    let explain = |_| "write an IP number with a port, such as 127.0.0.1:7400".to_owned();
-    text.parse().map_err(explain)
-}
--- a/crates/ctl/src/completion.rs
+++ b/crates/ctl/src/completion.rs
@@ -3,7 +3,6 @@
 use clap::{Arg, ArgMatches, Command, value_parser};
 use clap_complete::Shell;
 
-use crate::cli;
 use crate::failure::Failure;
 
 /// Returns the subcommand.
@@ -20,13 +19,13 @@
         )
 }
 
-/// Returns the script.
-pub(crate) fn run(args: &ArgMatches) -> Result<String, Failure> {
+/// Returns the script for a whole command.
+pub(crate) fn run(args: &ArgMatches, mut whole: Command) -> Result<String, Failure> {
     let shell = args
         .get_one::<Shell>("shell")
         .copied()
         .unwrap_or(Shell::Bash);
     let mut script = Vec::new();
-    clap_complete::generate(shell, &mut cli::command(), "oriolering", &mut script);
+    clap_complete::generate(shell, &mut whole, "oriolering", &mut script);
     Ok(String::from_utf8_lossy(&script).into_owned())
 }
--- a/crates/ctl/src/explain.rs
+++ b/crates/ctl/src/explain.rs
@@ -9,7 +9,7 @@
 use crate::format::Format;
 use crate::status::{duration, micros, show};
 use crate::status_report::GateReport;
-use crate::{cli, table};
+use crate::{args, table};
 
 /// What a node knows when it chooses a backend server. Every field may be missing.
 #[derive(Clone, Debug, Default, Deserialize)]
@@ -45,7 +45,7 @@
              that gates send with answers; their age is shown.",
         )
         .after_help("Example:\n  oriolering explain --node 127.0.0.1:7400 --service caja")
-        .arg(cli::node_arg())
+        .arg(args::node())
         .arg(
             Arg::new("service")
                 .long("service")
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -3,6 +3,7 @@
 // The HTTP client's connector is a chain of generic services, too deep for the default limit.
 #![recursion_limit = "256"]
 
+mod args;
 mod bundle;
 mod check;
 mod cli;
@@ -60,7 +61,7 @@
         "status" => status::run(args),
         "explain" => explain::run(args),
         "trace" => trace::run(args),
-        "completion" => completion::run(args),
+        "completion" => completion::run(args, cli::command()),
         other => unknown(other),
     }
 }
--- a/crates/ctl/src/status.rs
+++ b/crates/ctl/src/status.rs
@@ -10,7 +10,7 @@
 use crate::failure::Failure;
 use crate::format::Format;
 use crate::status_report::{BudgetReport, MemberReport, StatusReport};
-use crate::{cli, table};
+use crate::{args, table};
 
 /// Moves the cursor of a terminal to the top left and clears the screen.
 const CLEAR: &str = "\u{1b}[H\u{1b}[2J";
@@ -30,7 +30,7 @@
              oriolering status --node 127.0.0.1:7400 --node 127.0.0.1:7401 --watch 2\n  \
              oriolering status --node 127.0.0.1:7400 --counters",
         )
-        .arg(cli::node_arg().help("The admin address of a node; may be given several times"))
+        .arg(args::node().help("The admin address of a node; may be given several times"))
         .arg(
             Arg::new("watch")
                 .long("watch")
--- a/crates/ctl/src/trace.rs
+++ b/crates/ctl/src/trace.rs
@@ -11,7 +11,7 @@
 use crate::failure::Failure;
 use crate::format::{Format, to_json};
 use crate::status::{micros, show};
-use crate::{cli, table};
+use crate::{args, table};
 
 /// The most spans that are shown.
 const MAX_SPANS: usize = 1_000;
@@ -44,7 +44,7 @@
             "Example:\n  oriolering trace --node 127.0.0.1:7400 --node 127.0.0.1:7401 \
              4bf92f3577b34da6a3ce929d0e0e4736",
         )
-        .arg(cli::node_arg().help("The admin address of a node; may be given several times"))
+        .arg(args::node().help("The admin address of a node; may be given several times"))
         .arg(
             Arg::new("trace")
                 .value_name("TRACEID")
--- a/crates/node/src/admit.rs
+++ b/crates/node/src/admit.rs
@@ -11,6 +11,7 @@
 use crate::headers;
 use crate::incoming::Incoming;
 use crate::permit::Permit;
+use crate::refuse::{open, refuse};
 use crate::reply::Reply;
 use crate::timer::{sleep, within};
 use crate::wire::Wire;
@@ -76,18 +77,6 @@
     }
 }
 
-/// Opens a session for an ingress that has none, and says so in a refusal.
-fn open(wire: &Wire) -> HttpResponse {
-    let now = wire.node.clock.now();
-    let grant = wire.node.admission.lock().gate.open(now);
-    let load = wire.node.load();
-    let refusal = Refusal {
-        cause: Cause::Session,
-        retry_after: 0,
-    };
-    Reply::not_run(refusal).response_with(Some(load), Some(grant))
-}
-
 /// Cancels a call whose caller has gone.
 fn cancel(wire: &Wire, id: CallId) -> HttpResponse {
     wire.cancels.borrow_mut().remove(id);
@@ -185,16 +174,6 @@
     }
 }
 
-/// Answers a refusal of the gate; a refusal for want of a session carries a new one.
-pub(crate) fn refuse(wire: &Wire, refusal: Refusal) -> HttpResponse {
-    wire.node.metrics.refused(refusal.cause);
-    if refusal.cause == Cause::Session {
-        return open(wire);
-    }
-    let load = wire.node.load();
-    Reply::not_run(refusal).response_with(Some(load), None)
-}
-
 /// Hands out the answer of a call that is running or done.
 async fn collect(wire: &Wire, request: &HttpRequest, id: CallId) -> HttpResponse {
     let end = deadline(wire, request);
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -1,40 +1,21 @@
 //! One attempt of a call at one gate.
 
 use ntex::http::body::Body;
-use ntex::http::client::{ClientRequest, ClientResponse};
+use ntex::http::client::ClientRequest;
 use ntex::http::header::{HeaderMap, HeaderName, HeaderValue};
-use ntex::util::Bytes;
 use opentelemetry_sdk::trace::Span;
-use oriolering::{Attempt, Cause, Failure, Grant, Refusal};
+use oriolering::{Attempt, Cause, Failure, Refusal};
 
 use crate::call::{Call, CallBody};
 use crate::directory::Target;
-use crate::headers;
-use crate::recover::{complete, read_word, wait};
+use crate::reached::Reached;
+use crate::recover::{INQUIRY_TIMEOUT_MS, complete, wait};
 use crate::running::Running;
 use crate::sessions::Issued;
 use crate::timer::within;
 use crate::traces;
 use crate::wire::Wire;
-
-/// The longest time that a gate has to answer an inquiry or open a session.
-pub(crate) const INQUIRY_TIMEOUT_MS: u64 = 150;
-
-/// How an attempt ended.
-pub(crate) enum Reached {
-    /// The backend server answered.
-    Answer(Box<Answered>),
-    /// There is no answer.
-    Missing(Failure),
-}
-
-/// An answer of a backend server.
-pub(crate) struct Answered {
-    /// The head, and the body while it is a stream.
-    pub(crate) response: ClientResponse,
-    /// The body of a short answer, read to its end.
-    pub(crate) body: Option<Bytes>,
-}
+use crate::word::{learn_grant, read_word};
 
 /// Where an attempt goes and what came before it.
 #[derive(Clone, Copy, Debug)]
@@ -109,26 +90,13 @@
     if let Some(issued) = wire.node.directory.lock().issue(target.server) {
         return Some(issued);
     }
-    let request = wire.gate(target.address.gate).get(uri(target, "/"));
+    let request = wire.gate(target.address.gate).get(target.uri("/"));
     let sending = request.set_header(oriolering::STEP, "open").send();
     let response = within(INQUIRY_TIMEOUT_MS, sending).await?.ok()?;
     learn_grant(wire, target, response.headers());
     wire.node.directory.lock().issue(target.server)
 }
 
-/// Takes up a session that a gate has opened.
-pub(crate) fn learn_grant(wire: &Wire, target: Target, headers: &HeaderMap) {
-    let grant = headers::text(headers, oriolering::GRANT).and_then(Grant::decode);
-    if let Some(grant) = grant {
-        wire.node.directory.lock().adopt(target.server, grant);
-    }
-}
-
-/// Returns the address of a path at a gate.
-pub(crate) fn uri(target: Target, path: &str) -> String {
-    format!("http://{}{path}", target.address.gate)
-}
-
 fn outgoing_headers(wire: &Wire, call: &Call, issued: Issued, plan: Plan) -> HeaderMap {
     let mut headers = call.headers.clone();
     let left = call.left(wire.node.clock.now());
@@ -172,7 +140,7 @@
         .path_and_query()
         .map_or("/", |path| path.as_str());
     let mut request = client
-        .request(call.method().clone(), uri(target, path))
+        .request(call.method().clone(), target.uri(path))
         .no_decompress();
     *request.headers_mut() = headers;
     if !call.is_whole()
@@ -203,7 +171,7 @@
 /// body unread and the call can go elsewhere.
 async fn reserve(wire: &Wire, call: &Call, target: Target, headers: &HeaderMap) -> Option<Reached> {
     let client = wire.gate(target.address.gate);
-    let mut request: ClientRequest = client.post(uri(target, "/"));
+    let mut request: ClientRequest = client.post(target.uri("/"));
     *request.headers_mut() = headers.clone();
     let sending = request.set_header(oriolering::STEP, "reserve").send();
     let left = call.left(wire.node.clock.now()).max(1);
--- a/crates/node/src/directory.rs
+++ b/crates/node/src/directory.rs
@@ -68,6 +68,13 @@
     pub(crate) address: Address,
 }
 
+impl Target {
+    /// Returns the address of a path at the gate.
+    pub(crate) fn uri(&self, path: &str) -> String {
+        format!("http://{}{path}", self.address.gate)
+    }
+}
+
 impl Directory {
     /// Returns a directory without services and backend servers.
     pub(crate) fn new(me: Me, seed: u64) -> Self {
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -13,17 +13,17 @@
 use oriolering::config::Service;
 use oriolering::{CallId, Cause, Finish, Millis, Refusal};
 
-use crate::admit;
 use crate::answers::Answer;
 use crate::body::{self, Ending, Upload, WholeBody};
 use crate::headers;
 use crate::incoming::Incoming;
 use crate::permit::Permit;
+use crate::probe;
 use crate::recover::is_unsent;
+use crate::refuse::refuse;
 use crate::reply::Reply;
 use crate::timer::within;
 use crate::traces;
-use crate::watch;
 use crate::wire::Wire;
 
 /// How long before the deadline the gate gives its word, so that it comes before an answer by
@@ -77,7 +77,7 @@
     let (outgoing, mut hop) = outgoing(&wire, &request, &span);
     if let Err(refusal) = permit.dispatch() {
         traces::note(&mut span, "reason", refusal.cause.as_str());
-        return admit::refuse(&wire, refusal);
+        return refuse(&wire, refusal);
     }
     let start = std::time::Instant::now();
     let sent = send(&wire, &job, outgoing, &request, payload).await;
@@ -161,8 +161,8 @@
     match missing {
         Missing::Unsent => {
             permit.finish(Finish::NotSent);
-            watch::lost(&wire.node, false);
-            admit::refuse(
+            probe::lost(&wire.node, false);
+            refuse(
                 wire,
                 Refusal {
                     cause: Cause::Unreachable,
@@ -171,7 +171,7 @@
             )
         }
         Missing::Lost => {
-            watch::lost(&wire.node, true);
+            probe::lost(&wire.node, true);
             permit.finish(Finish::Lost);
             unknown(wire, Cause::Unreachable)
         }
@@ -207,7 +207,7 @@
     let left = job.deadline.since(wire.node.clock.now()).max(1);
     let reading = body::read(&mut response, length.unwrap_or(0));
     let Some(body) = within(left, reading).await.flatten() else {
-        watch::lost(&wire.node, true);
+        probe::lost(&wire.node, true);
         permit.finish(Finish::Lost);
         return unknown(&wire, Cause::Unreachable);
     };
@@ -219,7 +219,7 @@
             cause: Cause::Unreachable,
             retry_after: UNREACHABLE_RETRY_MS,
         };
-        return admit::refuse(&wire, refusal);
+        return refuse(&wire, refusal);
     }
     permit.finish(finish(status, start));
     let answer = Answer {
@@ -259,7 +259,7 @@
             permit.finish(finish(status, start));
         }
         Ending::Cut => {
-            watch::lost(&node, true);
+            probe::lost(&node, true);
             permit.finish(Finish::Lost);
         }
     };
--- a/crates/node/src/hedge.rs
+++ b/crates/node/src/hedge.rs
@@ -5,9 +5,10 @@
 use oriolering::ServerKey;
 use smallvec::SmallVec;
 
-use crate::attempt::{self, Plan, Reached};
+use crate::attempt::{self, Plan};
 use crate::call::Call;
 use crate::directory::Target;
+use crate::reached::Reached;
 use crate::timer::sleep;
 use crate::wire::Wire;
 
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -11,7 +11,7 @@
 use oriolering::{AttemptState, Cause, Failure, Outcome, Refusal, ServerKey, Step, next_step};
 use smallvec::SmallVec;
 
-use crate::attempt::{Answered, Plan, Reached};
+use crate::attempt::Plan;
 use crate::body::{Ending, Upload, WholeBody};
 use crate::call::{Call, CallBody};
 use crate::filters::{self, route};
@@ -19,6 +19,7 @@
 use crate::headers;
 use crate::hedge;
 use crate::incoming::Incoming;
+use crate::reached::{Answered, Reached};
 use crate::reply::Reply;
 use crate::traces;
 use crate::wire::Wire;
--- a/crates/node/src/poll.rs
+++ b/crates/node/src/poll.rs
@@ -3,32 +3,17 @@
 use std::rc::Rc;
 
 use ntex::http::StatusCode;
-use oriolering::{Budget, BudgetSettings, Millis};
+use oriolering::Millis;
 
+use crate::settings::US_PER_MS;
 use crate::state::Node;
 use crate::timer::{sleep, within};
 use crate::wire::Wire;
 
-const US_PER_MS: u64 = 1_000;
 /// The longest time that a poll may take.
 const POLL_TIMEOUT_MS: u64 = 500;
 /// Polls left out after which an old answer of the health endpoint is forgotten.
 const MAX_SKIPPED: u32 = 5;
-/// How late the list of instances may tell of a node.
-const LIST_LAG_MS: u64 = 30_000;
-
-/// Returns the budget of a node for the settings of its service.
-pub(crate) fn budget(allowed_ms: u64) -> Budget {
-    Budget::new(settings(allowed_ms))
-}
-
-/// Returns the settings of a budget of `allowed_ms` milliseconds of work in each second.
-pub(crate) fn settings(allowed_ms: u64) -> BudgetSettings {
-    BudgetSettings {
-        allowed: allowed_ms * US_PER_MS,
-        lag: LIST_LAG_MS,
-    }
-}
 
 /// Polls until the process ends.
 pub(crate) async fn run(wire: Rc<Wire>) {
--- a/crates/node/src/recover.rs
+++ b/crates/node/src/recover.rs
@@ -6,17 +6,20 @@
 use ntex::http::Method;
 use ntex::http::client::ClientResponse;
 use ntex::http::client::error::{ConnectError, SendRequestError};
-use oriolering::{Cause, Failure, Fate, LoadHint, Millis, Outcome, Refusal};
+use oriolering::{Cause, Failure, Fate, Millis, Refusal};
 
-use crate::attempt::{Answered, INQUIRY_TIMEOUT_MS, Reached, learn_grant, uri};
 use crate::body;
 use crate::call::Call;
 use crate::directory::Target;
 use crate::headers;
+use crate::reached::Reached;
 use crate::sessions::Issued;
 use crate::timer::{sleep, within};
 use crate::wire::Wire;
+use crate::word::read_word;
 
+/// The longest time that a gate has to answer an inquiry or open a session.
+pub(crate) const INQUIRY_TIMEOUT_MS: u64 = 150;
 /// The time beyond the deadline in which the gate's own word may still come.
 const GRACE_MS: u64 = 30;
 /// Inquiries without an answer after which a gate counts as out of reach.
@@ -143,7 +146,7 @@
     let left = call.left(wire.node.clock.now()).max(1);
     let request = wire
         .gate(target.address.gate)
-        .get(uri(target, "/"))
+        .get(target.uri("/"))
         .no_decompress()
         .set_header(oriolering::CALL_ID, issued.id.encode())
         .set_header(oriolering::STEP, "collect")
@@ -198,34 +201,3 @@
         None => Reached::Missing(Failure::MayHaveRun),
     }
 }
-
-/// Reads what the gate says in the headers of an answer.
-pub(crate) fn read_word(
-    wire: &Wire,
-    call: &Call,
-    target: Target,
-    response: ClientResponse,
-) -> Reached {
-    let headers = response.headers();
-    let now = wire.node.clock.now();
-    if let Some(hint) = headers::text(headers, oriolering::LOAD).and_then(LoadHint::decode) {
-        let mut directory = wire.node.directory.lock();
-        directory.hint(now, call.service, target.server, hint);
-    }
-    learn_grant(wire, target, headers);
-    let Some(outcome) = headers::text(headers, oriolering::OUTCOME) else {
-        let body = None;
-        return Reached::Answer(Box::new(Answered { response, body }));
-    };
-    let cause = headers::text(headers, oriolering::REASON).and_then(Cause::parse);
-    let retry_after = headers::number(headers, oriolering::RETRY_AFTER_MS).unwrap_or(0);
-    let refusal = Refusal {
-        cause: cause.unwrap_or(Cause::Invalid),
-        retry_after: retry_after as u32,
-    };
-    Reached::Missing(match (Outcome::parse(outcome), refusal.cause) {
-        (Some(Outcome::NotRun | Outcome::Rejected), _) => Failure::Refused(refusal),
-        (Some(Outcome::Unknown), Cause::Unreachable) => Failure::Crashed,
-        (Some(Outcome::Unknown) | None, _) => Failure::MayHaveRun,
-    })
-}
--- a/crates/node/src/running.rs
+++ b/crates/node/src/running.rs
@@ -2,7 +2,7 @@
 
 use oriolering::{Attempt, ServiceKey};
 
-use crate::cancel::Cancelled;
+use crate::cancels::Cancelled;
 use crate::directory::Target;
 use crate::sessions::Issued;
 use crate::wire::Wire;
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -11,6 +11,7 @@
 
 use crate::admin;
 use crate::admit;
+use crate::cancel;
 use crate::headers;
 use crate::incoming::Incoming;
 use crate::ingress;
@@ -47,7 +48,8 @@
     let shared = Arc::clone(&node);
     let listeners = Listeners::bind(&[ingress, gate, admin])?;
     let mut server = HttpServer::new(move || {
-        let wire = Wire::new(Arc::clone(&shared));
+        let (wire, cancelled) = Wire::new(Arc::clone(&shared));
+        ntex::rt::spawn(cancel::run(Rc::clone(&wire), cancelled));
         ntex::rt::spawn(tick(Rc::clone(&wire)));
         ntex::rt::spawn(poll::run(Rc::clone(&wire)));
         App::new().state(wire).default_service(web::to(dispatch))
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -1,15 +1,11 @@
 //! The state of a node that its threads share.
 
-use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::OnceLock;
 use std::sync::atomic::{AtomicBool, Ordering};
 
-use oriolering::config::{Bundle, ProcessSettings, Service, Set, Settings};
-use oriolering::{
-    Budget, Clock, Gate, GateSettings, Incarnation, LoadHint, Member, Millis, Quarantine,
-    QuarantineSettings,
-};
+use oriolering::config::{ProcessSettings, Service, Settings};
+use oriolering::{Budget, Clock, Gate, Incarnation, LoadHint, Member, Millis, Quarantine};
 use parking_lot::Mutex;
 use tokio::sync::Notify;
 
@@ -17,18 +13,10 @@
 use crate::control::Handle;
 use crate::directory::{Directory, Me};
 use crate::metrics::Metrics;
-use crate::poll;
+use crate::settings;
 use crate::traces::Traces;
 use crate::watch::Watch;
 
-/// Sessions that a gate holds at once; more ingresses than this share by age of use.
-const SESSIONS: u32 = 4_096;
-/// Sequence numbers that a gate remembers for each session.
-const WINDOW: u32 = 1_024;
-
-/// Requests that are suspected or quarantined at once.
-const SUSPECTS: u32 = 256;
-
 /// The state of a node.
 pub(crate) struct Node {
     /// The settings of the process.
@@ -65,8 +53,8 @@
     /// Returns a node without configuration and members.
     pub(crate) fn new(card: ProcessSettings, incarnation: Incarnation) -> Arc<Self> {
         let clock = Clock::system();
-        let own = default_settings(&card.service);
-        let gate = Gate::new(gate_settings(&own), incarnation, clock.now());
+        let own = settings::initial(&card.service);
+        let gate = Gate::new(settings::gate(&own), incarnation, clock.now());
         let me = Me {
             id: card.id.clone(),
             zone: card.zone.clone(),
@@ -75,11 +63,11 @@
             incarnation,
             admission: Mutex::new(Admission::new(gate)),
             directory: Mutex::new(Directory::new(me, incarnation.0)),
-            quarantine: Mutex::new(Quarantine::new(quarantine_settings(&own), incarnation)),
+            quarantine: Mutex::new(Quarantine::new(settings::quarantine(&own), incarnation)),
             watch: Mutex::new(Watch::default()),
             entered: Arc::new(()),
             queued: Notify::new(),
-            budget: Mutex::new(poll::budget(own.measure.budget_ms)),
+            budget: Mutex::new(Budget::new(settings::budget(&own))),
             metrics: Metrics::new(),
             traces: Traces::new(&card.id),
             control: OnceLock::new(),
@@ -103,21 +91,15 @@
     }
 
     /// Puts the settings of a new revision in force.
-    pub(crate) fn configure(&self, revision: u64, settings: &Settings) {
+    pub(crate) fn configure(&self, revision: u64, site: &Settings) {
         let now = self.clock.now();
-        if let Some(own) = settings
-            .services
-            .iter()
-            .find(|s| s.name == self.card.service)
-        {
-            self.admission.lock().gate.update(gate_settings(own));
-            self.quarantine.lock().update(quarantine_settings(own));
-            self.budget
-                .lock()
-                .update(poll::settings(own.measure.budget_ms));
+        if let Some(own) = site.services.iter().find(|s| s.name == self.card.service) {
+            self.admission.lock().gate.update(settings::gate(own));
+            self.quarantine.lock().update(settings::quarantine(own));
+            self.budget.lock().update(settings::budget(own));
             *self.own.lock() = Arc::new(own.clone());
         }
-        self.directory.lock().configure(now, settings);
+        self.directory.lock().configure(now, site);
         *self.revision.lock() = Some(revision);
         log::info!(revision = revision; "configuration in force");
     }
@@ -189,35 +171,3 @@
         now
     }
 }
-
-/// Returns the settings of a service before any configuration is known.
-fn default_settings(name: &str) -> Service {
-    let base = format!("{{\"services\": {{\"{name}\": {{}}}}}}");
-    let bundle = Bundle {
-        base,
-        overlays: BTreeMap::new(),
-    };
-    let set = Set::parse(&bundle).expect("a service without fields has defaults");
-    set.site("").services.remove(0)
-}
-
-fn quarantine_settings(service: &Service) -> QuarantineSettings {
-    QuarantineSettings {
-        capacity: SUSPECTS,
-        quarantine: service.quarantine_ms,
-        suspicion: service.quarantine_ms,
-    }
-}
-
-fn gate_settings(service: &Service) -> GateSettings {
-    GateSettings {
-        initial: service.slots.initial,
-        min: service.slots.min,
-        max: service.slots.max,
-        queue_length: service.queue.length,
-        queue_wait: service.queue.wait_ms,
-        ramp: service.ramp_ms,
-        sessions: SESSIONS,
-        window: WINDOW,
-    }
-}
--- a/crates/node/src/wire.rs
+++ b/crates/node/src/wire.rs
@@ -11,7 +11,7 @@
 use tokio::sync::mpsc;
 
 use crate::answers::Answers;
-use crate::cancel::{self, Cancelled, Cancels};
+use crate::cancels::{Cancelled, Cancels};
 use crate::reserved::Reserved;
 use crate::state::Node;
 
@@ -44,7 +44,9 @@
 
 impl Wire {
     /// Builds the clients; this happens once, on the thread of the data path.
-    pub(crate) fn new(node: Arc<Node>) -> Rc<Self> {
+    ///
+    /// The attempts to be cancelled come out of the channel that is returned beside.
+    pub(crate) fn new(node: Arc<Node>) -> (Rc<Self>, mpsc::UnboundedReceiver<Cancelled>) {
         let (cancelled, receiver) = mpsc::unbounded_channel();
         let wire = Rc::new(Self {
             node,
@@ -56,8 +58,7 @@
             cancelled,
             gates: RefCell::default(),
         });
-        ntex::rt::spawn(cancel::run(Rc::clone(&wire), receiver));
-        wire
+        (wire, receiver)
     }
 
     /// Returns the client whose connections lead to one gate.
