Split the gate and the control tests by job, and share the rows of the field tables

Change: no behaviour. gate/waiting.rs holds the queue's side of the gate, with its place, turn and refusal; the tests of the control part are a directory by what they check, with the same test functions; one function builds both tables. Ruled out: merging the pairs of exchanges in control/client.rs (different answers) and the options of the bench examples, which are named alike only.

--- /dev/null
+++ b/crates/bench/tests/control/members.rs
@@ -0,0 +1,133 @@
+//! Members that leave, are cut off or are no members.
+
+use std::time::Duration;
+
+use oriolering::{CallId, Fate, Grant, Incarnation};
+use oriolering_bench::control_fleet::{Node, bundle, list};
+use rstest::rstest;
+
+use crate::fixture::{LIMIT, WATCH_MS, fleet, quarantine};
+
+#[tokio::test]
+async fn a_leaving_node_is_known_at_once_while_the_list_lags() {
+    let mut fleet = fleet(24);
+    assert!(
+        fleet
+            .until(LIMIT, |node| node.record.members.lock().len() == 24)
+            .await
+    );
+    fleet.nodes[3].handle.leave();
+    let known = |node: &Node| node.view("node-3").is_some_and(|member| member.leaving);
+    assert!(fleet.until(Duration::from_secs(3), known).await);
+    fleet.replace(3).await.unwrap();
+    let back = |node: &Node| node.view("node-3").is_some_and(|member| !member.leaving);
+    assert!(fleet.until(LIMIT, back).await);
+    fleet.stop().await;
+}
+
+#[tokio::test]
+async fn most_of_a_fleet_leaves_at_once() {
+    const NODES: usize = 80;
+    let fleet = fleet(NODES);
+    assert!(
+        fleet
+            .until(LIMIT, |node| node.record.members.lock().len() == NODES)
+            .await
+    );
+    for node in &fleet.nodes[10..] {
+        node.handle.leave();
+    }
+    let known = |node: &Node| {
+        let members = node.record.members.lock();
+        members.iter().filter(|member| member.leaving).count() == NODES - 10
+    };
+    assert!(fleet.until(Duration::from_secs(3), known).await);
+    fleet.stop().await;
+}
+
+#[rstest]
+#[case::zone(&["zone-1"])]
+#[case::region(&["zone-0", "zone-1"])]
+#[tokio::test]
+async fn a_cut_part_catches_up_and_causes_no_storm_of_reads(#[case] zones: &[&str]) {
+    let fleet = fleet(24);
+    fleet.publish(bundle(3, 20_000, 1), LIMIT).await;
+    zones.iter().for_each(|zone| fleet.cut(zone, true));
+    tokio::time::sleep(Duration::from_millis(WATCH_MS + 100)).await;
+    let reads = fleet.platform.reads();
+    let cut = fleet
+        .publish(bundle(3, 20_000, 2), Duration::from_secs(2))
+        .await;
+    assert_eq!(cut.iter().flatten().count(), 24 - 6 * zones.len());
+    zones.iter().for_each(|zone| fleet.cut(zone, false));
+    assert!(fleet.until(LIMIT, |node| node.in_force(2).is_some()).await);
+    let after = fleet.platform.reads();
+    assert!(after.config - reads.config < 60, "{reads:?} {after:?}");
+    for node in &fleet.nodes {
+        let members = node.record.members.lock();
+        assert!(members.len() == 24 && members.iter().all(|member| !member.leaving));
+    }
+    fleet.stop().await;
+}
+
+#[tokio::test]
+async fn a_member_that_the_list_places_elsewhere_is_a_stranger() {
+    let mut fleet = fleet(13);
+    assert!(
+        fleet
+            .until(LIMIT, |node| node.record.members.lock().len() == 13)
+            .await
+    );
+    let mut elsewhere: Vec<_> = fleet.nodes.iter().map(|node| node.member.clone()).collect();
+    elsewhere[0].control.set_ip([127, 0, 0, 99].into());
+    fleet.platform.list(list(&elsewhere));
+    let moved = |node: &Node| {
+        let view = node.view("node-0");
+        view.is_some_and(|member| member.control == elsewhere[0].control)
+    };
+    assert!(fleet.until(LIMIT, moved).await);
+    let entry = quarantine();
+    let liar = fleet.nodes.remove(0);
+    let gate = fleet.nodes[0].member.control;
+    let id = CallId {
+        grant: Grant {
+            gate: Incarnation(1),
+            number: 1,
+        },
+        seq: 1,
+    };
+    liar.handle.spread(entry);
+    liar.handle.leave();
+    assert!(liar.handle.inquire(gate, id, true, 1_000).await.is_err());
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    for node in &fleet.nodes {
+        assert!(node.record.quarantined.lock().is_empty());
+        assert!(node.record.fenced.lock().is_empty());
+    }
+    liar.handle.stop().await;
+    fleet.stop().await;
+}
+
+#[tokio::test]
+async fn a_listed_peer_may_inquire() {
+    let fleet = fleet(8);
+    assert!(
+        fleet
+            .until(LIMIT, |node| node.record.members.lock().len() == 8)
+            .await
+    );
+    let gate = &fleet.nodes[1];
+    let grant = fleet.nodes[0]
+        .handle
+        .open(gate.member.control, 1_000)
+        .await
+        .unwrap();
+    let id = CallId { grant, seq: 9 };
+    let fate = fleet.nodes[0]
+        .handle
+        .inquire(gate.member.control, id, true, 1_000)
+        .await;
+    assert_eq!(fate.unwrap(), Fate::Fenced);
+    assert_eq!(*gate.record.fenced.lock(), [9]);
+    fleet.stop().await;
+}
--- a/crates/ctl/src/schema.rs
+++ b/crates/ctl/src/schema.rs
@@ -50,38 +50,40 @@
 }
 
 fn service_table(fields: &[Field]) -> String {
-    let head = "| Field | Type | Unit | Default | Limits | Effect |\n\
-                | --- | --- | --- | --- | --- | --- |\n";
-    let rows = fields.iter().map(|f| {
-        format!(
-            "| `{}` | {} | {} | {} | {} | {} |\n",
-            f.path,
-            f.kind,
-            f.unit,
-            code(&f.default),
-            f.limits,
-            f.effect
-        )
-    });
-    head.to_owned() + &rows.collect::<String>()
+    let head = ["Field", "Type", "Unit", "Default", "Limits", "Effect"].map(str::to_owned);
+    table(head.into(), fields.iter().map(cells))
 }
 
 fn process_table(fields: &[Field]) -> String {
-    let head = "| Field | Flag | Type | Unit | Default | Limits | Effect |\n\
-                | --- | --- | --- | --- | --- | --- | --- |\n";
-    let rows = fields.iter().map(|f| {
-        format!(
-            "| `{}` | `{}` | {} | {} | {} | {} | {} |\n",
-            f.path,
-            f.flag(),
-            f.kind,
-            f.unit,
-            code(&f.default),
-            f.limits,
-            f.effect
-        )
+    let head = [
+        "Field", "Flag", "Type", "Unit", "Default", "Limits", "Effect",
+    ]
+    .map(str::to_owned);
+    let rows = fields.iter().map(|field| {
+        let mut cells = cells(field);
+        cells.insert(1, format!("`{}`", field.flag()));
+        cells
     });
-    head.to_owned() + &rows.collect::<String>()
+    table(head.into(), rows)
+}
+
+fn cells(field: &Field) -> Vec<String> {
+    vec![
+        format!("`{}`", field.path),
+        field.kind.to_string(),
+        field.unit.to_string(),
+        code(&field.default),
+        field.limits.to_string(),
+        field.effect.to_string(),
+    ]
+}
+
+fn table(head: Vec<String>, rows: impl Iterator<Item = Vec<String>>) -> String {
+    let rule = vec!["---".to_owned(); head.len()];
+    let lines = [head, rule].into_iter().chain(rows);
+    lines
+        .map(|cells| format!("| {} |\n", cells.join(" | ")))
+        .collect()
 }
 
 fn code(default: &str) -> String {
--- a/crates/oriolering/src/gate.rs
+++ b/crates/oriolering/src/gate.rs
@@ -1,15 +1,17 @@
 //! The only way to a backend server: admits, queues, refuses and fences calls.
 
+mod waiting;
+
 use std::collections::VecDeque;
 
 use crate::calls::{Call, Calls, Phase};
 use crate::ledger::Ledger;
 use crate::pause::{Pause, SETTLE_MS};
-use crate::queue::{Push, Queue};
+use crate::queue::Queue;
 use crate::server::Server;
 use crate::{
-    CallId, Cause, Decision, Fate, Finish, GateEvent, GateSettings, Grant, Incarnation, LoadHint,
-    Millis, Offer, Refusal, Ticket,
+    CallId, Cause, Decision, Fate, Finish, GateSettings, Grant, Incarnation, LoadHint, Millis,
+    Offer, Refusal, Ticket,
 };
 
 /// The longest time to wait before sending again that a refusal names.
@@ -183,30 +185,6 @@
         }
     }
 
-    /// Returns the next change of a waiting call.
-    ///
-    /// It is called until it returns `None` after each other change and at [`Self::next_wake`].
-    pub fn next_event(&mut self, now: Millis) -> Option<GateEvent> {
-        self.observe(now);
-        if let Some(ticket) = self.queue.expire(now) {
-            self.expire(now, ticket);
-        }
-        while let Some(ticket) = self.refused.pop_front() {
-            let phase = self.calls.get(ticket).map(|call| call.phase);
-            if let Some(Phase::Refused(refusal)) = phase {
-                self.calls.remove(ticket);
-                return Some(GateEvent::Refuse(ticket, refusal));
-            }
-        }
-        self.server.prune(now);
-        if !self.has_slot(now) {
-            return None;
-        }
-        let ticket = self.queue.pop(|customer| self.server.running(customer))?;
-        self.reserve(ticket);
-        Some(GateEvent::Start(ticket))
-    }
-
     /// Returns what became of a call; with `fence` a call not yet dispatched never will be.
     pub fn inquire(&mut self, now: Millis, id: CallId, fence: bool) -> Fate {
         self.observe(now);
@@ -266,67 +244,12 @@
         self.server.update(self.now, settings);
     }
 
-    /// Returns when [`Self::next_event`] is to be called if nothing changes before.
-    pub fn next_wake(&self) -> Option<Millis> {
-        if !self.refused.is_empty() {
-            return Some(self.now);
-        }
-        let expiry = self.queue.earliest()?;
-        let settled = self.pause.settles(self.now);
-        let slot = settled.or(self.server.next_slot(self.now));
-        Some(slot.map_or(expiry, |at| at.min(expiry)))
-    }
-
     /// Records that the process runs; a jump between two ticks shows that it was paused.
     pub fn tick(&mut self, now: Millis) {
         self.observe(now);
         self.pause.tick(now);
     }
 
-    /// Finds a slot or a place in the queue for an admitted call.
-    fn place(&mut self, now: Millis, offer: Offer) -> Decision {
-        if self.is_leaving() {
-            return Decision::Refuse(self.refusal(now, Cause::Leaving));
-        }
-        if offer.deadline <= now {
-            return Decision::Refuse(self.refusal(now, Cause::Deadline));
-        }
-        let call = Call::new(offer);
-        if self.queue.is_empty() && self.has_slot(now) {
-            let ticket = self.calls.insert(call);
-            self.reserve(ticket);
-            return Decision::Start(ticket);
-        }
-        if self.refused.len() >= self.settings.queue_length as usize {
-            return Decision::Refuse(self.refusal(now, Cause::Full));
-        }
-        self.enqueue(now, call)
-    }
-
-    fn enqueue(&mut self, now: Millis, call: Call) -> Decision {
-        let latest = Millis(call.deadline.0.saturating_sub(self.server.service_ms()));
-        let start = now + self.server.drain_ms(now, self.queue.ahead(call.customer));
-        if start >= latest {
-            return Decision::Refuse(self.refusal(now, Cause::Deadline));
-        }
-        let expires = latest.min(now + self.settings.queue_wait);
-        if start > expires {
-            return Decision::Refuse(self.refusal(now, Cause::Full));
-        }
-        let ticket = self.calls.insert(call);
-        let cause = match self.queue.push(ticket, call.customer, expires) {
-            Push::Queued => return Decision::Wait(ticket),
-            Push::Evicted(victim) => {
-                self.refuse(victim, self.refusal(now, Cause::Share));
-                return Decision::Wait(ticket);
-            }
-            Push::Full => Cause::Full,
-            Push::Share => Cause::Share,
-        };
-        self.calls.remove(ticket);
-        Decision::Refuse(self.refusal(now, cause))
-    }
-
     /// Checks a call for the last time before its mark is set.
     fn mark(&mut self, now: Millis, call: &Call) -> Result<(), Cause> {
         if call.deadline <= now {
@@ -338,26 +261,6 @@
         self.ledger.dispatch(call.id)
     }
 
-    fn expire(&mut self, now: Millis, ticket: Ticket) {
-        let finish = now + self.server.service_ms();
-        let call = self.calls.get(ticket);
-        let late = call.is_some_and(|call| call.deadline <= finish);
-        let cause = match late {
-            true => Cause::Deadline,
-            false => Cause::Full,
-        };
-        self.refuse(ticket, self.refusal(now, cause));
-    }
-
-    /// Refuses a call that left the queue; its event follows.
-    fn refuse(&mut self, ticket: Ticket, refusal: Refusal) {
-        if let Some(call) = self.calls.get_mut(ticket) {
-            call.phase = Phase::Refused(refusal);
-            self.ledger.refuse(call.id);
-            self.refused.push_back(ticket);
-        }
-    }
-
     fn is_leaving(&self) -> bool {
         self.leaving || self.server_leaving
     }
