--- a/crates/oriolering/tests/gate/load.rs
+++ b/crates/oriolering/tests/gate/load.rs
@@ -15,6 +15,12 @@
 const MEAN_US: f64 = 20_000.0;
 const DEADLINE_MS: u64 = 2_000;
 const CALLS: u32 = 20_000;
+/// Uploads as long, and short calls as many, as the proof of a leaving instance has at each node.
+const UPLOADS: u32 = 4;
+const UPLOAD_US: u64 = 6_000_000;
+const SHORT_US: f64 = 10_000.0;
+/// The load of 50 calls a second that take as long as is usual here.
+const SHORT_LOAD: f64 = 50.0 * MEAN_US / 1e6 / SLOTS as f64;
 
 const SETTINGS: GateSettings = GateSettings {
     initial: 12,
@@ -40,6 +46,8 @@
     runs: BinaryHeap<Run>,
     sequence: u64,
     refused: usize,
+    mean: f64,
+    fixed: Option<u64>,
 }
 
 impl Play {
@@ -54,6 +62,8 @@
             runs: BinaryHeap::new(),
             sequence: 0,
             refused: 0,
+            mean: MEAN_US,
+            fixed: None,
         }
     }
 
@@ -68,19 +78,33 @@
     /// Offers `count` calls at `load`, the share of the slots that they keep busy.
     fn run(&mut self, count: u32, load: f64) {
         for _ in 0..count {
-            let arrival = self.now + self.draw(MEAN_US / SLOTS as f64 / load);
-            while let Some(end) = self
-                .runs
-                .peek()
-                .map(|run| run.0.0)
-                .filter(|e| *e <= arrival)
-            {
-                self.now = end;
-                self.finish();
-            }
-            self.now = arrival;
+            let gap = self.draw(MEAN_US / SLOTS as f64 / load);
+            self.wait(gap);
+            self.offer();
+        }
+    }
+
+    /// Offers `count` calls at once that take `us` each.
+    fn hold(&mut self, count: u32, us: u64) {
+        self.fixed = Some(us);
+        for _ in 0..count {
             self.offer();
         }
+        self.fixed = None;
+    }
+
+    /// Lets `us` microseconds pass.
+    fn wait(&mut self, us: u64) {
+        let until = self.now + us;
+        while let Some(end) = self.next_end().filter(|end| *end <= until) {
+            self.now = end;
+            self.finish();
+        }
+        self.now = until;
+    }
+
+    fn next_end(&self) -> Option<u64> {
+        self.runs.peek().map(|run| run.0.0)
     }
 
     fn offer(&mut self) {
@@ -118,7 +142,10 @@
         self.gate
             .dispatch(self.millis(), ticket)
             .expect("nothing fences calls here");
-        let service = self.draw(MEAN_US);
+        let service = match self.fixed {
+            Some(us) => us,
+            None => self.draw(self.mean),
+        };
         let slot = self.slots.iter_mut().min().expect("a server has slots");
         *slot = self.now.max(*slot) + service;
         self.runs.push(Reverse((*slot, self.now, ticket)));
@@ -161,3 +188,18 @@
     println!("max {max} load {load}: {adapted} calls refused, {fixed} with the right limit");
     assert!(adapted <= fixed + CALLS as usize / 1_000);
 }
+
+/// Uploads that wait for their callers hold slots, and a backend server that is slow for a while
+/// must not bring the limit down to them: all other calls would be refused until they end.
+#[rstest]
+fn short_calls_are_served_beside_long_ones(#[values(1.0, 10.0)] slower: f64) {
+    for seed in 0..10 {
+        let mut play = Play::new(SETTINGS, seed);
+        play.hold(UPLOADS, UPLOAD_US);
+        play.mean = SHORT_US * slower;
+        play.run(100, SHORT_LOAD);
+        play.mean = SHORT_US;
+        play.run(200, SHORT_LOAD);
+        assert_eq!(play.refused, 0, "seed {seed}");
+    }
+}
