--- a/crates/node/src/admit.rs
+++ b/crates/node/src/admit.rs
@@ -3,14 +3,15 @@
 use std::rc::Rc;
 
 use futures_util::future::{Either, select};
-use ntex::http::Payload;
 use ntex::web::{HttpRequest, HttpResponse};
 use oriolering::{CallId, Cause, Fate, Millis, Offer, Refusal};
 use tokio::sync::OwnedMutexGuard;
 
 use crate::forward::{self, Job};
 use crate::headers;
+use crate::incoming::Incoming;
 use crate::permit::Permit;
+use crate::refuse::{open, refuse};
 use crate::reply::Reply;
 use crate::timer::{sleep, within};
 use crate::wire::Wire;
@@ -28,7 +29,7 @@
 const COLLECT_POLL_MS: u64 = 5;
 
 /// Serves a request of an ingress.
-pub(crate) async fn serve(wire: Rc<Wire>, request: HttpRequest, payload: Payload) -> HttpResponse {
+pub(crate) async fn serve(wire: Rc<Wire>, request: HttpRequest, payload: Incoming) -> HttpResponse {
     match standing(&wire, &request) {
         Standing::Peer => {}
         Standing::Unready => return Reply::not_run(UNREADY).response(),
@@ -76,18 +77,6 @@
     }
 }
 
-/// Opens a session for an ingress that has none, and says so in a refusal.
-fn open(wire: &Wire) -> HttpResponse {
-    let now = wire.node.clock.now();
-    let grant = wire.node.admission.lock().gate.open(now);
-    let load = wire.node.load();
-    let refusal = Refusal {
-        cause: Cause::Session,
-        retry_after: 0,
-    };
-    Reply::not_run(refusal).response_with(Some(load), Some(grant))
-}
-
 /// Cancels a call whose caller has gone.
 fn cancel(wire: &Wire, id: CallId) -> HttpResponse {
     wire.cancels.borrow_mut().remove(id);
@@ -138,7 +127,7 @@
 }
 
 /// Runs a call: admission, dispatch and the answer of the backend server.
-async fn run(wire: Rc<Wire>, request: HttpRequest, payload: Payload, id: CallId) -> HttpResponse {
+async fn run(wire: Rc<Wire>, request: HttpRequest, payload: Incoming, id: CallId) -> HttpResponse {
     // The time left counts from here on, whatever the call waits for.
     let end = deadline(&wire, &request);
     let alone = match suspicion(&wire, &request) {
@@ -185,16 +174,6 @@
     }
 }
 
-/// Answers a refusal of the gate; a refusal for want of a session carries a new one.
-pub(crate) fn refuse(wire: &Wire, refusal: Refusal) -> HttpResponse {
-    wire.node.metrics.refused(refusal.cause);
-    if refusal.cause == Cause::Session {
-        return open(wire);
-    }
-    let load = wire.node.load();
-    Reply::not_run(refusal).response_with(Some(load), None)
-}
-
 /// Hands out the answer of a call that is running or done.
 async fn collect(wire: &Wire, request: &HttpRequest, id: CallId) -> HttpResponse {
     let end = deadline(wire, request);
