Add stand-ins of the platform's backend servers and clients

The soak of the new data path needs servers that misbehave as the platform's do, and clients that see each byte of what they get. The present stand-in uses the HTTP server library, which cannot cut, repeat or unframe answers; a handler inside that library was ruled out for this reason.

The backend server parses with the library's codec over a plain connection and writes its answers as bytes. It has slots and a short queue, refuses, resets or falls silent when full, stops at the deadline, drops work whose connection closed, and writes each step of each request to a record that outlives it. Faults come as lines of JSON over a control connection. The client sends requests behind one another, bodies with a length or in chunks, and leaves early where asked; it checks the signature over identity, status and body. The library's client codec takes an answer without a length for an empty one, so the client reads such an answer to the end itself.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -23,6 +23,7 @@
 mod report;
 mod scenario;
 mod signal;
+pub mod soak;
 mod timer;
 mod trial;
 
--- /dev/null
+++ b/crates/bench/tests/app.rs
@@ -0,0 +1,422 @@
+//! The stand-ins of the platform's backend servers and clients do what the soak relies on.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use ntex::http::client::{Client, ClientResponse};
+use oriolering::RouteKind;
+use oriolering_bench::soak::app::serve_app;
+use oriolering_bench::soak::client::{Attempt, Connection, Told};
+use oriolering_bench::soak::names;
+use oriolering_bench::soak::record::{Entry, Step, now_ms, read_record};
+use oriolering_bench::soak::seal::{bytes_of, digest};
+use oriolering_bench::soak::{AppFault, AppSettings, Flaw, WhenFull};
+use oriolering_bench::{Process, free_address, program, wait_for_listener};
+use rstest::rstest;
+use tempfile::TempDir;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::{JoinHandle, spawn_local};
+use tokio::time::sleep;
+
+const WHOLE: Told = Told::Answer {
+    status: 200,
+    signed: Some(true),
+    retry_after_ms: None,
+};
+const REFUSED: Told = Told::Answer {
+    status: 503,
+    signed: None,
+    retry_after_ms: None,
+};
+
+struct Site {
+    address: SocketAddr,
+    control: SocketAddr,
+    record: PathBuf,
+    _dir: TempDir,
+}
+
+fn settings() -> AppSettings {
+    AppSettings {
+        id: "i-1".into(),
+        service: "caja".into(),
+        health_path: "/health".into(),
+        slots: 2,
+        queue: 2,
+        connections: 8,
+        idle_ms: 400,
+        tells_load: true,
+        cold_ms: 0,
+        seed: 7,
+    }
+}
+
+impl Site {
+    async fn start(settings: AppSettings) -> Self {
+        let dir = tempfile::tempdir().unwrap();
+        let record = dir.path().join("record");
+        let file = std::fs::File::create(&record).unwrap();
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let control = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let site = Self {
+            address: listener.local_addr().unwrap(),
+            control: control.local_addr().unwrap(),
+            record,
+            _dir: dir,
+        };
+        spawn_local(serve_app(listener, control, settings, file));
+        site
+    }
+
+    async fn fault(&self, fault: AppFault) {
+        set_fault(self.control, fault).await;
+    }
+
+    async fn flaw(&self, flaw: Flaw) {
+        let fault = AppFault {
+            flaw: Some(flaw),
+            share: 1.0,
+            ..AppFault::default()
+        };
+        self.fault(fault).await;
+    }
+
+    async fn send(&self, attempt: Attempt) -> Attempt {
+        let mut attempts = [attempt];
+        let connection = Connection::open(self.address).await.unwrap();
+        connection.exchange(&mut attempts).await;
+        let [attempt] = attempts;
+        attempt
+    }
+
+    fn send_later(&self, mut attempt: Attempt) -> JoinHandle<Attempt> {
+        let address = self.address;
+        spawn_local(async move {
+            let connection = Connection::open(address).await.unwrap();
+            connection
+                .exchange(std::slice::from_mut(&mut attempt))
+                .await;
+            attempt
+        })
+    }
+
+    fn entries(&self) -> Vec<Entry> {
+        read_record(&self.record).unwrap()
+    }
+
+    fn steps(&self) -> Vec<Step> {
+        self.entries().into_iter().map(|entry| entry.step).collect()
+    }
+
+    async fn get(&self, path: &str, headers: &[(&str, &str)]) -> ClientResponse {
+        let mut request = Client::new().get(format!("http://{}{path}", self.address));
+        for (name, value) in headers {
+            request = request.header(*name, *value);
+        }
+        request.send().await.unwrap()
+    }
+}
+
+async fn set_fault(control: SocketAddr, fault: AppFault) {
+    let mut stream = TcpStream::connect(control).await.unwrap();
+    let line = serde_json::to_string(&fault).unwrap() + "\n";
+    stream.write_all(line.as_bytes()).await.unwrap();
+    let mut ok = [0; 3];
+    stream.read_exact(&mut ok).await.unwrap();
+    assert_eq!(&ok, b"ok\n");
+}
+
+fn get(id: &str, path: &str) -> Attempt {
+    Attempt {
+        id: id.into(),
+        machine: 0,
+        caller: "caja".into(),
+        host: "jepu9.example".into(),
+        method: "GET",
+        path: path.into(),
+        kind: RouteKind::Idempotent,
+        body: Vec::new(),
+        chunked: false,
+        deadline_ms: 1_000,
+        timeout_ms: 1_000,
+        leave_ms: None,
+        sent_ms: 0,
+        ended_ms: 0,
+        told: Told::Unsent,
+    }
+}
+
+fn post(id: &str, path: &str, size: usize) -> Attempt {
+    Attempt {
+        method: "POST",
+        kind: RouteKind::NonIdempotent,
+        body: bytes_of(id, size),
+        ..get(id, path)
+    }
+}
+
+#[ntex::test]
+async fn a_request_gets_its_own_answer_and_is_written_down() {
+    let site = Site::start(settings()).await;
+    let before = now_ms();
+    let attempt = site.send(get("a1", "/rack/1?work=20&bytes=3000")).await;
+    assert_eq!(attempt.told, WHOLE);
+    assert!(attempt.ended_ms >= attempt.sent_ms + 20);
+    let entries = site.entries();
+    let reached = Step::Reached {
+        method: "GET".into(),
+        path: "/rack/1?work=20&bytes=3000".into(),
+        caller: None,
+        deadline_ms: Some(1_000),
+    };
+    let steps = [
+        reached,
+        Step::Body(digest(b"")),
+        Step::Started,
+        Step::Answered(200),
+    ];
+    assert_eq!(site.steps(), steps);
+    assert!(
+        entries
+            .iter()
+            .all(|entry| entry.id == "a1" && entry.server == "i-1")
+    );
+    assert!(entries.iter().all(|entry| entry.at_ms >= before));
+}
+
+#[ntex::test]
+async fn requests_behind_one_another_are_answered_in_order() {
+    let site = Site::start(settings()).await;
+    let mut attempts = ["a", "b", "c"].map(|id| get(id, "/rack/?work=5&bytes=90"));
+    let connection = Connection::open(site.address).await.unwrap();
+    let kept = connection.exchange(&mut attempts).await;
+    assert!(attempts.iter().all(|attempt| attempt.told == WHOLE));
+    assert!(kept.unwrap().is_open().unwrap());
+}
+
+#[rstest]
+#[case(false)]
+#[case(true)]
+#[ntex::test]
+async fn a_body_arrives_unchanged(#[case] chunked: bool) {
+    let site = Site::start(settings()).await;
+    let attempt = Attempt {
+        chunked,
+        ..post("b1", "/rack/", 300_000)
+    };
+    let body = Step::Body(attempt.digest());
+    assert_eq!(site.send(attempt).await.told, WHOLE);
+    assert!(site.steps().contains(&body));
+}
+
+#[rstest]
+#[case(WhenFull::Refuse, REFUSED)]
+#[case(WhenFull::Reset, Told::Broken)]
+#[case(WhenFull::Silent, Told::GaveUp)]
+#[ntex::test]
+async fn a_full_server_refuses_resets_or_falls_silent(
+    #[case] when_full: WhenFull,
+    #[case] told: Told,
+) {
+    let site = Site::start(settings()).await;
+    let fault = AppFault {
+        when_full,
+        ..AppFault::default()
+    };
+    site.fault(fault).await;
+    let others: Vec<_> = (0..4)
+        .map(|n| site.send_later(get(&format!("o{n}"), "/rack/?work=200")))
+        .collect();
+    sleep(Duration::from_millis(100)).await;
+    let attempt = Attempt {
+        deadline_ms: 300,
+        ..post("late", "/rack/", 10)
+    };
+    assert_eq!(site.send(attempt).await.told, told);
+    for other in others {
+        assert_eq!(other.await.unwrap().told, WHOLE);
+    }
+    let of_late = site
+        .entries()
+        .into_iter()
+        .filter(|entry| entry.id == "late");
+    let steps: Vec<Step> = of_late.map(|entry| entry.step).collect();
+    assert!(
+        matches!(steps[..], [Step::Reached { .. }, Step::Refused]),
+        "{steps:?}"
+    );
+}
+
+#[ntex::test]
+async fn a_deadline_in_the_queue_is_a_refusal_and_in_a_slot_an_answer() {
+    let mut settings = settings();
+    settings.slots = 1;
+    let site = Site::start(settings).await;
+    let running = site.send_later(Attempt {
+        deadline_ms: 300,
+        ..get("runs", "/rack/?work=900")
+    });
+    sleep(Duration::from_millis(50)).await;
+    let mut target = TcpStream::connect(site.address).await.unwrap();
+    let head = "GET /rack/ HTTP/1.1\r\noriolering-request-id: waits\r\noriolering-request-deadline: 60\r\n\r\n";
+    target.write_all(head.as_bytes()).await.unwrap();
+    let mut part = [0; 1024];
+    let size = target.read(&mut part).await.unwrap();
+    let text = String::from_utf8_lossy(&part[..size]);
+    assert!(
+        text.starts_with("HTTP/1.1 503") && text.contains(names::NOT_EXECUTED),
+        "{text}"
+    );
+    // The client gives up at the same moment at which the server answers.
+    running.await.unwrap();
+    sleep(Duration::from_millis(50)).await;
+    let steps = site.steps();
+    let ended = steps.contains(&Step::Answered(504)) || steps.contains(&Step::Cancelled);
+    assert!(ended, "{steps:?}");
+}
+
+#[ntex::test]
+async fn a_request_for_another_instance_is_refused() {
+    let site = Site::start(settings()).await;
+    let own = [(names::REQUEST_ID, "t1"), (names::TARGET, "i-1")];
+    assert_eq!(site.get("/rack/", &own).await.status().as_u16(), 200);
+    let other = [(names::REQUEST_ID, "t2"), (names::TARGET, "i-2")];
+    let answer = site.get("/rack/", &other).await;
+    assert_eq!(answer.status().as_u16(), 421);
+    assert_eq!(answer.headers().get(names::INSTANCE).unwrap(), "i-1");
+    assert_eq!(site.get("/rack/", &[]).await.status().as_u16(), 400);
+    assert!(site.entries().iter().all(|entry| entry.id == "t1"));
+}
+
+#[ntex::test]
+async fn health_and_load_are_told() {
+    let site = Site::start(settings()).await;
+    let running = site.send_later(get("h1", "/rack/?work=200"));
+    sleep(Duration::from_millis(50)).await;
+    let answer = site.get("/health", &[]).await;
+    assert_eq!(answer.status().as_u16(), 200);
+    assert_eq!(answer.headers().get(names::LOAD).unwrap(), "1,0,2,100");
+    let fault = AppFault {
+        leaving: true,
+        work_percent: 300,
+        ..AppFault::default()
+    };
+    site.fault(fault).await;
+    let answer = site.get("/health", &[]).await;
+    assert_eq!(answer.status().as_u16(), 503);
+    assert_eq!(answer.headers().get(names::LOAD).unwrap(), "1,0,2,300");
+    assert_eq!(running.await.unwrap().told, WHOLE);
+}
+
+#[ntex::test]
+async fn a_closed_connection_cancels_its_run() {
+    let site = Site::start(settings()).await;
+    let attempt = Attempt {
+        leave_ms: Some(50),
+        ..get("l1", "/rack/?work=500")
+    };
+    assert_eq!(site.send(attempt).await.told, Told::Left);
+    sleep(Duration::from_millis(50)).await;
+    assert_eq!(site.steps().last(), Some(&Step::Cancelled));
+}
+
+#[ntex::test]
+async fn connections_are_bounded_and_end_when_idle() {
+    let mut settings = settings();
+    settings.connections = 1;
+    let site = Site::start(settings).await;
+    let mut first = [get("c1", "/rack/")];
+    let connection = Connection::open(site.address).await.unwrap();
+    let kept = connection.exchange(&mut first).await.unwrap();
+    let second = site.send(get("c2", "/rack/")).await;
+    assert!(matches!(second.told, Told::Broken), "{:?}", second.told);
+    sleep(Duration::from_millis(600)).await;
+    assert!(!kept.is_open().unwrap());
+    assert_eq!(site.send(get("c3", "/rack/")).await.told, WHOLE);
+}
+
+#[rstest]
+#[case(Flaw::Error, Told::Answer { status: 500, signed: Some(true), retry_after_ms: None }, 1)]
+#[case(Flaw::Lost, Told::GaveUp, 1)]
+#[case(Flaw::Reset, Told::Broken, 1)]
+#[case(Flaw::Truncated, Told::Broken, 1)]
+#[case(Flaw::Unframed, WHOLE, 1)]
+#[case(Flaw::UnframedReset, Told::Broken, 1)]
+#[case(Flaw::Garbled, Told::Garbled, 1)]
+#[case(Flaw::Early, WHOLE, 1)]
+#[case(Flaw::Shed, REFUSED, 0)]
+#[ntex::test]
+async fn a_flaw_shows(#[case] flaw: Flaw, #[case] told: Told, #[case] runs: usize) {
+    let site = Site::start(settings()).await;
+    site.flaw(flaw).await;
+    let attempt = post("f1", "/rack/?work=5&bytes=4000", 100_000);
+    let body = Step::Body(attempt.digest());
+    assert_eq!(site.send(attempt).await.told, told);
+    let steps = site.steps();
+    let started = steps.iter().filter(|step| **step == Step::Started);
+    assert_eq!(started.count(), runs, "{steps:?}");
+    assert_eq!(steps.contains(&body), runs > 0, "{steps:?}");
+    let place = |step: &Step| steps.iter().position(|other| other == step);
+    let early = place(&Step::Started) < place(&body);
+    assert_eq!(early, flaw == Flaw::Early, "{steps:?}");
+}
+
+#[ntex::test]
+async fn an_extra_answer_is_seen_as_stray() {
+    let site = Site::start(settings()).await;
+    site.flaw(Flaw::Extra).await;
+    let mut attempts = [get("e1", "/rack/?bytes=50")];
+    let connection = Connection::open(site.address).await.unwrap();
+    let kept = connection.exchange(&mut attempts).await.unwrap();
+    assert_eq!(attempts[0].told, WHOLE);
+    sleep(Duration::from_millis(50)).await;
+    assert!(kept.is_open().is_err());
+}
+
+#[ntex::test]
+async fn a_late_answer_stands_before_the_next_one() {
+    let site = Site::start(settings()).await;
+    site.flaw(Flaw::Late).await;
+    let mut attempts = ["g1", "g2"].map(|id| get(id, "/rack/?bytes=50"));
+    let connection = Connection::open(site.address).await.unwrap();
+    connection.exchange(&mut attempts).await;
+    assert_eq!(attempts[0].told, WHOLE);
+    let wrong = Told::Answer {
+        status: 200,
+        signed: Some(false),
+        retry_after_ms: None,
+    };
+    assert_eq!(attempts[1].told, wrong);
+}
+
+#[ntex::test]
+async fn a_poisonous_request_ends_the_process_and_leaves_the_record() {
+    let dir = tempfile::tempdir().unwrap();
+    let record = dir.path().join("record");
+    let (listen, control) = (free_address(), free_address());
+    let mut process = start_process(dir.path(), &record, listen, control);
+    assert!(wait_for_listener(listen, Duration::from_secs(10)).await);
+    let mut attempts = [get("p1", "/rack/poison")];
+    let connection = Connection::open(listen).await.unwrap();
+    connection.exchange(&mut attempts).await;
+    assert_eq!(attempts[0].told, Told::Broken);
+    assert_eq!(process.wait(Duration::from_secs(5)).await, Some(86));
+    let entries = read_record(&record).unwrap();
+    assert_eq!(entries.last().unwrap().step, Step::Started);
+}
+
+fn start_process(dir: &Path, record: &Path, listen: SocketAddr, control: SocketAddr) -> Process {
+    let args = [
+        "--listen".to_owned(),
+        listen.to_string(),
+        "--control".to_owned(),
+        control.to_string(),
+        "--settings".to_owned(),
+        serde_json::to_string(&settings()).unwrap(),
+        "--record".to_owned(),
+        record.display().to_string(),
+    ];
+    Process::start(&program("app"), &args, &dir.join("log")).unwrap()
+}
