--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -28,6 +28,7 @@
 mod logging;
 mod metrics;
 mod permit;
+mod platform;
 mod poll;
 mod recover;
 mod reply;
@@ -49,6 +50,8 @@
 
 use snafu::ResultExt;
 
+use args::Task;
+
 pub use error::NodeError;
 
 /// The exit code of a process that got wrong arguments or settings.
@@ -67,7 +70,10 @@
 }
 
 fn start(args: impl IntoIterator<Item = OsString>) -> Result<(), NodeError> {
-    let card = args::settings(args)?;
+    let card = match args::task(args)? {
+        Task::Node(card) => *card,
+        Task::Platform => return platform::run(),
+    };
     let _logger = logging::start(card.log.as_str()).context(error::LogSnafu)?;
     startup::run(card)
 }
