--- a/crates/mesh/src/ingress.rs
+++ b/crates/mesh/src/ingress.rs
@@ -23,6 +23,8 @@
     idle_ms: 15_000,
     pipelined: PIPELINED,
 };
+/// When to come back to the instance of a node that ends, in milliseconds.
+const STOPPED_BACK_MS: u64 = 100;
 /// When to come back while no routes are known, in milliseconds.
 const UNREADY_BACK_MS: u64 = 250;
 
@@ -45,7 +47,8 @@
         tokio::task::spawn_local(async move {
             let handler = move |request| handle(Rc::clone(&handler), request);
             let closing = move || closing.stopping.get();
-            oriolering_http::serve(stream, date, move || limits_of(&limits), closing, handler).await;
+            oriolering_http::serve(stream, date, move || limits_of(&limits), closing, handler)
+                .await;
         });
     }
 }
@@ -99,6 +102,9 @@
 
 /// Finds the route of a request and the part of it that takes it.
 fn plan(node: &Rc<Node>, request: &Request) -> Result<Job, Answer> {
+    if node.refusing.get() {
+        return Err(dispatch::unavailable(STOPPED_BACK_MS));
+    }
     let Some(published) = node.routes() else {
         return Err(dispatch::unavailable(UNREADY_BACK_MS));
     };
@@ -115,7 +121,9 @@
     let waits = headers::text(map, HEADERS.deadline).and_then(scan_deadline);
     let limit = waits.unwrap_or(route.timeout_ms).min(route.timeout_ms);
     Ok(Job {
-        request: headers::text(map, HEADERS.request).unwrap_or_default().into(),
+        request: headers::text(map, HEADERS.request)
+            .unwrap_or_default()
+            .into(),
         service: route.parts[part].service.clone(),
         route: Rc::new(Route::clone(route)),
         route_hash: xxh3_64(route.name.as_bytes()),
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -38,6 +38,8 @@
     pub(crate) splitter: RefCell<Splitter>,
     budgets: RefCell<HashMap<CompactString, FleetBudget>>,
     pub(crate) stopping: Cell<bool>,
+    /// Whether new requests are refused, since the process is about to end.
+    pub(crate) refusing: Cell<bool>,
     /// The requests of callers that run.
     pub(crate) active: Cell<usize>,
 }
@@ -62,6 +64,7 @@
             splitter: RefCell::default(),
             budgets: RefCell::default(),
             stopping: Cell::new(false),
+            refusing: Cell::new(false),
             active: Cell::new(0),
         })
     }
@@ -78,7 +81,10 @@
 
     /// Returns the version of the routes in force, or zero.
     pub(crate) fn version(&self) -> u64 {
-        self.published.borrow().as_ref().map_or(0, |p| p.table.version())
+        self.published
+            .borrow()
+            .as_ref()
+            .map_or(0, |p| p.table.version())
     }
 
     /// Changes the budget for second tries at a service.
@@ -132,7 +138,9 @@
         });
         drop(peers);
         self.describe_gate(&choices);
-        self.spots.borrow_mut().replace(now, &self.settings.zone, choices);
+        self.spots
+            .borrow_mut()
+            .replace(now, &self.settings.zone, choices);
         fresh
     }
 
@@ -144,7 +152,9 @@
             return;
         };
         let routes = self.routes();
-        let service = routes.as_ref().and_then(|p| p.table.service(&record.service));
+        let service = routes
+            .as_ref()
+            .and_then(|p| p.table.service(&record.service));
         let path = service.map_or("", |s| s.health_path.as_str());
         self.gate.describe(&record.id, record.slots, path);
     }
