Add a fault soak of real nodes with a judge of what was seen from outside

The proofs play one kind of fault each. The new data path has to keep its promises while faults, changes and load come together, so a soak draws them from a seed: signals to nodes, a relay before each node's store and clients, flaws of backend servers, configurations, draining and replaced backend servers that leave their address to another service. The judge reads only what clients were told and what backend servers wrote down, and holds machines in touch to the bounds of their settings.

Counting on the nodes' own logs was ruled out, since a node that is wrong would vouch for itself. The relay now can pass resets on: with a plain end in their place an answer without a length that was broken off would have looked whole to the client. Without that switch it works as before.

--- a/crates/bench/src/process.rs
+++ b/crates/bench/src/process.rs
@@ -30,10 +30,25 @@
     ///
     /// Returns the error of the file or of the start.
     pub fn start(program: &Path, args: &[String], log: &Path) -> io::Result<Self> {
+        Self::start_with(program, args, &[], log)
+    }
+
+    /// Starts `program` with further environment variables.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the file or of the start.
+    pub fn start_with(
+        program: &Path,
+        args: &[String],
+        variables: &[(&str, &Path)],
+        log: &Path,
+    ) -> io::Result<Self> {
         let output = File::options().create(true).append(true).open(log)?;
         let mut command = Command::new(program);
         command
             .args(args)
+            .envs(variables.iter().copied())
             .stdin(Stdio::null())
             .stdout(output.try_clone()?)
             .stderr(output);
--- a/crates/bench/src/relay.rs
+++ b/crates/bench/src/relay.rs
@@ -23,6 +23,8 @@
     /// New connections are refused.
     closed: AtomicBool,
     delay_ms: AtomicU64,
+    /// Connections that end midway are reset.
+    resets: AtomicBool,
 }
 
 /// A relay on a thread of its own; it stops when the value is dropped.
@@ -60,6 +62,11 @@
         })
     }
 
+    /// Passes resets on and cuts with a reset from now on, so that no end looks like a plain one.
+    pub fn pass_resets(&self) {
+        self.rules.resets.store(true, Ordering::SeqCst);
+    }
+
     /// Lets every open connection lose all bytes from now on; new connections work.
     pub fn silence(&self) {
         let next = self.rules.next.load(Ordering::SeqCst);
@@ -123,22 +130,47 @@
     let (client_in, client_out) = client.into_split();
     let (server_in, server_out) = server.into_split();
     let both = async {
-        tokio::join!(
-            forward(client_in, server_out, number, &rules),
-            forward(server_in, client_out, number, &rules),
+        tokio::try_join!(
+            forward(client_in, server_out, number, &rules, cuts.clone()),
+            forward(server_in, client_out, number, &rules, cuts.clone()),
         )
     };
-    tokio::select! {
-        _ = both => {}
-        _ = cuts.changed() => {}
+    // An error is the end of both directions, and that is all there is to do.
+    let _ = both.await;
+}
+
+/// Copies one direction until it ends or is cut; an error ends the other direction too.
+async fn forward(
+    mut input: OwnedReadHalf,
+    mut output: OwnedWriteHalf,
+    number: u64,
+    rules: &Rules,
+    mut cuts: watch::Receiver<u64>,
+) -> io::Result<()> {
+    let ended = tokio::select! {
+        ended = copy(&mut input, &mut output, number, rules) => ended,
+        _ = cuts.changed() => Err(io::ErrorKind::ConnectionAborted.into()),
+    };
+    if ended.is_err() && rules.resets.load(Ordering::SeqCst) {
+        input.as_ref().set_zero_linger()?;
+        output.as_ref().set_zero_linger()?;
     }
+    ended
 }
 
 /// Copies one direction until its end; a silent connection swallows all, also the end.
-async fn forward(mut input: OwnedReadHalf, mut output: OwnedWriteHalf, number: u64, rules: &Rules) {
+async fn copy(
+    input: &mut OwnedReadHalf,
+    output: &mut OwnedWriteHalf,
+    number: u64,
+    rules: &Rules,
+) -> io::Result<()> {
     let mut buffer = vec![0; BUFFER_BYTES];
     loop {
-        let size = input.read(&mut buffer).await.unwrap_or(0);
+        let size = match input.read(&mut buffer).await {
+            Err(e) if rules.resets.load(Ordering::SeqCst) => return Err(e),
+            read => read.unwrap_or(0),
+        };
         let delay = rules.delay_ms.load(Ordering::SeqCst);
         if delay > 0 {
             sleep(Duration::from_millis(delay)).await;
@@ -150,11 +182,11 @@
             (false, 0) => {
                 // The other side may have closed first.
                 let _ = output.shutdown().await;
-                return;
+                return Ok(());
             }
             (false, _) => {
                 if output.write_all(&buffer[..size]).await.is_err() {
-                    return;
+                    return Ok(());
                 }
             }
         }
--- a/crates/bench/src/signal.rs
+++ b/crates/bench/src/signal.rs
@@ -15,6 +15,8 @@
     Stop,
     /// Continues a stopped process.
     Continue,
+    /// Tells the process that its settings have changed.
+    Reload,
 }
 
 impl Signal {
@@ -24,6 +26,7 @@
             Self::Terminate => libc::SIGTERM,
             Self::Stop => libc::SIGSTOP,
             Self::Continue => libc::SIGCONT,
+            Self::Reload => libc::SIGHUP,
         }
     }
 }
--- a/crates/bench/src/soak/app.rs
+++ b/crates/bench/src/soak/app.rs
@@ -16,10 +16,10 @@
 use super::app_answer::{Answer, Next};
 use super::app_settings::{AppFault, AppSettings, Flaw, WhenFull};
 use super::app_state::{Arrival, Held, State};
-use super::names::{CALLER, DEADLINE, REQUEST_ID, TARGET};
 use super::record::Step;
 use super::seal::{bytes_of, digest};
 use super::wire::Wire;
+use oriolering_platform::HEADERS;
 
 /// The exit status of a crash, to tell it from other ends.
 const CRASH_STATUS: i32 = 86;
@@ -28,20 +28,21 @@
 /// How long a request waits that tells no deadline.
 const NO_DEADLINE: Duration = Duration::from_secs(60);
 
-/// Serves requests on `listener` and takes faults on `control` until the process ends.
+/// Serves requests and takes faults until the process ends.
 ///
 /// A fault is one line of JSON on a connection to `control`; the answer is the line `ok`.
 /// It runs within a set of local tasks.
 ///
 /// # Errors
 ///
-/// Returns the error of a listener.
-pub async fn serve_app(
-    listener: TcpListener,
-    control: TcpListener,
-    settings: AppSettings,
-    record: File,
-) -> io::Result<()> {
+/// Returns the error of a listener or of the record.
+pub async fn serve_app(settings: AppSettings) -> io::Result<()> {
+    let listener = TcpListener::bind(settings.listen).await?;
+    let control = TcpListener::bind(settings.control).await?;
+    let record = File::options()
+        .create(true)
+        .append(true)
+        .open(&settings.record)?;
     let state = Rc::new(State::new(settings, record));
     let faults = state.clone();
     let controlled = async move {
@@ -120,16 +121,16 @@
 impl<'a> Exchange<'a> {
     fn new(state: &'a Rc<State>, request: &Request) -> Self {
         let header = |name| request.headers().get(name)?.to_str().ok();
-        let deadline_ms = header(DEADLINE).and_then(|text| text.parse().ok());
+        let deadline_ms = header(HEADERS.deadline).and_then(|text| text.parse().ok());
         let wait = deadline_ms.map_or(NO_DEADLINE, Duration::from_millis);
         let path = request.uri().path_and_query();
         Self {
             state,
-            id: header(REQUEST_ID).unwrap_or_default().into(),
+            id: header(HEADERS.request).unwrap_or_default().into(),
             method: request.method().as_str().into(),
             path: path.map_or("/", |path| path.as_str()).into(),
-            caller: header(CALLER).map(Into::into),
-            target: header(TARGET).map(Into::into),
+            caller: header(HEADERS.caller).map(Into::into),
+            target: header(HEADERS.target).map(Into::into),
             deadline_ms,
             until: Instant::now() + wait,
         }
@@ -205,6 +206,9 @@
             arrival.note(Step::Refused);
             return self.refuse(wire, None, 503).await;
         };
+        if !matches!(flaw, None | Some(Flaw::Error)) {
+            arrival.note(Step::Flawed);
+        }
         arrival.note(Step::Answered(status));
         let answer = self.executed(status);
         if flaw == Some(Flaw::Late) {
@@ -220,7 +224,7 @@
         body: Option<&PayloadDecoder>,
         arrival: &Arrival,
     ) -> io::Result<Next> {
-        arrival.note(Step::Started);
+        arrival.note(Step::Started(0));
         arrival.note(Step::Answered(200));
         let next = self.executed(200).send(wire, Some(Flaw::Early)).await?;
         let body = wire.body(body).await?;
@@ -231,12 +235,13 @@
     /// Runs the request; returns its status, or `None` when the deadline passed in the queue.
     async fn run(&self, arrival: &Arrival, flaw: Option<Flaw>) -> Option<u16> {
         let _slot = timeout_at(self.until, self.state.slot()).await.ok()??;
-        arrival.note(Step::Started);
+        let work = Duration::from_millis(self.ask("work=").unwrap_or(0));
+        let work = self.state.stretch(work);
+        arrival.note(Step::Started(work.as_millis() as u64));
         if flaw == Some(Flaw::Crash) || self.path.contains(POISON) {
             std::process::exit(CRASH_STATUS);
         }
-        let work = Duration::from_millis(self.ask("work=").unwrap_or(0));
-        match timeout_at(self.until, sleep(self.state.stretch(work))).await {
+        match timeout_at(self.until, sleep(work)).await {
             Err(_) => Some(504),
             Ok(()) if flaw == Some(Flaw::Error) => Some(500),
             Ok(()) => Some(200),
--- a/crates/bench/src/soak/app_answer.rs
+++ b/crates/bench/src/soak/app_answer.rs
@@ -4,9 +4,9 @@
 
 use super::app_settings::Flaw;
 use super::app_state::State;
-use super::names::{INSTANCE, LOAD, NOT_EXECUTED, REQUEST_ID, SIGNATURE};
 use super::seal::signature;
 use super::wire::Wire;
+use oriolering_platform::HEADERS;
 
 const GARBAGE: &[u8] = b"\x16\x03\x01 this is no answer\r\n\r\n";
 const MS_PER_S: u64 = 1_000;
@@ -86,20 +86,21 @@
 
     fn head(&self, framed: bool) -> String {
         let settings = &self.state.settings;
-        let mut head = format!(
-            "HTTP/1.1 {} Told\r\n{INSTANCE}: {}\r\n",
-            self.status, settings.id
-        );
+        let mut head = format!("HTTP/1.1 {} Told\r\n", self.status);
         let mut add = |name: &str, value: &str| head += &format!("{name}: {value}\r\n");
+        add(HEADERS.server, &settings.id);
         if !self.id.is_empty() {
-            add(REQUEST_ID, self.id);
+            add(HEADERS.request, self.id);
         }
         match self.executed {
-            true => add(SIGNATURE, &signature(self.id, self.status, &self.body)),
-            false => add(NOT_EXECUTED, "1"),
+            true => add(
+                HEADERS.signature,
+                &signature(self.id, self.status, &self.body),
+            ),
+            false => add(HEADERS.unexecuted, "1"),
         }
         if settings.tells_load {
-            add(LOAD, &self.state.load());
+            add(HEADERS.load, &self.state.load());
         }
         match framed {
             true => add("content-length", &self.body.len().to_string()),
--- a/crates/bench/src/soak/app_settings.rs
+++ b/crates/bench/src/soak/app_settings.rs
@@ -1,5 +1,9 @@
 //! What a stand-in of an application backend server is started with, and its faults.
 
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
 /// What a backend server does with a request that finds no room.
@@ -79,12 +83,18 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct AppSettings {
+    /// Where it listens.
+    pub listen: SocketAddr,
+    /// Where it takes faults.
+    pub control: SocketAddr,
+    /// The file to which its record is appended.
+    pub record: PathBuf,
     /// The identity of this run.
-    pub id: compact_str::CompactString,
+    pub id: CompactString,
     /// The service that it belongs to.
-    pub service: compact_str::CompactString,
+    pub service: CompactString,
     /// The path of the health endpoint.
-    pub health_path: compact_str::CompactString,
+    pub health_path: CompactString,
     /// How many requests run at once.
     pub slots: u32,
     /// How many more may wait.
--- a/crates/bench/src/soak/app_state.rs
+++ b/crates/bench/src/soak/app_state.rs
@@ -117,9 +117,9 @@
     /// Writes a step down.
     pub(crate) fn note(&self, step: Step) {
         match step {
-            Step::Started => self.runs.set(true),
+            Step::Started(_) => self.runs.set(true),
             Step::Answered(_) | Step::Cancelled | Step::Refused => self.runs.set(false),
-            Step::Reached { .. } | Step::Body(_) => {}
+            Step::Reached { .. } | Step::Body(_) | Step::Flawed => {}
         }
         let settings = &self.state.settings;
         let entry = Entry {
--- a/crates/bench/src/soak/client.rs
+++ b/crates/bench/src/soak/client.rs
@@ -11,28 +11,32 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
-use super::names::{DEADLINE, REQUEST_ID, SIGNATURE};
 use super::record::now_ms;
 use super::seal::{digest, signature};
 use super::wire::{Quiet, Wire};
+use oriolering_platform::HEADERS;
 
 /// How long clients of the platform wait for a new connection.
 const CONNECT: Duration = Duration::from_secs(1);
 /// The size of a chunk, small enough that bodies have several.
 const CHUNK_BYTES: usize = 8 * 1024;
 
+/// A whole answer, as far as it is judged.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Reply {
+    /// The status.
+    pub status: u16,
+    /// Whether it bears a signature, and whether that is of this very answer.
+    pub signed: Option<bool>,
+    /// When to come back, in milliseconds.
+    pub retry_after_ms: Option<u64>,
+}
+
 /// How an attempt ended, as its client saw it.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Told {
     /// A whole answer.
-    Answer {
-        /// The status.
-        status: u16,
-        /// Whether it bears a signature, and whether that is of this very answer.
-        signed: Option<bool>,
-        /// When to come back, in milliseconds.
-        retry_after_ms: Option<u64>,
-    },
+    Answer(Reply),
     /// The connection ended without a whole answer.
     Broken,
     /// Bytes came that are no answer in the protocol.
@@ -47,6 +51,27 @@
     GaveUp,
 }
 
+impl Told {
+    /// Returns the answer, if there was a whole one.
+    pub fn reply(self) -> Option<Reply> {
+        match self {
+            Self::Answer(reply) => Some(reply),
+            Self::Broken
+            | Self::Garbled
+            | Self::Unread
+            | Self::Unsent
+            | Self::Left
+            | Self::GaveUp => None,
+        }
+    }
+
+    /// Returns whether the answer is a success of a backend server.
+    pub fn is_success(self) -> bool {
+        let reply = self.reply();
+        reply.is_some_and(|r| (200..300).contains(&r.status) && r.signed == Some(true))
+    }
+}
+
 /// One attempt: what a client sends, and what it was told.
 #[derive(Clone, Debug)]
 pub struct Attempt {
@@ -89,10 +114,10 @@
     }
 
     fn bytes(&self) -> Vec<u8> {
-        let mut head = format!(
-            "{} {} HTTP/1.1\r\nhost: {}\r\n{REQUEST_ID}: {}\r\n{DEADLINE}: {}\r\n",
-            self.method, self.path, self.host, self.id, self.deadline_ms
-        );
+        let (request, deadline) = (HEADERS.request, HEADERS.deadline);
+        let mut head = format!("{} {} HTTP/1.1\r\n", self.method, self.path);
+        head += &format!("host: {}\r\n{request}: {}\r\n", self.host, self.id);
+        head += &format!("{deadline}: {}\r\n", self.deadline_ms);
         if self.chunked {
             head += "transfer-encoding: chunked\r\n\r\n";
             return [head.as_bytes(), &chunks(&self.body)].concat();
@@ -208,12 +233,12 @@
             return Ok(None);
         };
         let status = head.status.as_u16();
-        let seal = header(&head.headers, SIGNATURE);
-        let told = Told::Answer {
+        let seal = header(&head.headers, HEADERS.signature);
+        let told = Told::Answer(Reply {
             status,
             signed: seal.map(|seal| seal == signature(id, status, &body).as_str()),
             retry_after_ms: header(&head.headers, "retry-after").and_then(parse_ms),
-        };
+        });
         let framed = is_framed(&head);
         Ok(Some((told, framed && head.keep_alive())))
     }
--- /dev/null
+++ b/crates/bench/src/soak/deeds.rs
@@ -0,0 +1,175 @@
+//! Does the planned deeds to processes, relays, backend servers and the store.
+
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::time::sleep;
+
+use super::app_settings::AppFault;
+use super::machine::Machine;
+use super::plan::{Deed, Harm};
+use super::record::now_ms;
+use super::site_text::SERVICES;
+use super::world::World;
+use crate::signal::Signal;
+
+/// The delay of a slow path to the store, in milliseconds.
+const SLOW_MS: u64 = 400;
+/// How long a crashed backend server or a node that ended by itself is away.
+const AWAY: Duration = Duration::from_millis(800);
+/// How long a backend server serves beyond the time that draining has to take.
+const DRAIN_MORE: Duration = Duration::from_millis(500);
+/// How often the end of a process is looked for.
+const POLL: Duration = Duration::from_millis(20);
+
+/// Does one deed.
+///
+/// # Errors
+///
+/// Returns the error of a process that does not start.
+pub(crate) async fn act(world: Rc<World>, machine: Rc<Machine>, deed: Deed) -> io::Result<()> {
+    match deed {
+        Deed::Harm(harm) if harm.is_of_node() && !machine.is_settled() => {}
+        Deed::Harm(harm) => {
+            let span = world.disrupt(Some(machine.number), &format!("{harm:?}"));
+            let done = disrupt(&world, &machine, harm).await;
+            world.calm(span);
+            return done;
+        }
+        Deed::Reload => machine.signal_node(Signal::Reload),
+        Deed::App(fault, ms) => {
+            machine.set_fault(fault).await;
+            sleep(Duration::from_millis(ms)).await;
+            machine.set_fault(AppFault::default()).await;
+        }
+        // The watcher of processes starts it again.
+        Deed::AppKill => drop(machine.app.take()),
+        Deed::Replace => return replace(&world, &machine).await,
+        Deed::Configure => world.configure(),
+        Deed::DropHistory => world.store.drop_history(),
+    }
+    Ok(())
+}
+
+/// Does a deed that keeps a machine from being in touch.
+async fn disrupt(world: &World, machine: &Machine, harm: Harm) -> io::Result<()> {
+    match harm {
+        Harm::Kill(ms) => {
+            machine.kill_node();
+            sleep(Duration::from_millis(ms)).await;
+            return world.start_node(machine);
+        }
+        Harm::Freeze(ms) => {
+            machine.signal_node(Signal::Stop);
+            sleep(Duration::from_millis(ms)).await;
+            machine.signal_node(Signal::Continue);
+        }
+        Harm::Terminate => {
+            terminate(world, machine).await;
+            return world.start_node(machine);
+        }
+        Harm::StoreCut(ms) => {
+            machine.store.close(true);
+            machine.store.cut();
+            sleep(Duration::from_millis(ms)).await;
+            machine.store.close(false);
+        }
+        Harm::StoreSlow(ms) => {
+            machine.store.delay(SLOW_MS);
+            sleep(Duration::from_millis(ms)).await;
+            machine.store.delay(0);
+        }
+        Harm::StoreSilent => machine.store.silence(),
+        Harm::ClientsCut => machine.clients.cut(),
+        Harm::ClientsSilent => machine.clients.silence(),
+    }
+    Ok(())
+}
+
+/// Sends SIGTERM, and SIGKILL when the grace has passed.
+async fn terminate(world: &World, machine: &Machine) {
+    machine.node_wanted.set(false);
+    machine.signal_node(Signal::Terminate);
+    let until_ms = now_ms() + world.bounds.grace_ms;
+    while machine.is_node_running() && now_ms() < until_ms {
+        sleep(POLL).await;
+    }
+    machine.kill_node();
+}
+
+/// Drains a backend server unless another one leaves, ends it and its node, and puts another service at its address.
+async fn replace(world: &Rc<World>, machine: &Rc<Machine>) -> io::Result<()> {
+    let another = world.machines.iter().any(|m| m.draining.get());
+    if another || !machine.is_settled() || !machine.is_app_running() {
+        return Ok(());
+    }
+    let server = machine.server.borrow().clone();
+    machine.draining.set(true);
+    world.publish(machine);
+    let leaving = AppFault {
+        leaving: true,
+        ..AppFault::default()
+    };
+    machine.set_fault(leaving).await;
+    sleep(Duration::from_millis(world.bounds.drain_ms) + DRAIN_MORE).await;
+    machine.kill_app();
+    world.remove(&server);
+    let span = world.disrupt(Some(machine.number), "replace");
+    terminate(world, machine).await;
+    sleep(Duration::from_millis(world.bounds.address_reuse_ms)).await;
+    let service = next_service(world, machine);
+    machine.service.replace(service.into());
+    world.start_app(machine, false)?;
+    world.start_node(machine)?;
+    world.calm(span);
+    Ok(())
+}
+
+/// Returns another service, if the present one keeps two backend servers without this one.
+fn next_service(world: &World, machine: &Machine) -> &'static str {
+    let own = machine.service.borrow().clone();
+    let others = world.machines.iter().filter(|m| *m.service.borrow() == own);
+    let at = SERVICES.iter().position(|name| *name == own).unwrap_or(0);
+    match others.count() > 2 {
+        true => SERVICES[(at + 1) % SERVICES.len()],
+        false => SERVICES[at],
+    }
+}
+
+/// Starts backend servers that crashed, and nodes that ended by themselves, again.
+pub(crate) async fn watch_processes(world: Rc<World>) -> io::Result<()> {
+    while !world.ended.get() {
+        sleep(POLL).await;
+        for machine in &world.machines {
+            let left = machine.draining.get();
+            if machine.app_wanted.get() && !left && !machine.is_app_running() {
+                machine.app_wanted.set(false);
+                ntex::rt::spawn(revive_app(world.clone(), machine.clone()));
+            }
+            if machine.node_wanted.get() && !machine.is_node_running() {
+                machine.node_wanted.set(false);
+                world.note_end(machine);
+                ntex::rt::spawn(revive_node(world.clone(), machine.clone()));
+            }
+        }
+    }
+    Ok(())
+}
+
+async fn revive_app(world: Rc<World>, machine: Rc<Machine>) -> io::Result<()> {
+    let server = machine.server.borrow().clone();
+    sleep(AWAY).await;
+    let keep_id = now_ms().is_multiple_of(2);
+    world.start_app(&machine, keep_id)?;
+    world.expire(machine, server).await;
+    Ok(())
+}
+
+async fn revive_node(world: Rc<World>, machine: Rc<Machine>) -> io::Result<()> {
+    sleep(AWAY).await;
+    match machine.node_wanted.get() || machine.draining.get() {
+        true => Ok(()),
+        false => world.start_node(&machine),
+    }
+}
--- /dev/null
+++ b/crates/bench/src/soak/journal.rs
@@ -0,0 +1,173 @@
+//! All that a soak saw from outside: attempts, records of backend servers, faults and changes.
+
+use std::collections::HashMap;
+
+use compact_str::CompactString;
+
+use super::client::Attempt;
+use super::record::{Entry, Step};
+
+/// A span in which a machine, or all of them, did not run undisturbed.
+#[derive(Clone, Debug)]
+pub struct Disruption {
+    /// The machine; `None` stands for the store and with it all machines.
+    pub machine: Option<usize>,
+    /// The begin, in Unix milliseconds.
+    pub from_ms: u64,
+    /// The end, in Unix milliseconds.
+    pub to_ms: u64,
+    /// What was done.
+    pub what: CompactString,
+}
+
+/// A configuration: which services each prefix leads to.
+#[derive(Clone, Debug)]
+pub struct Configuration {
+    /// The version.
+    pub version: u64,
+    /// When it was sent to the store, in Unix milliseconds.
+    pub sent_ms: u64,
+    /// When the store had it, in Unix milliseconds.
+    pub ack_ms: u64,
+    /// The services by prefix.
+    pub routes: HashMap<CompactString, Vec<CompactString>>,
+}
+
+/// An arrival of an attempt at a backend server.
+#[derive(Clone, Debug, Default)]
+pub struct Run {
+    /// The backend server.
+    pub server: CompactString,
+    /// Its service.
+    pub service: CompactString,
+    /// When it arrived, in Unix milliseconds.
+    pub reached_ms: u64,
+    /// The method that arrived.
+    pub method: CompactString,
+    /// The path that arrived.
+    pub path: CompactString,
+    /// The caller's service that arrived.
+    pub caller: Option<CompactString>,
+    /// The digest of the body, if the whole of it arrived.
+    pub body: Option<CompactString>,
+    /// When it began to run.
+    pub started_ms: Option<u64>,
+    /// Whether its answer had a flaw.
+    pub flawed: bool,
+    /// How long it takes, in milliseconds.
+    pub work_ms: u64,
+    /// When the run ended, with its status if it was not cancelled.
+    pub ended: Option<(u64, Option<u16>)>,
+}
+
+impl Run {
+    /// Returns whether a run that has begun at one time lasts to another one, if left alone.
+    pub(crate) fn would_last(&self, begun_ms: u64, to_ms: u64) -> bool {
+        let started = self.started_ms.filter(|ms| *ms <= begun_ms);
+        started.is_some_and(|ms| ms + self.work_ms > to_ms)
+    }
+
+    fn add(&mut self, entry: &Entry) {
+        match &entry.step {
+            Step::Started(work_ms) => {
+                self.started_ms = Some(entry.at_ms);
+                self.work_ms = *work_ms;
+            }
+            Step::Flawed => self.flawed = true,
+            Step::Body(digest) => self.body = Some(digest.clone()),
+            Step::Answered(status) => self.ended = Some((entry.at_ms, Some(*status))),
+            Step::Cancelled => self.ended = Some((entry.at_ms, None)),
+            Step::Refused | Step::Reached { .. } => {}
+        }
+    }
+}
+
+/// All that a soak saw.
+#[derive(Clone, Debug, Default)]
+pub struct Journal {
+    /// The seed of the soak.
+    pub seed: u64,
+    /// The attempts of all clients.
+    pub attempts: Vec<Attempt>,
+    /// The arrivals at backend servers by attempt.
+    pub runs: HashMap<CompactString, Vec<Run>>,
+    /// The machine of each backend server.
+    pub hosts: HashMap<CompactString, usize>,
+    /// The spans of disruption.
+    pub disruptions: Vec<Disruption>,
+    /// When the store had it that a backend server leaves or is gone.
+    pub leavings: HashMap<CompactString, u64>,
+    /// The configurations in order.
+    pub configurations: Vec<Configuration>,
+    /// The starts of nodes: machine and time.
+    pub starts: Vec<(usize, u64)>,
+    /// When all nodes were killed at the end, and when they ran again.
+    pub closing: Option<(u64, u64)>,
+}
+
+impl Journal {
+    /// Adds the record of one backend server, in the order in which it was written.
+    pub fn add_record(&mut self, entries: &[Entry]) {
+        let mut open: HashMap<(&str, u64), (CompactString, Run)> = HashMap::new();
+        for entry in entries {
+            let key = (entry.server.as_str(), entry.arrival);
+            let ended = match entry.step {
+                // A restarted backend server numbers its arrivals anew.
+                Step::Reached { .. } => open.insert(key, (entry.id.clone(), reached(entry))),
+                Step::Refused
+                | Step::Started(_)
+                | Step::Body(_)
+                | Step::Flawed
+                | Step::Answered(_)
+                | Step::Cancelled => {
+                    if let Some((_, run)) = open.get_mut(&key) {
+                        run.add(entry);
+                    }
+                    None
+                }
+            };
+            self.keep(ended);
+        }
+        open.into_values().for_each(|run| self.keep(Some(run)));
+    }
+
+    fn keep(&mut self, ended: Option<(CompactString, Run)>) {
+        if let Some((id, run)) = ended {
+            self.runs.entry(id).or_default().push(run);
+        }
+    }
+
+    /// Returns whether a machine was in touch through a whole span.
+    pub fn in_touch(&self, machine: usize, from_ms: u64, to_ms: u64, window_ms: u64) -> bool {
+        let begin = from_ms.saturating_sub(window_ms);
+        !self.disruptions.iter().any(|d| {
+            d.machine.is_none_or(|other| other == machine) && d.from_ms <= to_ms && d.to_ms >= begin
+        })
+    }
+
+    /// Returns the arrivals of an attempt.
+    pub fn runs_of(&self, attempt: &Attempt) -> &[Run] {
+        self.runs.get(&attempt.id).map_or(&[], Vec::as_slice)
+    }
+}
+
+fn reached(entry: &Entry) -> Run {
+    let mut run = Run {
+        server: entry.server.clone(),
+        service: entry.service.clone(),
+        reached_ms: entry.at_ms,
+        ..Run::default()
+    };
+    if let Step::Reached {
+        method,
+        path,
+        caller,
+        ..
+    } = &entry.step
+    {
+        run.method = method.clone();
+        run.path = path.clone();
+        run.caller = caller.clone();
+    }
+    run
+}
--- /dev/null
+++ b/crates/bench/src/soak/machine.rs
@@ -0,0 +1,245 @@
+//! A machine of the soak: an address of its own, a node and a backend server.
+
+use std::cell::{Cell, RefCell};
+use std::fs;
+use std::io;
+use std::net::{IpAddr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use compact_str::{CompactString, format_compact};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+use super::app_settings::{AppFault, AppSettings};
+use super::record::now_ms;
+use super::site_text::{
+    APP_PORT, Beat, CALLERS_PORT, CONNECTIONS, CONTROL_PORT, HEALTH_PATH, READY_PORT, SERVICES,
+    ZONES, settings,
+};
+use crate::http::http_get;
+use crate::process::{Process, program};
+use crate::relay::Relay;
+use crate::signal::Signal;
+use oriolering_platform::Bounds;
+
+/// What a backend server of the soak takes; small, so that it is full at times.
+const SLOTS: u32 = 4;
+const QUEUE: u32 = 6;
+/// Short, so that idle connections end within a soak.
+const IDLE_MS: u64 = 2_500;
+const COLD_MS: u64 = 1_000;
+/// A frozen or ended backend server takes no fault.
+const CONTROL: Duration = Duration::from_millis(200);
+
+/// A machine with its processes.
+pub(crate) struct Machine {
+    pub(crate) number: usize,
+    ip: IpAddr,
+    dir: PathBuf,
+    seed: u64,
+    pub(crate) service: RefCell<CompactString>,
+    /// The backend server that runs, or ran last.
+    pub(crate) server: RefCell<CompactString>,
+    pub(crate) draining: Cell<bool>,
+    /// Whether the node is meant to run.
+    pub(crate) node_wanted: Cell<bool>,
+    /// Whether the backend server is meant to run.
+    pub(crate) app_wanted: Cell<bool>,
+    /// Whether clients get work.
+    pub(crate) ready: Cell<bool>,
+    pub(crate) misses: Cell<u32>,
+    generation: Cell<u32>,
+    born_ms: Cell<u64>,
+    sequence: Cell<u64>,
+    pub(crate) node: RefCell<Option<Process>>,
+    pub(crate) app: RefCell<Option<Process>>,
+    /// Between clients and the node.
+    pub(crate) clients: Relay,
+    /// Between the node and the store.
+    pub(crate) store: Relay,
+}
+
+impl Machine {
+    pub(crate) fn new(
+        number: usize,
+        ip: IpAddr,
+        store: SocketAddr,
+        dir: &Path,
+        seed: u64,
+    ) -> io::Result<Self> {
+        let machine = Self {
+            number,
+            ip,
+            dir: dir.to_path_buf(),
+            seed,
+            service: RefCell::new(SERVICES[number % SERVICES.len()].into()),
+            server: RefCell::default(),
+            draining: Cell::new(false),
+            node_wanted: Cell::new(false),
+            app_wanted: Cell::new(false),
+            ready: Cell::new(false),
+            misses: Cell::new(0),
+            generation: Cell::new(0),
+            born_ms: Cell::new(0),
+            sequence: Cell::new(0),
+            node: RefCell::new(None),
+            app: RefCell::new(None),
+            clients: Relay::start(SocketAddr::new(ip, CALLERS_PORT))?,
+            store: Relay::start(store)?,
+        };
+        machine.clients.pass_resets();
+        machine.store.pass_resets();
+        Ok(machine)
+    }
+
+    fn at(&self, port: u16) -> SocketAddr {
+        SocketAddr::new(self.ip, port)
+    }
+
+    fn file(&self, name: &str) -> PathBuf {
+        self.dir.join(format!("{name}-{}", self.number))
+    }
+
+    /// Writes the settings and starts the node.
+    pub(crate) fn start_node(&self, bounds: &Bounds) -> io::Result<()> {
+        let path = self.file("settings");
+        let service = self.service.borrow();
+        let store = self.store.address;
+        let first_start = !path.exists();
+        let text = settings(self.number, self.ip, &service, store, first_start, bounds);
+        fs::write(&path, text)?;
+        let variables = [("ORIOLERING_NODE_FILE", path.as_path())];
+        let args = ["platform".to_owned()];
+        let log = self.file("node-log");
+        let node = Process::start_with(&program("oriolering-node"), &args, &variables, &log)?;
+        self.node.replace(Some(node));
+        self.node_wanted.set(true);
+        Ok(())
+    }
+
+    /// Starts a backend server; it has a new identity unless it keeps its old one.
+    pub(crate) fn start_app(&self, keep_id: bool) -> io::Result<()> {
+        let born_ms = now_ms();
+        self.born_ms.set(born_ms);
+        self.sequence.set(0);
+        self.draining.set(false);
+        if !keep_id {
+            self.generation.set(self.generation.get() + 1);
+            let id = format_compact!("i-{}-{}", self.number, self.generation.get());
+            self.server.replace(id);
+        }
+        let settings = AppSettings {
+            listen: self.at(APP_PORT),
+            control: self.at(CONTROL_PORT),
+            record: self.record(),
+            id: self.server.borrow().clone(),
+            service: self.service.borrow().clone(),
+            health_path: HEALTH_PATH.into(),
+            slots: SLOTS,
+            queue: QUEUE,
+            connections: CONNECTIONS,
+            idle_ms: IDLE_MS,
+            tells_load: true,
+            cold_ms: COLD_MS,
+            seed: self.seed ^ born_ms,
+        };
+        let args = [serde_json::to_string(&settings)?];
+        let app = Process::start(&program("app"), &args, &self.file("app-log"))?;
+        self.app.replace(Some(app));
+        self.app_wanted.set(true);
+        Ok(())
+    }
+
+    /// Returns the file that holds the record of the backend servers of this machine.
+    pub(crate) fn record(&self) -> PathBuf {
+        self.file("record")
+    }
+
+    /// Returns the key and the next entry of the backend server.
+    pub(crate) fn beat(&self) -> (String, String) {
+        self.sequence.set(self.sequence.get() + 1);
+        let age_ms = now_ms().saturating_sub(self.born_ms.get());
+        let beat = Beat {
+            service: self.service.borrow().clone(),
+            address: self.at(APP_PORT),
+            zone: ZONES[self.number % ZONES.len()],
+            slots: SLOTS,
+            draining: self.draining.get(),
+            cold_ms: COLD_MS.saturating_sub(age_ms),
+            sequence: self.sequence.get(),
+            born_ms: self.born_ms.get(),
+        };
+        (self.key(), beat.text().to_string())
+    }
+
+    /// Returns the key of the backend server in the store.
+    pub(crate) fn key(&self) -> String {
+        format!("servers/{}", self.server.borrow())
+    }
+
+    pub(crate) fn signal_node(&self, signal: Signal) {
+        if let Some(node) = self.node.borrow_mut().as_mut() {
+            node.signal(signal);
+        }
+    }
+
+    pub(crate) fn kill_node(&self) {
+        self.node_wanted.set(false);
+        // Dropping a process kills it and waits for it.
+        self.node.take();
+    }
+
+    pub(crate) fn kill_app(&self) {
+        self.app_wanted.set(false);
+        self.app.take();
+    }
+
+    /// Returns whether nothing else starts or ends the node.
+    pub(crate) fn is_settled(&self) -> bool {
+        self.node_wanted.get() && !self.draining.get()
+    }
+
+    pub(crate) fn is_node_running(&self) -> bool {
+        self.node
+            .borrow_mut()
+            .as_mut()
+            .is_some_and(Process::is_running)
+    }
+
+    pub(crate) fn is_app_running(&self) -> bool {
+        self.app
+            .borrow_mut()
+            .as_mut()
+            .is_some_and(Process::is_running)
+    }
+
+    /// Sets the fault of the backend server, if it runs.
+    pub(crate) async fn set_fault(&self, fault: AppFault) {
+        // A backend server that has crashed meanwhile shows no fault, which is no matter.
+        let _ = timeout(CONTROL, self.send_fault(fault)).await;
+    }
+
+    async fn send_fault(&self, fault: AppFault) -> io::Result<()> {
+        let mut stream = TcpStream::connect(self.at(CONTROL_PORT)).await?;
+        let line = serde_json::to_string(&fault)? + "\n";
+        stream.write_all(line.as_bytes()).await?;
+        stream.read_u8().await.map(drop)
+    }
+
+    /// Asks the node whether it is ready.
+    pub(crate) async fn is_ready(&self) -> bool {
+        matches!(
+            http_get(self.at(READY_PORT), "/v1/ready").await,
+            Some((200, _))
+        )
+    }
+
+    /// Returns the last lines that the node wrote.
+    pub(crate) fn node_log(&self) -> Vec<String> {
+        let text = fs::read_to_string(self.file("node-log")).unwrap_or_default();
+        let lines: Vec<_> = text.lines().rev().take(5).map(str::to_owned).collect();
+        lines.into_iter().rev().collect()
+    }
+}
--- a/crates/bench/src/soak/record.rs
+++ b/crates/bench/src/soak/record.rs
@@ -25,10 +25,12 @@
     },
     /// It was refused and never runs.
     Refused,
-    /// It runs from now on.
-    Started,
+    /// It runs from now on and takes so many milliseconds.
+    Started(u64),
     /// Its whole body has been read.
     Body(CompactString),
+    /// Its answer has a flaw, so that it may not arrive.
+    Flawed,
     /// Its run has ended with this status.
     Answered(u16),
     /// Its connection closed before the run had ended.
--- a/crates/bench/tests/app.rs
+++ b/crates/bench/tests/app.rs
@@ -1,45 +1,46 @@
 //! The stand-ins of the platform's backend servers and clients do what the soak relies on.
 
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::time::Duration;
 
 use ntex::http::client::{Client, ClientResponse};
 use oriolering::RouteKind;
 use oriolering_bench::soak::app::serve_app;
-use oriolering_bench::soak::client::{Attempt, Connection, Told};
-use oriolering_bench::soak::names;
+use oriolering_bench::soak::client::{Attempt, Connection, Reply, Told};
 use oriolering_bench::soak::record::{Entry, Step, now_ms, read_record};
 use oriolering_bench::soak::seal::{bytes_of, digest};
 use oriolering_bench::soak::{AppFault, AppSettings, Flaw, WhenFull};
 use oriolering_bench::{Process, free_address, program, wait_for_listener};
+use oriolering_platform::HEADERS;
 use rstest::rstest;
 use tempfile::TempDir;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
-use tokio::task::{JoinHandle, spawn_local};
+use tokio::net::TcpStream;
+use tokio::task::{JoinHandle, spawn_local, yield_now};
 use tokio::time::sleep;
 
-const WHOLE: Told = Told::Answer {
-    status: 200,
-    signed: Some(true),
-    retry_after_ms: None,
-};
-const REFUSED: Told = Told::Answer {
-    status: 503,
-    signed: None,
-    retry_after_ms: None,
-};
+const WHOLE: Told = answer(200, Some(true));
+const REFUSED: Told = answer(503, None);
+
+const fn answer(status: u16, signed: Option<bool>) -> Told {
+    Told::Answer(Reply {
+        status,
+        signed,
+        retry_after_ms: None,
+    })
+}
 
 struct Site {
-    address: SocketAddr,
-    control: SocketAddr,
-    record: PathBuf,
+    settings: AppSettings,
     _dir: TempDir,
 }
 
 fn settings() -> AppSettings {
     AppSettings {
+        listen: free_address(),
+        control: free_address(),
+        record: PathBuf::new(),
         id: "i-1".into(),
         service: "caja".into(),
         health_path: "/health".into(),
@@ -55,23 +56,24 @@
 
 impl Site {
     async fn start(settings: AppSettings) -> Self {
+        let site = Self::new(settings);
+        spawn_local(serve_app(site.settings.clone()));
+        // The server binds when it is first polled.
+        yield_now().await;
+        site
+    }
+
+    fn new(settings: AppSettings) -> Self {
         let dir = tempfile::tempdir().unwrap();
         let record = dir.path().join("record");
-        let file = std::fs::File::create(&record).unwrap();
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let control = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let site = Self {
-            address: listener.local_addr().unwrap(),
-            control: control.local_addr().unwrap(),
-            record,
+        Self {
+            settings: AppSettings { record, ..settings },
             _dir: dir,
-        };
-        spawn_local(serve_app(listener, control, settings, file));
-        site
+        }
     }
 
     async fn fault(&self, fault: AppFault) {
-        set_fault(self.control, fault).await;
+        set_fault(self.settings.control, fault).await;
     }
 
     async fn flaw(&self, flaw: Flaw) {
@@ -85,14 +87,14 @@
 
     async fn send(&self, attempt: Attempt) -> Attempt {
         let mut attempts = [attempt];
-        let connection = Connection::open(self.address).await.unwrap();
+        let connection = Connection::open(self.settings.listen).await.unwrap();
         connection.exchange(&mut attempts).await;
         let [attempt] = attempts;
         attempt
     }
 
     fn send_later(&self, mut attempt: Attempt) -> JoinHandle<Attempt> {
-        let address = self.address;
+        let address = self.settings.listen;
         spawn_local(async move {
             let connection = Connection::open(address).await.unwrap();
             connection
@@ -103,7 +105,7 @@
     }
 
     fn entries(&self) -> Vec<Entry> {
-        read_record(&self.record).unwrap()
+        read_record(&self.settings.record).unwrap()
     }
 
     fn steps(&self) -> Vec<Step> {
@@ -111,7 +113,7 @@
     }
 
     async fn get(&self, path: &str, headers: &[(&str, &str)]) -> ClientResponse {
-        let mut request = Client::new().get(format!("http://{}{path}", self.address));
+        let mut request = Client::new().get(format!("http://{}{path}", self.settings.listen));
         for (name, value) in headers {
             request = request.header(*name, *value);
         }
@@ -174,7 +176,7 @@
     let steps = [
         reached,
         Step::Body(digest(b"")),
-        Step::Started,
+        Step::Started(20),
         Step::Answered(200),
     ];
     assert_eq!(site.steps(), steps);
@@ -190,7 +192,7 @@
 async fn requests_behind_one_another_are_answered_in_order() {
     let site = Site::start(settings()).await;
     let mut attempts = ["a", "b", "c"].map(|id| get(id, "/rack/?work=5&bytes=90"));
-    let connection = Connection::open(site.address).await.unwrap();
+    let connection = Connection::open(site.settings.listen).await.unwrap();
     let kept = connection.exchange(&mut attempts).await;
     assert!(attempts.iter().all(|attempt| attempt.told == WHOLE));
     assert!(kept.unwrap().is_open().unwrap());
@@ -259,14 +261,14 @@
         ..get("runs", "/rack/?work=900")
     });
     sleep(Duration::from_millis(50)).await;
-    let mut target = TcpStream::connect(site.address).await.unwrap();
+    let mut target = TcpStream::connect(site.settings.listen).await.unwrap();
     let head = "GET /rack/ HTTP/1.1\r\noriolering-request-id: waits\r\noriolering-request-deadline: 60\r\n\r\n";
     target.write_all(head.as_bytes()).await.unwrap();
     let mut part = [0; 1024];
     let size = target.read(&mut part).await.unwrap();
     let text = String::from_utf8_lossy(&part[..size]);
     assert!(
-        text.starts_with("HTTP/1.1 503") && text.contains(names::NOT_EXECUTED),
+        text.starts_with("HTTP/1.1 503") && text.contains(HEADERS.unexecuted),
         "{text}"
     );
     // The client gives up at the same moment at which the server answers.
@@ -280,12 +282,12 @@
 #[ntex::test]
 async fn a_request_for_another_instance_is_refused() {
     let site = Site::start(settings()).await;
-    let own = [(names::REQUEST_ID, "t1"), (names::TARGET, "i-1")];
+    let own = [(HEADERS.request, "t1"), (HEADERS.target, "i-1")];
     assert_eq!(site.get("/rack/", &own).await.status().as_u16(), 200);
-    let other = [(names::REQUEST_ID, "t2"), (names::TARGET, "i-2")];
+    let other = [(HEADERS.request, "t2"), (HEADERS.target, "i-2")];
     let answer = site.get("/rack/", &other).await;
     assert_eq!(answer.status().as_u16(), 421);
-    assert_eq!(answer.headers().get(names::INSTANCE).unwrap(), "i-1");
+    assert_eq!(answer.headers().get(HEADERS.server).unwrap(), "i-1");
     assert_eq!(site.get("/rack/", &[]).await.status().as_u16(), 400);
     assert!(site.entries().iter().all(|entry| entry.id == "t1"));
 }
@@ -297,7 +299,7 @@
     sleep(Duration::from_millis(50)).await;
     let answer = site.get("/health", &[]).await;
     assert_eq!(answer.status().as_u16(), 200);
-    assert_eq!(answer.headers().get(names::LOAD).unwrap(), "1,0,2,100");
+    assert_eq!(answer.headers().get(HEADERS.load).unwrap(), "1,0,2,100");
     let fault = AppFault {
         leaving: true,
         work_percent: 300,
@@ -306,7 +308,7 @@
     site.fault(fault).await;
     let answer = site.get("/health", &[]).await;
     assert_eq!(answer.status().as_u16(), 503);
-    assert_eq!(answer.headers().get(names::LOAD).unwrap(), "1,0,2,300");
+    assert_eq!(answer.headers().get(HEADERS.load).unwrap(), "1,0,2,300");
     assert_eq!(running.await.unwrap().told, WHOLE);
 }
 
@@ -328,7 +330,7 @@
     settings.connections = 1;
     let site = Site::start(settings).await;
     let mut first = [get("c1", "/rack/")];
-    let connection = Connection::open(site.address).await.unwrap();
+    let connection = Connection::open(site.settings.listen).await.unwrap();
     let kept = connection.exchange(&mut first).await.unwrap();
     let second = site.send(get("c2", "/rack/")).await;
     assert!(matches!(second.told, Told::Broken), "{:?}", second.told);
@@ -338,7 +340,7 @@
 }
 
 #[rstest]
-#[case(Flaw::Error, Told::Answer { status: 500, signed: Some(true), retry_after_ms: None }, 1)]
+#[case(Flaw::Error, answer(500, Some(true)), 1)]
 #[case(Flaw::Lost, Told::GaveUp, 1)]
 #[case(Flaw::Reset, Told::Broken, 1)]
 #[case(Flaw::Truncated, Told::Broken, 1)]
@@ -355,11 +357,13 @@
     let body = Step::Body(attempt.digest());
     assert_eq!(site.send(attempt).await.told, told);
     let steps = site.steps();
-    let started = steps.iter().filter(|step| **step == Step::Started);
+    let started = steps.iter().filter(|step| matches!(step, Step::Started(_)));
     assert_eq!(started.count(), runs, "{steps:?}");
     assert_eq!(steps.contains(&body), runs > 0, "{steps:?}");
-    let place = |step: &Step| steps.iter().position(|other| other == step);
-    let early = place(&Step::Started) < place(&body);
+    let run = steps
+        .iter()
+        .position(|step| matches!(step, Step::Started(_)));
+    let early = run < steps.iter().position(|step| *step == body);
     assert_eq!(early, flaw == Flaw::Early, "{steps:?}");
 }
 
@@ -368,7 +372,7 @@
     let site = Site::start(settings()).await;
     site.flaw(Flaw::Extra).await;
     let mut attempts = [get("e1", "/rack/?bytes=50")];
-    let connection = Connection::open(site.address).await.unwrap();
+    let connection = Connection::open(site.settings.listen).await.unwrap();
     let kept = connection.exchange(&mut attempts).await.unwrap();
     assert_eq!(attempts[0].told, WHOLE);
     sleep(Duration::from_millis(50)).await;
@@ -380,43 +384,24 @@
     let site = Site::start(settings()).await;
     site.flaw(Flaw::Late).await;
     let mut attempts = ["g1", "g2"].map(|id| get(id, "/rack/?bytes=50"));
-    let connection = Connection::open(site.address).await.unwrap();
+    let connection = Connection::open(site.settings.listen).await.unwrap();
     connection.exchange(&mut attempts).await;
     assert_eq!(attempts[0].told, WHOLE);
-    let wrong = Told::Answer {
-        status: 200,
-        signed: Some(false),
-        retry_after_ms: None,
-    };
-    assert_eq!(attempts[1].told, wrong);
+    assert_eq!(attempts[1].told, answer(200, Some(false)));
 }
 
 #[ntex::test]
 async fn a_poisonous_request_ends_the_process_and_leaves_the_record() {
-    let dir = tempfile::tempdir().unwrap();
-    let record = dir.path().join("record");
-    let (listen, control) = (free_address(), free_address());
-    let mut process = start_process(dir.path(), &record, listen, control);
+    let site = Site::new(settings());
+    let listen = site.settings.listen;
+    let args = [serde_json::to_string(&site.settings).unwrap()];
+    let log = site.settings.record.with_extension("log");
+    let mut process = Process::start(&program("app"), &args, &log).unwrap();
     assert!(wait_for_listener(listen, Duration::from_secs(10)).await);
-    let mut attempts = [get("p1", "/rack/poison")];
-    let connection = Connection::open(listen).await.unwrap();
-    connection.exchange(&mut attempts).await;
-    assert_eq!(attempts[0].told, Told::Broken);
+    assert_eq!(
+        site.send(get("p1", "/rack/poison")).await.told,
+        Told::Broken
+    );
     assert_eq!(process.wait(Duration::from_secs(5)).await, Some(86));
-    let entries = read_record(&record).unwrap();
-    assert_eq!(entries.last().unwrap().step, Step::Started);
-}
-
-fn start_process(dir: &Path, record: &Path, listen: SocketAddr, control: SocketAddr) -> Process {
-    let args = [
-        "--listen".to_owned(),
-        listen.to_string(),
-        "--control".to_owned(),
-        control.to_string(),
-        "--settings".to_owned(),
-        serde_json::to_string(&settings()).unwrap(),
-        "--record".to_owned(),
-        record.display().to_string(),
-    ];
-    Process::start(&program("app"), &args, &dir.join("log")).unwrap()
+    assert_eq!(site.steps().last(), Some(&Step::Started(0)));
 }
