--- a/crates/bench/src/soak/machine.rs
+++ b/crates/bench/src/soak/machine.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use compact_str::{CompactString, format_compact};
+use serde_json::json;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
@@ -15,8 +16,8 @@
 use super::app_settings::{AppFault, AppSettings};
 use super::record::now_ms;
 use super::site_text::{
-    APP_PORT, Beat, CALLERS_PORT, CONNECTIONS, CONTROL_PORT, HEALTH_PATH, READY_PORT, SERVICES,
-    ZONES, settings,
+    APP_PORT, CALLERS_PORT, CONNECTIONS, CONTROL_PORT, HEALTH_PATH, READY_PORT, SERVICES, ZONES,
+    settings,
 };
 use crate::http::http_get;
 use crate::process::{Process, program};
@@ -161,17 +162,23 @@
     pub(crate) fn beat(&self) -> (String, String) {
         self.sequence.set(self.sequence.get() + 1);
         let age_ms = now_ms().saturating_sub(self.born_ms.get());
-        let beat = Beat {
-            service: self.service.borrow().clone(),
-            address: self.at(APP_PORT),
-            zone: ZONES[self.number % ZONES.len()],
-            slots: SLOTS,
-            draining: self.draining.get(),
-            cold_ms: COLD_MS.saturating_sub(age_ms),
-            sequence: self.sequence.get(),
-            born_ms: self.born_ms.get(),
+        let state = if self.draining.get() {
+            "draining"
+        } else {
+            "ready"
         };
-        (self.key(), beat.text().to_string())
+        let beat = json!({
+            "service": *self.service.borrow(),
+            "address": self.at(APP_PORT),
+            "zone": ZONES[self.number % ZONES.len()],
+            "version": "v1",
+            "slots": SLOTS,
+            "state": state,
+            "cold_remaining_ms": COLD_MS.saturating_sub(age_ms),
+            "sequence": self.sequence.get(),
+            "born": self.born_ms.get(),
+        });
+        (self.key(), beat.to_string())
     }
 
     /// Returns the key of the backend server in the store.
--- a/crates/bench/src/soak/world.rs
+++ b/crates/bench/src/soak/world.rs
@@ -71,7 +71,13 @@
         format_compact!("{:08x}{number:08x}", self.journal.borrow().seed as u32)
     }
 
-    pub(crate) fn keep(&self, attempts: impl IntoIterator<Item = Attempt>) {
+    /// Keeps what became of attempts, without their bodies.
+    pub(crate) fn keep(&self, attempts: &[Attempt]) {
+        let without_body = |attempt: &Attempt| Attempt {
+            body: Vec::new(),
+            ..attempt.clone()
+        };
+        let attempts = attempts.iter().map(without_body);
         self.journal.borrow_mut().attempts.extend(attempts);
     }
 
