Let the store of a soak fail for all nodes, and shorten its machine

Cutting the nodes off one by one leaves the others in touch; a store that is silent, slow, resets or loses answers for all of them was not played yet.

--- a/crates/bench/src/soak/client.rs
+++ b/crates/bench/src/soak/client.rs
@@ -13,7 +13,7 @@
 use super::record::now_ms;
 use super::seal::{digest, signature};
 use super::site_text::HOST;
-use super::wire::{Quiet, Wire};
+use super::wire::Wire;
 use oriolering_platform::HEADERS;
 
 /// How long clients of the platform wait for a new connection.
@@ -168,11 +168,7 @@
     ///
     /// Returns an error when bytes came that no request asked for.
     pub fn is_open(&self) -> io::Result<bool> {
-        match self.wire.is_quiet() {
-            Quiet::Open => Ok(true),
-            Quiet::Closed => Ok(false),
-            Quiet::Stray => Err(io::Error::other("bytes that no request asked for")),
-        }
+        self.wire.is_open()
     }
 
     /// Sends attempts behind one another and notes their ends; returns the connection if kept.
--- a/crates/bench/src/soak/deeds.rs
+++ b/crates/bench/src/soak/deeds.rs
@@ -13,6 +13,7 @@
 use super::site_text::SERVICES;
 use super::world::World;
 use crate::signal::Signal;
+use crate::store_fault::StoreFault;
 
 /// The delay of a slow path to the store, in milliseconds.
 const SLOW_MS: u64 = 400;
@@ -44,10 +45,17 @@
             machine.set_fault(AppFault::default()).await;
         }
         // The watcher of processes starts it again.
-        Deed::AppKill => drop(machine.app.take()),
+        Deed::AppKill => machine.crash_app(),
         Deed::Replace => return replace(&world, &machine).await,
         Deed::Configure => world.configure(),
         Deed::DropHistory => world.store.drop_history(),
+        Deed::StoreFails(fault, ms) => {
+            let span = world.disrupt(None, &format!("{fault:?}"));
+            world.store.set_fault(fault);
+            sleep(Duration::from_millis(ms)).await;
+            world.store.set_fault(StoreFault::None);
+            world.calm(span);
+        }
     }
     Ok(())
 }
@@ -89,7 +97,7 @@
 
 /// Sends SIGTERM, and SIGKILL when the grace has passed.
 async fn terminate(world: &World, machine: &Machine) {
-    machine.node_wanted.set(false);
+    machine.now.node_wanted.set(false);
     machine.signal_node(Signal::Terminate);
     let until_ms = now_ms() + world.bounds.grace_ms;
     while machine.is_node_running() && now_ms() < until_ms {
@@ -100,12 +108,12 @@
 
 /// Drains a backend server unless another one leaves, ends it and its node, and puts another service at its address.
 async fn replace(world: &Rc<World>, machine: &Rc<Machine>) -> io::Result<()> {
-    let another = world.machines.iter().any(|m| m.draining.get());
+    let another = world.machines.iter().any(|m| m.now.draining.get());
     if another || !machine.is_settled() || !machine.is_app_running() {
         return Ok(());
     }
-    let server = machine.server.borrow().clone();
-    machine.draining.set(true);
+    let server = machine.now.server.borrow().clone();
+    machine.now.draining.set(true);
     world.publish(machine);
     let leaving = AppFault {
         leaving: true,
@@ -142,13 +150,13 @@
     while !world.ended.get() {
         sleep(POLL).await;
         for machine in &world.machines {
-            let left = machine.draining.get();
-            if machine.app_wanted.get() && !left && !machine.is_app_running() {
-                machine.app_wanted.set(false);
+            let left = machine.now.draining.get();
+            if machine.now.app_wanted.get() && !left && !machine.is_app_running() {
+                machine.now.app_wanted.set(false);
                 ntex::rt::spawn(revive_app(world.clone(), machine.clone()));
             }
-            if machine.node_wanted.get() && !machine.is_node_running() {
-                machine.node_wanted.set(false);
+            if machine.now.node_wanted.get() && !machine.is_node_running() {
+                machine.now.node_wanted.set(false);
                 world.note_end(machine);
                 ntex::rt::spawn(revive_node(world.clone(), machine.clone()));
             }
@@ -158,7 +166,7 @@
 }
 
 async fn revive_app(world: Rc<World>, machine: Rc<Machine>) -> io::Result<()> {
-    let server = machine.server.borrow().clone();
+    let server = machine.now.server.borrow().clone();
     sleep(AWAY).await;
     let keep_id = now_ms().is_multiple_of(2);
     world.start_app(&machine, keep_id)?;
@@ -168,7 +176,7 @@
 
 async fn revive_node(world: Rc<World>, machine: Rc<Machine>) -> io::Result<()> {
     sleep(AWAY).await;
-    match machine.node_wanted.get() || machine.draining.get() {
+    match machine.now.node_wanted.get() || machine.now.draining.get() {
         true => Ok(()),
         false => world.start_node(&machine),
     }
--- a/crates/bench/src/soak/machine.rs
+++ b/crates/bench/src/soak/machine.rs
@@ -39,8 +39,17 @@
     pub(crate) number: usize,
     ip: IpAddr,
     dir: PathBuf,
-    seed: u64,
     pub(crate) service: RefCell<CompactString>,
+    pub(crate) now: Status,
+    /// Between clients and the node.
+    pub(crate) clients: Relay,
+    /// Between the node and the store.
+    pub(crate) store: Relay,
+}
+
+/// What changes of a machine.
+#[derive(Default)]
+pub(crate) struct Status {
     /// The backend server that runs, or ran last.
     pub(crate) server: RefCell<CompactString>,
     pub(crate) draining: Cell<bool>,
@@ -54,12 +63,8 @@
     generation: Cell<u32>,
     born_ms: Cell<u64>,
     sequence: Cell<u64>,
-    pub(crate) node: RefCell<Option<Process>>,
-    pub(crate) app: RefCell<Option<Process>>,
-    /// Between clients and the node.
-    pub(crate) clients: Relay,
-    /// Between the node and the store.
-    pub(crate) store: Relay,
+    node: RefCell<Option<Process>>,
+    app: RefCell<Option<Process>>,
 }
 
 impl Machine {
@@ -68,25 +73,13 @@
         ip: IpAddr,
         store: SocketAddr,
         dir: &Path,
-        seed: u64,
     ) -> io::Result<Self> {
         let machine = Self {
             number,
             ip,
             dir: dir.to_path_buf(),
-            seed,
             service: RefCell::new(SERVICES[number % SERVICES.len()].into()),
-            server: RefCell::default(),
-            draining: Cell::new(false),
-            node_wanted: Cell::new(false),
-            app_wanted: Cell::new(false),
-            ready: Cell::new(false),
-            misses: Cell::new(0),
-            generation: Cell::new(0),
-            born_ms: Cell::new(0),
-            sequence: Cell::new(0),
-            node: RefCell::new(None),
-            app: RefCell::new(None),
+            now: Status::default(),
             clients: Relay::start(SocketAddr::new(ip, CALLERS_PORT))?,
             store: Relay::start(store)?,
         };
@@ -115,27 +108,27 @@
         let args = ["platform".to_owned()];
         let log = self.file("node-log");
         let node = Process::start_with(&program("oriolering-node"), &args, &variables, &log)?;
-        self.node.replace(Some(node));
-        self.node_wanted.set(true);
+        self.now.node.replace(Some(node));
+        self.now.node_wanted.set(true);
         Ok(())
     }
 
     /// Starts a backend server; it has a new identity unless it keeps its old one.
     pub(crate) fn start_app(&self, keep_id: bool) -> io::Result<()> {
         let born_ms = now_ms();
-        self.born_ms.set(born_ms);
-        self.sequence.set(0);
-        self.draining.set(false);
+        self.now.born_ms.set(born_ms);
+        self.now.sequence.set(0);
+        self.now.draining.set(false);
         if !keep_id {
-            self.generation.set(self.generation.get() + 1);
-            let id = format_compact!("i-{}-{}", self.number, self.generation.get());
-            self.server.replace(id);
+            self.now.generation.set(self.now.generation.get() + 1);
+            let id = format_compact!("i-{}-{}", self.number, self.now.generation.get());
+            self.now.server.replace(id);
         }
         let settings = AppSettings {
             listen: self.at(APP_PORT),
             control: self.at(CONTROL_PORT),
             record: self.record(),
-            id: self.server.borrow().clone(),
+            id: self.now.server.borrow().clone(),
             service: self.service.borrow().clone(),
             health_path: HEALTH_PATH.into(),
             slots: SLOTS,
@@ -144,12 +137,12 @@
             idle_ms: IDLE_MS,
             tells_load: true,
             cold_ms: COLD_MS,
-            seed: self.seed ^ born_ms,
+            seed: born_ms,
         };
         let args = [serde_json::to_string(&settings)?];
         let app = Process::start(&program("app"), &args, &self.file("app-log"))?;
-        self.app.replace(Some(app));
-        self.app_wanted.set(true);
+        self.now.app.replace(Some(app));
+        self.now.app_wanted.set(true);
         Ok(())
     }
 
@@ -160,9 +153,9 @@
 
     /// Returns the key and the next entry of the backend server.
     pub(crate) fn beat(&self) -> (String, String) {
-        self.sequence.set(self.sequence.get() + 1);
-        let age_ms = now_ms().saturating_sub(self.born_ms.get());
-        let state = if self.draining.get() {
+        self.now.sequence.set(self.now.sequence.get() + 1);
+        let age_ms = now_ms().saturating_sub(self.now.born_ms.get());
+        let state = if self.now.draining.get() {
             "draining"
         } else {
             "ready"
@@ -175,48 +168,55 @@
             "slots": SLOTS,
             "state": state,
             "cold_remaining_ms": COLD_MS.saturating_sub(age_ms),
-            "sequence": self.sequence.get(),
-            "born": self.born_ms.get(),
+            "sequence": self.now.sequence.get(),
+            "born": self.now.born_ms.get(),
         });
         (self.key(), beat.to_string())
     }
 
     /// Returns the key of the backend server in the store.
     pub(crate) fn key(&self) -> String {
-        format!("servers/{}", self.server.borrow())
+        format!("servers/{}", self.now.server.borrow())
     }
 
     pub(crate) fn signal_node(&self, signal: Signal) {
-        if let Some(node) = self.node.borrow_mut().as_mut() {
+        if let Some(node) = self.now.node.borrow_mut().as_mut() {
             node.signal(signal);
         }
     }
 
     pub(crate) fn kill_node(&self) {
-        self.node_wanted.set(false);
+        self.now.node_wanted.set(false);
         // Dropping a process kills it and waits for it.
-        self.node.take();
+        self.now.node.take();
+    }
+
+    /// Kills the backend server as a crash would.
+    pub(crate) fn crash_app(&self) {
+        self.now.app.take();
     }
 
     pub(crate) fn kill_app(&self) {
-        self.app_wanted.set(false);
-        self.app.take();
+        self.now.app_wanted.set(false);
+        self.now.app.take();
     }
 
     /// Returns whether nothing else starts or ends the node.
     pub(crate) fn is_settled(&self) -> bool {
-        self.node_wanted.get() && !self.draining.get()
+        self.now.node_wanted.get() && !self.now.draining.get()
     }
 
     pub(crate) fn is_node_running(&self) -> bool {
-        self.node
+        self.now
+            .node
             .borrow_mut()
             .as_mut()
             .is_some_and(Process::is_running)
     }
 
     pub(crate) fn is_app_running(&self) -> bool {
-        self.app
+        self.now
+            .app
             .borrow_mut()
             .as_mut()
             .is_some_and(Process::is_running)
--- a/crates/bench/src/soak/plan.rs
+++ b/crates/bench/src/soak/plan.rs
@@ -7,6 +7,7 @@
 use rand::{Rng, SeedableRng};
 
 use super::app_settings::{AppFault, Flaw, WhenFull};
+use crate::store_fault::StoreFault;
 
 /// The pause between two faults, in milliseconds.
 const PAUSE_MS: Range<u64> = 150..700;
@@ -61,6 +62,8 @@
     Configure,
     /// Lets the store forget its history.
     DropHistory,
+    /// Lets the store fail for all nodes for milliseconds.
+    StoreFails(StoreFault, u64),
 }
 
 /// A deed, its machine and its time since the begin.
@@ -116,16 +119,28 @@
 }
 
 fn draw_work(rng: &mut StdRng) -> Deed {
-    match rng.random_range(0..11) {
+    match rng.random_range(0..12) {
         0..=5 => Deed::App(draw_fault(rng), rng.random_range(500..2_500)),
         6 => Deed::AppKill,
         7 => Deed::Replace,
         8 => Deed::Configure,
         9 => Deed::DropHistory,
+        10 => Deed::StoreFails(draw_store_fault(rng), rng.random_range(300..2_500)),
         _ => Deed::Reload,
     }
 }
 
+fn draw_store_fault(rng: &mut StdRng) -> StoreFault {
+    let faults = [
+        StoreFault::Silent,
+        StoreFault::Unavailable,
+        StoreFault::Reset,
+        StoreFault::Slow { delay_ms: 600 },
+        StoreFault::Lost,
+    ];
+    faults[rng.random_range(0..faults.len())]
+}
+
 fn draw_fault(rng: &mut StdRng) -> AppFault {
     let flaws = [
         Flaw::Error,
--- a/crates/bench/src/soak/run.rs
+++ b/crates/bench/src/soak/run.rs
@@ -82,7 +82,7 @@
         ntex::rt::spawn(watch_ready(world.clone(), machine.clone()));
     }
     let until = Instant::now() + START;
-    while !world.machines.iter().all(|m| m.ready.get()) {
+    while !world.machines.iter().all(|m| m.now.ready.get()) {
         if Instant::now() > until {
             return Err(not_ready(world));
         }
@@ -93,7 +93,7 @@
 }
 
 fn not_ready(world: &World) -> io::Error {
-    let waiting = world.machines.iter().filter(|m| !m.ready.get());
+    let waiting = world.machines.iter().filter(|m| !m.now.ready.get());
     let logs = waiting.map(|m| format!("machine {}: {:?}", m.number, m.node_log()));
     io::Error::other(format!(
         "not ready: {}",
@@ -113,13 +113,14 @@
 async fn watch_ready(world: Rc<World>, machine: Rc<Machine>) {
     while !world.ended.get() {
         if machine.is_ready().await {
-            machine.misses.set(0);
-            machine.ready.set(true);
+            machine.now.misses.set(0);
+            machine.now.ready.set(true);
         } else {
-            machine.misses.set(machine.misses.get() + 1);
+            machine.now.misses.set(machine.now.misses.get() + 1);
             machine
+                .now
                 .ready
-                .set(machine.ready.get() && machine.misses.get() < MISSES);
+                .set(machine.now.ready.get() && machine.now.misses.get() < MISSES);
         }
         sleep(READY).await;
     }
--- a/crates/bench/src/soak/session.rs
+++ b/crates/bench/src/soak/session.rs
@@ -62,7 +62,7 @@
 pub(crate) async fn run_probe(world: Rc<World>, machine: Rc<Machine>) {
     while !world.ended.get() {
         sleep(PROBE).await;
-        if !machine.ready.get() {
+        if !machine.now.ready.get() {
             continue;
         }
         let versions: Vec<u64> = {
@@ -86,8 +86,8 @@
 
 /// Returns whether clients of a machine get work, as the platform decides it.
 fn gets_work(world: &World, machine: &Machine) -> bool {
-    let ready = world.machines.iter().filter(|m| m.ready.get()).count();
-    machine.ready.get() || ready * 2 < world.machines.len()
+    let ready = world.machines.iter().filter(|m| m.now.ready.get()).count();
+    machine.now.ready.get() || ready * 2 < world.machines.len()
 }
 
 /// Sends a batch on the kept connection or a new one, and keeps what came of it.
--- a/crates/bench/src/soak/wire.rs
+++ b/crates/bench/src/soak/wire.rs
@@ -94,13 +94,13 @@
         std::future::pending().await
     }
 
-    /// Returns whether nothing has arrived and the connection looks open.
-    pub(crate) fn is_quiet(&self) -> Quiet {
+    /// Returns whether the connection is open; bytes that wait on it are an error.
+    pub(crate) fn is_open(&self) -> io::Result<bool> {
         let mut part = [0; 1];
         match (self.input.is_empty(), self.stream.try_read(&mut part)) {
-            (true, Err(e)) if e.kind() == io::ErrorKind::WouldBlock => Quiet::Open,
-            (true, Err(_) | Ok(0)) => Quiet::Closed,
-            (true, Ok(_)) | (false, _) => Quiet::Stray,
+            (true, Err(e)) => Ok(e.kind() == io::ErrorKind::WouldBlock),
+            (true, Ok(0)) => Ok(false),
+            (_, _) => Err(io::Error::other("bytes that no request asked for")),
         }
     }
 
@@ -132,11 +132,3 @@
         let _ = self.stream.set_zero_linger();
     }
 }
-
-/// The state of a connection on which nothing is due.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Quiet {
-    Open,
-    Closed,
-    Stray,
-}
--- a/crates/bench/src/soak/world.rs
+++ b/crates/bench/src/soak/world.rs
@@ -47,7 +47,7 @@
         let machine = |number| {
             let [a, b, c, _] = net.octets();
             let ip = IpAddr::from([a, b, c, number as u8 + 1]);
-            Machine::new(number, ip, address, dir, seed).map(Rc::new)
+            Machine::new(number, ip, address, dir).map(Rc::new)
         };
         let journal = Journal {
             seed,
@@ -105,7 +105,7 @@
 
     pub(crate) fn start_app(&self, machine: &Machine, keep_id: bool) -> io::Result<()> {
         machine.start_app(keep_id)?;
-        let server = machine.server.borrow().clone();
+        let server = machine.now.server.borrow().clone();
         self.journal
             .borrow_mut()
             .hosts
@@ -118,8 +118,8 @@
     pub(crate) fn publish(&self, machine: &Machine) {
         let (key, value) = machine.beat();
         self.store.put(&key, value);
-        if machine.draining.get() {
-            self.note_leaving(&machine.server.borrow());
+        if machine.now.draining.get() {
+            self.note_leaving(&machine.now.server.borrow());
         }
     }
 
@@ -172,7 +172,7 @@
     /// Removes an entry whose backend server has been silent, unless it came back under it.
     pub(crate) async fn expire(self: Rc<Self>, machine: Rc<Machine>, server: CompactString) {
         sleep(Duration::from_millis(SILENT_BEATS * HEARTBEAT_MS)).await;
-        if *machine.server.borrow() != server {
+        if *machine.now.server.borrow() != server {
             self.remove(&server);
         }
     }
