Judge what a stopping node breaks off

The soak took a node's SIGTERM for a disruption like any other, so that a request which the leaving node had passed on and then broke off went unseen. Planned work is told apart now; one such request is a broken promise.

--- a/crates/bench/src/soak/deeds.rs
+++ b/crates/bench/src/soak/deeds.rs
@@ -33,7 +33,11 @@
     match deed {
         Deed::Harm(harm) if harm.is_of_node() && !machine.is_settled() => {}
         Deed::Harm(harm) => {
-            let span = world.disrupt(Some(machine.number), &format!("{harm:?}"));
+            let span = world.disrupt(
+                Some(machine.number),
+                &format!("{harm:?}"),
+                harm == Harm::Terminate,
+            );
             let done = disrupt(&world, &machine, harm).await;
             world.calm(span);
             return done;
@@ -50,7 +54,7 @@
         Deed::Configure => world.configure(),
         Deed::DropHistory => world.store.drop_history(),
         Deed::StoreFails(fault, ms) => {
-            let span = world.disrupt(None, &format!("{fault:?}"));
+            let span = world.disrupt(None, &format!("{fault:?}"), false);
             world.store.set_fault(fault);
             sleep(Duration::from_millis(ms)).await;
             world.store.set_fault(StoreFault::None);
@@ -123,7 +127,7 @@
     sleep(Duration::from_millis(world.bounds.drain_ms) + DRAIN_MORE).await;
     machine.kill_app();
     world.remove(&server);
-    let span = world.disrupt(Some(machine.number), "replace");
+    let span = world.disrupt(Some(machine.number), "replace", true);
     terminate(world, machine).await;
     sleep(Duration::from_millis(world.bounds.address_reuse_ms)).await;
     let service = next_service(world, machine);
--- a/crates/bench/src/soak/journal.rs
+++ b/crates/bench/src/soak/journal.rs
@@ -16,6 +16,8 @@
     pub from_ms: u64,
     /// The end, in Unix milliseconds.
     pub to_ms: u64,
+    /// Whether it is planned work: a node was told to end.
+    pub planned: bool,
     /// What was done.
     pub what: CompactString,
 }
@@ -139,10 +141,22 @@
 
     /// Returns whether a machine was in touch through a whole span.
     pub fn in_touch(&self, machine: usize, from_ms: u64, to_ms: u64, window_ms: u64) -> bool {
-        let begin = from_ms.saturating_sub(window_ms);
-        !self.disruptions.iter().any(|d| {
-            d.machine.is_none_or(|other| other == machine) && d.from_ms <= to_ms && d.to_ms >= begin
-        })
+        let mut disruptions = self.disruptions_of(machine, from_ms, to_ms, window_ms);
+        disruptions.next().is_none()
+    }
+
+    /// Returns the disruptions that keep a machine from being in touch in a span.
+    pub(crate) fn disruptions_of(
+        &self,
+        machine: usize,
+        from_ms: u64,
+        to_ms: u64,
+        window_ms: u64,
+    ) -> impl Iterator<Item = &Disruption> {
+        let begin_ms = from_ms.saturating_sub(window_ms);
+        let of_machine = move |d: &&Disruption| d.machine.is_none_or(|other| other == machine);
+        let disruptions = self.disruptions.iter().filter(of_machine);
+        disruptions.filter(move |d| d.from_ms <= to_ms && d.to_ms >= begin_ms)
     }
 
     /// Returns the arrivals of an attempt.
--- a/crates/bench/src/soak/judge.rs
+++ b/crates/bench/src/soak/judge.rs
@@ -250,21 +250,41 @@
         }
     }
 
-    /// Finds requests that a sound backend server ran and whose connection ended all the same.
+    /// Finds connections that ended without the answer of a sound backend server.
     fn lost(&self) -> Vec<Breach> {
+        let attempts = self.journal.attempts.iter();
+        let broken = attempts.filter(|attempt| attempt.told == Told::Broken);
         let sound = |attempt: &&Attempt| {
             let mut runs = self.journal.runs_of(attempt).iter();
-            attempt.told == Told::Broken
-                && runs.any(|run| {
-                    let answered = matches!(run.ended, Some((_, Some(_)))) && !run.flawed;
-                    answered && self.way_in_touch(attempt, run, attempt.ended_ms)
-                })
+            runs.any(|run| {
+                let answered = matches!(run.ended, Some((_, Some(_)))) && !run.flawed;
+                answered && self.way_in_touch(attempt, run, attempt.ended_ms)
+            })
         };
-        let lost: Vec<_> = self.journal.attempts.iter().filter(sound).collect();
-        match lost.len() > FEW {
-            true => self.all(Rule::Lost, &lost),
-            false => Vec::new(),
-        }
+        let lost: Vec<_> = broken.clone().filter(sound).collect();
+        let lost = if lost.len() > FEW { lost } else { Vec::new() };
+        let planned: Vec<_> = broken.filter(|a| self.is_lost_by_plan(a)).collect();
+        self.all(Rule::Lost, &[lost, planned].concat())
+    }
+
+    /// Returns whether a node that was told to end broke off a request that it had passed on.
+    fn is_lost_by_plan(&self, attempt: &Attempt) -> bool {
+        let window_ms = self.bounds.stable_window_ms;
+        let around = |machine| {
+            let (from_ms, to_ms) = (attempt.sent_ms, attempt.ended_ms);
+            self.journal
+                .disruptions_of(machine, from_ms, to_ms, window_ms)
+        };
+        let calm = |machine| around(machine).all(|d| d.planned);
+        let told = around(attempt.machine).any(|d| d.to_ms >= attempt.sent_ms);
+        let mut runs = self.journal.runs_of(attempt).iter();
+        told && calm(attempt.machine)
+            && runs.any(|run| {
+                // A backend server that ended has noted no end of the run.
+                let sound = run.ended.is_some() && !run.flawed;
+                let host = self.journal.hosts.get(&run.server);
+                sound && host.is_some_and(|host| calm(*host))
+            })
     }
 
     fn recover(&self) -> Vec<Breach> {
--- a/crates/bench/src/soak/run.rs
+++ b/crates/bench/src/soak/run.rs
@@ -152,7 +152,7 @@
 /// Kills all nodes right after a configuration, and waits until service has to be back.
 async fn close(world: &Rc<World>) -> io::Result<()> {
     world.configure();
-    let span = world.disrupt(None, "all killed");
+    let span = world.disrupt(None, "all killed", false);
     let killed_ms = now_ms();
     world.machines.iter().for_each(|m| m.kill_node());
     sleep(AWAY).await;
--- a/crates/bench/src/soak/world.rs
+++ b/crates/bench/src/soak/world.rs
@@ -82,12 +82,13 @@
     }
 
     /// Notes a disruption that begins now; the caller closes it with its number.
-    pub(crate) fn disrupt(&self, machine: Option<usize>, what: &str) -> usize {
+    pub(crate) fn disrupt(&self, machine: Option<usize>, what: &str, planned: bool) -> usize {
         let disruptions = &mut self.journal.borrow_mut().disruptions;
         disruptions.push(Disruption {
             machine,
             from_ms: now_ms(),
             to_ms: u64::MAX,
+            planned,
             what: what.into(),
         });
         disruptions.len() - 1
--- a/crates/bench/tests/judge.rs
+++ b/crates/bench/tests/judge.rs
@@ -159,6 +159,7 @@
             machine: Some(machine),
             from_ms: SENT_MS - 2_900,
             to_ms: SENT_MS - 2_800,
+            planned: false,
             what: "freeze".into(),
         }));
     assert_eq!(rules(&journal), rule);
@@ -254,6 +255,27 @@
     assert_eq!(rules(&journal), vec![Rule::Lost; broken]);
 }
 
+#[rstest]
+#[case(true, 0, vec![Rule::Lost])]
+#[case(false, 0, vec![])]
+#[case(true, 1, vec![])]
+fn a_request_that_a_stopping_node_breaks_off_is_found(
+    #[case] planned: bool,
+    #[case] machine: usize,
+    #[case] rule: Vec<Rule>,
+) {
+    let mut journal = journal(false, Told::Broken);
+    first_run(&mut journal).ended = Some((SENT_MS + 100, None));
+    journal.disruptions.push(Disruption {
+        machine: Some(machine),
+        from_ms: SENT_MS + 50,
+        to_ms: SENT_MS + 200,
+        planned,
+        what: "terminate".into(),
+    });
+    assert_eq!(rules(&journal), rule);
+}
+
 #[test]
 fn service_has_to_return() {
     let mut journal = kept();
