--- a/crates/bench/src/soak/app.rs
+++ b/crates/bench/src/soak/app.rs
@@ -151,11 +151,7 @@
         let arrival = self.state.arrive(&self.id);
         arrival.note(self.reached());
         let flaw = self.state.draw_flaw();
-        if flaw == Some(Flaw::Shed) {
-            arrival.note(Step::Refused);
-            return self.refuse(wire, body, 503).await;
-        }
-        if self.state.is_full() {
+        if flaw == Some(Flaw::Shed) || self.state.is_full() {
             arrival.note(Step::Refused);
             return match self.state.fault.get().when_full {
                 WhenFull::Refuse => self.refuse(wire, body, 503).await,
--- a/crates/bench/src/soak/app_settings.rs
+++ b/crates/bench/src/soak/app_settings.rs
@@ -44,7 +44,7 @@
     Early,
     /// The backend server crashes in its place.
     Crash,
-    /// The request is refused although there is room.
+    /// There is none: the request is treated as if there were no room.
     Shed,
 }
 
--- a/crates/bench/src/soak/client.rs
+++ b/crates/bench/src/soak/client.rs
@@ -202,29 +202,21 @@
                 attempt.end(Told::Unread);
                 continue;
             }
-            let (told, open) = self.read(&attempt.id).await;
+            let (told, open) = match self.read(&attempt.id).await {
+                Ok(read) => read,
+                Err(e) if e.kind() == io::ErrorKind::Other => (Told::Garbled, false),
+                Err(_) => (Told::Broken, false),
+            };
             attempt.end(told);
             kept = open;
         }
         kept
     }
 
-    async fn read(&mut self, id: &str) -> (Told, bool) {
-        match self.read_whole(id).await {
-            Ok(Some(read)) => read,
-            Ok(None) => (Told::Broken, false),
-            Err(e) if e.kind() == io::ErrorKind::Other => (Told::Garbled, false),
-            Err(_) => (Told::Broken, false),
-        }
-    }
-
-    async fn read_whole(&mut self, id: &str) -> io::Result<Option<(Told, bool)>> {
-        let Some(head) = self.wire.next(&self.codec).await? else {
-            return Ok(None);
-        };
-        let Some(body) = self.read_body(&head).await? else {
-            return Ok(None);
-        };
+    async fn read(&mut self, id: &str) -> io::Result<(Told, bool)> {
+        let head = self.wire.next(&self.codec).await?;
+        let head = head.ok_or(io::ErrorKind::UnexpectedEof)?;
+        let body = self.read_body(&head).await?;
         let status = head.status.as_u16();
         let seal = header(&head.headers, HEADERS.signature);
         let told = Told::Answer(Reply {
@@ -232,30 +224,29 @@
             signed: seal.map(|seal| seal == signature(id, status, &body).as_str()),
             retry_after_ms: header(&head.headers, "retry-after").and_then(parse_ms),
         });
-        let framed = is_framed(&head);
-        Ok(Some((told, framed && head.keep_alive())))
+        Ok((told, is_framed(&head) && head.keep_alive()))
     }
 
-    async fn read_body(&mut self, head: &ResponseHead) -> io::Result<Option<Vec<u8>>> {
+    async fn read_body(&mut self, head: &ResponseHead) -> io::Result<Vec<u8>> {
         let mut body = Vec::new();
         if !is_framed(head) {
             while self.wire.fill().await? {}
             body.extend_from_slice(&self.wire.input.split());
-            return Ok(Some(body));
+            return Ok(body);
         }
         if self.codec.message_type() == MessageType::None {
-            return Ok(Some(body));
+            return Ok(body);
         }
         let codec = std::mem::take(&mut self.codec).into_payload_codec();
         loop {
             match self.wire.next(&codec).await? {
                 Some(Some(part)) => body.extend_from_slice(&part),
                 Some(None) => break,
-                None => return Ok(None),
+                None => return Err(io::ErrorKind::UnexpectedEof.into()),
             }
         }
         self.codec = codec.into_message_codec();
-        Ok(Some(body))
+        Ok(body)
     }
 }
 
--- a/crates/bench/tests/app.rs
+++ b/crates/bench/tests/app.rs
@@ -1,10 +1,8 @@
 //! The stand-ins of the platform's backend servers and clients do what the soak relies on.
 
-use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
 
-use ntex::http::client::{Client, ClientResponse};
 use oriolering_bench::soak::app::serve_app;
 use oriolering_bench::soak::client::{Attempt, Connection, Reply, Told};
 use oriolering_bench::soak::record::{Entry, Step, now_ms, read_record};
@@ -71,10 +69,6 @@
         }
     }
 
-    async fn fault(&self, fault: AppFault) {
-        set_fault(self.settings.control, fault).await;
-    }
-
     async fn flaw(&self, flaw: Flaw) {
         let fault = AppFault {
             flaw: Some(flaw),
@@ -111,22 +105,33 @@
         self.entries().into_iter().map(|entry| entry.step).collect()
     }
 
-    async fn get(&self, path: &str, headers: &[(&str, &str)]) -> ClientResponse {
-        let mut request = Client::new().get(format!("http://{}{path}", self.settings.listen));
-        for (name, value) in headers {
-            request = request.header(*name, *value);
-        }
-        request.send().await.unwrap()
+    /// Sends a request with these headers and returns the head of the answer.
+    async fn ask(&self, path: &str, headers: &[(&str, &str)]) -> String {
+        let mut stream = TcpStream::connect(self.settings.listen).await.unwrap();
+        let lines = headers
+            .iter()
+            .map(|(name, value)| format!("{name}: {value}\r\n"));
+        let head = format!("GET {path} HTTP/1.1\r\n{}\r\n", lines.collect::<String>());
+        stream.write_all(head.as_bytes()).await.unwrap();
+        let mut part = [0; 1024];
+        let size = stream.read(&mut part).await.unwrap();
+        String::from_utf8_lossy(&part[..size]).into_owned()
+    }
+
+    async fn fault(&self, fault: AppFault) {
+        let mut stream = TcpStream::connect(self.settings.control).await.unwrap();
+        let line = serde_json::to_string(&fault).unwrap() + "\n";
+        stream.write_all(line.as_bytes()).await.unwrap();
+        let mut ok = [0; 3];
+        stream.read_exact(&mut ok).await.unwrap();
+        assert_eq!(&ok, b"ok\n");
     }
 }
 
-async fn set_fault(control: SocketAddr, fault: AppFault) {
-    let mut stream = TcpStream::connect(control).await.unwrap();
-    let line = serde_json::to_string(&fault).unwrap() + "\n";
-    stream.write_all(line.as_bytes()).await.unwrap();
-    let mut ok = [0; 3];
-    stream.read_exact(&mut ok).await.unwrap();
-    assert_eq!(&ok, b"ok\n");
+/// Asserts that an answer has a status and this header.
+fn assert_head(head: &str, status: u16, name: &str, value: &str) {
+    assert!(head.starts_with(&format!("HTTP/1.1 {status} ")), "{head}");
+    assert!(head.contains(&format!("{name}: {value}\r\n")), "{head}");
 }
 
 fn get(id: &str, path: &str) -> Attempt {
@@ -170,12 +175,10 @@
         Step::Answered(200),
     ];
     assert_eq!(site.steps(), steps);
-    assert!(
-        entries
-            .iter()
-            .all(|entry| entry.id == "a1" && entry.server == "i-1")
-    );
-    assert!(entries.iter().all(|entry| entry.at_ms >= before));
+    for entry in entries {
+        assert_eq!((entry.id.as_str(), entry.server.as_str()), ("a1", "i-1"));
+        assert!(entry.at_ms >= before);
+    }
 }
 
 #[ntex::test]
@@ -251,16 +254,9 @@
         ..get("runs", "/rack/?work=900")
     });
     sleep(Duration::from_millis(50)).await;
-    let mut target = TcpStream::connect(site.settings.listen).await.unwrap();
-    let head = "GET /rack/ HTTP/1.1\r\noriolering-request-id: waits\r\noriolering-request-deadline: 60\r\n\r\n";
-    target.write_all(head.as_bytes()).await.unwrap();
-    let mut part = [0; 1024];
-    let size = target.read(&mut part).await.unwrap();
-    let text = String::from_utf8_lossy(&part[..size]);
-    assert!(
-        text.starts_with("HTTP/1.1 503") && text.contains(HEADERS.unexecuted),
-        "{text}"
-    );
+    let waits = [(HEADERS.request, "waits"), (HEADERS.deadline, "60")];
+    let head = site.ask("/rack/", &waits).await;
+    assert_head(&head, 503, HEADERS.unexecuted, "1");
     // The client gives up at the same moment at which the server answers.
     running.await.unwrap();
     sleep(Duration::from_millis(50)).await;
@@ -273,12 +269,15 @@
 async fn a_request_for_another_instance_is_refused() {
     let site = Site::start(settings()).await;
     let own = [(HEADERS.request, "t1"), (HEADERS.target, "i-1")];
-    assert_eq!(site.get("/rack/", &own).await.status().as_u16(), 200);
+    assert_head(&site.ask("/rack/", &own).await, 200, HEADERS.request, "t1");
     let other = [(HEADERS.request, "t2"), (HEADERS.target, "i-2")];
-    let answer = site.get("/rack/", &other).await;
-    assert_eq!(answer.status().as_u16(), 421);
-    assert_eq!(answer.headers().get(HEADERS.server).unwrap(), "i-1");
-    assert_eq!(site.get("/rack/", &[]).await.status().as_u16(), 400);
+    assert_head(
+        &site.ask("/rack/", &other).await,
+        421,
+        HEADERS.server,
+        "i-1",
+    );
+    assert_head(&site.ask("/rack/", &[]).await, 400, HEADERS.unexecuted, "1");
     assert!(site.entries().iter().all(|entry| entry.id == "t1"));
 }
 
@@ -287,18 +286,16 @@
     let site = Site::start(settings()).await;
     let running = site.send_later(get("h1", "/rack/?work=200"));
     sleep(Duration::from_millis(50)).await;
-    let answer = site.get("/health", &[]).await;
-    assert_eq!(answer.status().as_u16(), 200);
-    assert_eq!(answer.headers().get(HEADERS.load).unwrap(), "1,0,2,100");
+    let head = site.ask("/health", &[]).await;
+    assert_head(&head, 200, HEADERS.load, "1,0,2,100");
     let fault = AppFault {
         leaving: true,
         work_percent: 300,
         ..AppFault::default()
     };
     site.fault(fault).await;
-    let answer = site.get("/health", &[]).await;
-    assert_eq!(answer.status().as_u16(), 503);
-    assert_eq!(answer.headers().get(HEADERS.load).unwrap(), "1,0,2,300");
+    let head = site.ask("/health", &[]).await;
+    assert_head(&head, 503, HEADERS.load, "1,0,2,300");
     assert_eq!(running.await.unwrap().told, WHOLE);
 }
 
