--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -2,7 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 
 use compact_str::CompactString;
@@ -11,21 +11,34 @@
     Clock, FleetBudget, Millis, RouteTable, ServerList, ServerRecord, ServerState, Splitter,
     WorkTimes,
 };
-use oriolering_platform::Settings;
+use oriolering_platform::{Bounds, Settings};
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::gate::Gate;
 use crate::peer::Peer;
 use crate::spots::{Spots, Way};
+use crate::trail::{Event, Lines, Trail};
+
+/// How many nodes watch the store: one for each of three machines that may fail at once.
+const READERS: usize = 3;
+
+/// Returns the rank of a node among those that may watch the store; all nodes agree on it.
+fn rank(ip: IpAddr) -> u64 {
+    xxh3_64(ip.to_string().as_bytes())
+}
 
 /// The routes in force, and the text in which they were published.
 pub(crate) struct Published {
     pub(crate) table: RouteTable,
+    /// When they came into force.
+    pub(crate) since: Millis,
     pub(crate) text: Vec<u8>,
 }
 
 /// All that a node knows; it runs on one thread.
 pub(crate) struct Node {
     pub(crate) settings: Settings,
+    pub(crate) trail: Rc<Trail>,
     pub(crate) clock: Clock,
     pub(crate) date: DateService,
     pub(crate) incarnation: u64,
@@ -37,21 +50,35 @@
     pub(crate) work: RefCell<WorkTimes>,
     pub(crate) splitter: RefCell<Splitter>,
     budgets: RefCell<HashMap<CompactString, FleetBudget>>,
+    /// Whether this node watches the store.
+    pub(crate) reading: Cell<bool>,
+    /// When a peer was asked for news.
+    pub(crate) asked: Cell<Millis>,
     pub(crate) stopping: Cell<bool>,
     /// Whether new requests are refused, since the process is about to end.
     pub(crate) refusing: Cell<bool>,
+    /// The bounds in force, which may change while the node runs.
+    pub(crate) bounds: Cell<Bounds>,
     /// The requests of callers that run.
     pub(crate) active: Cell<usize>,
 }
 
 impl Node {
     /// Returns a node that knows nothing yet.
-    pub(crate) fn new(settings: Settings) -> Rc<Self> {
+    pub(crate) fn new(settings: Settings, lines: Lines) -> Rc<Self> {
         let clock = Clock::system();
+        let trail = Rc::new(Trail::new(&settings.node, clock.clone(), lines));
         let date = DateService::default();
-        let gate = Gate::new(settings.backend.address, date.clone(), clock.clone());
+        let gate = Gate::new(
+            settings.backend.address,
+            date.clone(),
+            clock.clone(),
+            Rc::clone(&trail),
+        );
         Rc::new(Self {
+            bounds: Cell::new(settings.bounds),
             settings,
+            trail,
             clock,
             date,
             incarnation: rand::random(),
@@ -63,6 +90,8 @@
             work: RefCell::default(),
             splitter: RefCell::default(),
             budgets: RefCell::default(),
+            reading: Cell::new(false),
+            asked: Cell::default(),
             stopping: Cell::new(false),
             refusing: Cell::new(false),
             active: Cell::new(0),
@@ -93,7 +122,7 @@
         service: &str,
         change: impl FnOnce(&mut FleetBudget) -> T,
     ) -> T {
-        let bounds = &self.settings.bounds;
+        let bounds = self.bounds.get();
         let nodes = self.peers.borrow().len() as u64 + 1;
         let slack = bounds.budget_slack / nodes;
         let mut budgets = self.budgets.borrow_mut();
@@ -111,6 +140,7 @@
     pub(crate) fn apply_list(&self) -> Vec<Rc<Peer>> {
         let now = self.now();
         let records: Vec<ServerRecord> = self.list.borrow().servers().cloned().collect();
+        self.trail.list(&records, self.list.borrow().revision());
         let mut fresh = Vec::new();
         let mut choices = Vec::with_capacity(records.len());
         let mut peers = self.peers.borrow_mut();
@@ -144,6 +174,32 @@
         fresh
     }
 
+    /// Returns the node on the instance with this address.
+    pub(crate) fn peer_at(&self, ip: IpAddr) -> Option<Rc<Peer>> {
+        let address = SocketAddr::new(ip, *self.settings.node_ports.start());
+        self.peers.borrow().get(&address).cloned()
+    }
+
+    /// Returns whether this node watches the store, by what it knows of its peers.
+    ///
+    /// A few watch, and the others learn from them. Each node decides alone: one that watches
+    /// goes on until enough with a higher rank do, another one begins when too few do.
+    pub(crate) fn should_read(&self) -> bool {
+        let own = rank(self.settings.ip);
+        let peers = self.peers.borrow();
+        let readers = peers.values().filter(|peer| peer.is_reading());
+        let counted = match self.reading.get() {
+            true => readers.filter(|p| rank(p.address.ip()) > own).count(),
+            false => readers.count(),
+        };
+        counted < READERS
+    }
+
+    /// Returns whether any peer watches the store.
+    pub(crate) fn is_informed(&self) -> bool {
+        self.peers.borrow().values().any(|peer| peer.is_reading())
+    }
+
     /// Tells the gate about the local backend server.
     fn describe_gate(&self, choices: &[(ServerRecord, Way)]) {
         let local = choices.iter().filter(|(_, way)| matches!(way, Way::Local));
@@ -156,7 +212,8 @@
             .as_ref()
             .and_then(|p| p.table.service(&record.service));
         let path = service.map_or("", |s| s.health_path.as_str());
-        self.gate.describe(&record.id, record.slots, path);
+        let leaving = record.state == ServerState::Draining;
+        self.gate.describe(&record.id, record.slots, path, leaving);
     }
 
     /// Puts newer routes in force; older ones are ignored. Returns whether they were newer.
@@ -164,8 +221,11 @@
         if table.version() <= self.version() {
             return false;
         }
-        log::info!(version = table.version(), before = self.version(); "routes are in force");
-        *self.published.borrow_mut() = Some(Rc::new(Published { table, text }));
+        let (version, before) = (table.version(), self.version());
+        self.trail.note(Event::RoutesTaken { version, before });
+        let since = self.now();
+        let published = Published { table, since, text };
+        *self.published.borrow_mut() = Some(Rc::new(published));
         true
     }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -53,7 +53,7 @@
 use args::Task;
 
 pub use error::NodeError;
-pub use logging::start as start_log;
+pub use logging::{Take, start_with as start_log_with};
 
 /// The exit code of a process that got wrong arguments or settings.
 const USAGE: u8 = 2;
