--- a/crates/bench/src/soak/journal.rs
+++ b/crates/bench/src/soak/journal.rs
@@ -50,6 +50,8 @@
     pub path: CompactString,
     /// The caller's service that arrived.
     pub caller: Option<CompactString>,
+    /// The deadline that arrived, in milliseconds.
+    pub deadline_ms: Option<u64>,
     /// The digest of the body, if the whole of it arrived.
     pub body: Option<CompactString>,
     /// When it began to run.
@@ -176,12 +178,13 @@
         method,
         path,
         caller,
-        ..
+        deadline_ms,
     } = &entry.step
     {
         run.method = method.clone();
         run.path = path.clone();
         run.caller = caller.clone();
+        run.deadline_ms = *deadline_ms;
     }
     run
 }
--- a/crates/bench/src/soak/judge.rs
+++ b/crates/bench/src/soak/judge.rs
@@ -13,6 +13,11 @@
 
 /// The late arrivals and lost answers that the rules let pass.
 const FEW: usize = 3;
+/// Runs that may be handed too much time, by the rules: so many, and a fifth of all.
+const LONG_FEW: usize = 20;
+const LONG_IN: usize = 5;
+/// How much more time than is left may be handed on, in milliseconds; the rules' figure.
+const TIME_SLACK_MS: u64 = 500;
 /// The fewest late answers that break the bound on final answers.
 const LATE_FEW: usize = 8;
 
@@ -43,6 +48,8 @@
     Reverted,
     /// Final answers come by the route's timeout.
     Late,
+    /// Backend servers are not handed more time than is left.
+    Time,
     /// What a sound backend server answered reaches the client.
     Lost,
     /// No node ends by itself.
@@ -94,6 +101,7 @@
     breaches.extend(case.gone());
     breaches.extend(case.late());
     breaches.extend(case.lost());
+    breaches.extend(case.time());
     breaches.extend(case.recover());
     breaches.extend(config_breaches(&case));
     breaches
@@ -287,6 +295,28 @@
             })
     }
 
+    /// Finds arrivals with no deadline or with one beyond that of the client.
+    fn time(&self) -> Vec<Breach> {
+        let (mut all, mut long) = (0, Vec::new());
+        for attempt in &self.journal.attempts {
+            let runs = self.journal.runs_of(attempt).iter();
+            for run in runs.filter(|run| self.way_in_touch(attempt, run, run.reached_ms)) {
+                all += 1;
+                let left_ms = attempt.sent_ms + attempt.deadline_ms + TIME_SLACK_MS;
+                if run
+                    .deadline_ms
+                    .is_none_or(|ms| run.reached_ms + ms > left_ms)
+                {
+                    long.push(attempt);
+                }
+            }
+        }
+        match long.len() > LONG_FEW && long.len() * LONG_IN > all {
+            true => self.all(Rule::Time, &long),
+            false => Vec::new(),
+        }
+    }
+
     fn recover(&self) -> Vec<Breach> {
         let Some((killed_ms, back_ms)) = self.journal.closing else {
             return Vec::new();
--- a/crates/bench/tests/judge.rs
+++ b/crates/bench/tests/judge.rs
@@ -45,6 +45,7 @@
         method: attempt.method.into(),
         path: attempt.path.clone(),
         caller: Some("rack".into()),
+        deadline_ms: Some(700),
         body: Some(attempt.digest.clone()),
         started_ms: Some(SENT_MS + 20),
         flawed: false,
@@ -276,6 +277,34 @@
     assert_eq!(rules(&journal), rule);
 }
 
+#[rstest]
+#[case(21, Some(1_600), 21)]
+#[case(21, None, 21)]
+#[case(20, None, 0)]
+#[case(21, Some(1_400), 0)]
+fn deadlines_beyond_the_client_are_found_when_they_are_many(
+    #[case] count: usize,
+    #[case] deadline_ms: Option<u64>,
+    #[case] broken: usize,
+) {
+    let mut journal = Journal {
+        attempts: Vec::new(),
+        ..kept()
+    };
+    journal.runs.clear();
+    for number in 0..count {
+        let id = format!("d{number}");
+        let attempt = attempt(&id, true, answer(200, Some(true)));
+        let run = Run {
+            deadline_ms,
+            ..run(&attempt)
+        };
+        journal.runs.insert(id.into(), vec![run]);
+        journal.attempts.push(attempt);
+    }
+    assert_eq!(rules(&journal), vec![Rule::Time; broken]);
+}
+
 #[test]
 fn service_has_to_return() {
     let mut journal = kept();
