Read what the store knew a moment ago at the start, and begin to watch in turn

Change: a node starts with a read that may be a moment old, and begins to watch only after nodes of a higher rank have had the time to.

--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -195,6 +195,14 @@
         counted < READERS
     }
 
+    /// Returns how many nodes with a higher rank may begin to watch the store before this one.
+    pub(crate) fn readers_ahead(&self) -> usize {
+        let own = rank(self.settings.ip);
+        let peers = self.peers.borrow();
+        let idle = peers.values().filter(|p| p.is_up() && !p.is_reading());
+        idle.filter(|p| rank(p.address.ip()) > own).count()
+    }
+
     /// Returns whether any peer watches the store.
     pub(crate) fn is_informed(&self) -> bool {
         self.peers.borrow().values().any(|peer| peer.is_reading())
--- a/crates/mesh/src/source.rs
+++ b/crates/mesh/src/source.rs
@@ -38,7 +38,13 @@
 /// servers are listed again within two seconds.
 const UNSETTLED_MS: u64 = 2_000;
 /// The time between two looks whether this node is to watch the store, in milliseconds.
-const IDLE_MS: u64 = 250;
+const IDLE_MS: u64 = 100;
+/// How much longer each node with a lower rank waits before it begins to watch, in milliseconds.
+const TURN_MS: u64 = 150;
+/// The longest such wait, in milliseconds; well below the time for a change to be in force.
+const TURN_MAX_MS: u64 = 1_200;
+/// The time in which a node that starts links to its peers, in milliseconds.
+const LINK_MS: u64 = 150;
 
 /// Why a call to the store brought nothing.
 #[derive(Debug, Snafu)]
@@ -73,31 +79,79 @@
         unsettled: 0,
     };
     let mut backoff = BACKOFF_MIN_MS;
+    while let Err(e) = source.begin().await {
+        source.conn = None;
+        source.note_failure(&e);
+        pause(&mut backoff).await;
+    }
+    sleep(Duration::from_millis(LINK_MS)).await;
     loop {
+        source.wait_turn().await;
         let result = source.follow(&mut backoff).await;
         source.conn = None;
         news::set_reading(&source.node, false);
         match result {
-            Ok(()) => {
-                source.wait_turn().await;
-                continue;
-            }
+            Ok(()) => continue,
             Err(e) => source.note_failure(&e),
         }
-        let wait = rand::rng().random_range(backoff / 2..=backoff);
-        sleep(Duration::from_millis(wait)).await;
-        backoff = (backoff * 2).min(BACKOFF_MAX_MS);
+        pause(&mut backoff).await;
     }
 }
 
+/// Waits after a failure, longer each time.
+async fn pause(backoff: &mut u64) {
+    let wait = rand::rng().random_range(*backoff / 2..=*backoff);
+    sleep(Duration::from_millis(wait)).await;
+    *backoff = (*backoff * 2).min(BACKOFF_MAX_MS);
+}
+
 impl Source {
-    /// Waits until too few other nodes watch the store.
+    /// Waits until too few other nodes watch the store, and those with a higher rank have had
+    /// the time to begin.
     async fn wait_turn(&self) {
-        while !self.node.should_read() {
+        let mut waited = 0;
+        loop {
+            let turn = (self.node.readers_ahead() as u64 * TURN_MS).min(TURN_MAX_MS);
+            match self.node.should_read() {
+                true if waited >= turn => return,
+                true => waited += IDLE_MS,
+                false => waited = 0,
+            }
             sleep(Duration::from_millis(IDLE_MS)).await;
         }
     }
 
+    /// Reads what the store knew a moment ago, which is cheap and names the first peers.
+    ///
+    /// The list counts as incomplete, so that what is newer comes from peers or from a watch.
+    async fn begin(&mut self) -> Result<(), SourceError> {
+        let mut after: Option<CompactString> = None;
+        loop {
+            let path = range_path(ALL_KEYS, after.as_deref(), true);
+            let range: Range = self.call(&path, ANSWER_MS, scan_range).await?;
+            for item in range.items {
+                if item.key == CONFIG_KEY {
+                    news::put_routes(&self.node, item.value);
+                } else if let Some(note) = note(
+                    &self.node.trail,
+                    &item.key,
+                    Some(&item.value),
+                    item.revision,
+                    false,
+                ) {
+                    let now = self.node.now();
+                    self.node.list.borrow_mut().note(now, note);
+                }
+            }
+            match range.more {
+                Some(key) => after = Some(key),
+                None => break,
+            }
+        }
+        news::apply_list(&self.node);
+        Ok(())
+    }
+
     /// Reads what this node does not know yet, then watches until something fails or enough
     /// other nodes watch.
     async fn follow(&mut self, backoff: &mut u64) -> Result<(), SourceError> {
