Let a program say when a node of the data path ends

Cause: a node ended by signals alone, so several could not be run and stopped in one process. Change: run_until takes a future whose end stops the node; run waits for the signals and calls it.

--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -26,4 +26,4 @@
 mod spots;
 mod start;
 
-pub use start::{StartError, run};
+pub use start::{StartError, run, run_until};
--- a/crates/mesh/src/start.rs
+++ b/crates/mesh/src/start.rs
@@ -60,6 +60,30 @@
 ///
 /// Returns an error when an address of the settings cannot be listened on.
 pub async fn run(settings: Settings) -> Result<(), StartError> {
+    let mut stop = signal(SignalKind::terminate()).context(SignalSnafu)?;
+    let mut reload = signal(SignalKind::hangup()).context(SignalSnafu)?;
+    let stopped = async move {
+        loop {
+            tokio::select! {
+                _ = stop.recv() => return,
+                _ = reload.recv() => log::info!("the settings file may have changed"),
+            }
+        }
+    };
+    run_until(settings, stopped).await
+}
+
+/// Runs a node until `stopped` ends and the requests under way are served.
+///
+/// The node runs on the [`tokio::task::LocalSet`] of the caller, whose end ends its tasks.
+///
+/// # Errors
+///
+/// Returns an error when an address of the settings cannot be listened on.
+pub async fn run_until(
+    settings: Settings,
+    stopped: impl Future<Output = ()>,
+) -> Result<(), StartError> {
     let listen = settings.listen;
     let links = SocketAddr::new(settings.ip, *settings.node_ports.start());
     let node = Node::new(settings);
@@ -67,18 +91,16 @@
     let callers = bind(listen.callers).await?;
     let polls = bind(listen.ready).await?;
     let links = bind(links).await?;
-    let mut stop = signal(SignalKind::terminate()).context(SignalSnafu)?;
-    let mut reload = signal(SignalKind::hangup()).context(SignalSnafu)?;
     tokio::task::spawn_local(ingress::accept(Rc::clone(&node), callers));
     tokio::task::spawn_local(inbound::accept(Rc::clone(&node), links));
     tokio::task::spawn_local(answer_polls(Rc::clone(&node), polls));
     tokio::task::spawn_local(source::run(Rc::clone(&node)));
     let mut ticks = interval(Duration::from_millis(TICK_MS));
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut stopped = std::pin::pin!(stopped);
     loop {
         tokio::select! {
-            _ = stop.recv() => break,
-            _ = reload.recv() => log::info!("the settings file may have changed"),
+            () = &mut stopped => break,
             _ = ticks.tick() => tick(&node),
         }
     }
