Take the answer to a request without an identity

Cause: a gate waits for the answer with the identity of the request, and a request without one waited until the timeout of its route and got 504, though the backend server had answered. Ruled out: the ingress, which passes such a request on. Change: the answer to a request without an identity is the first that has none.

--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -209,8 +209,9 @@
             }
         };
         let id = offer.request.as_str();
-        let wanted =
-            |head: &ResponseHead| headers::text(&head.headers, HEADERS.request) == Some(id);
+        // The answer to a request without an identity has none either.
+        let echo = (!id.is_empty()).then_some(id);
+        let wanted = |head: &ResponseHead| headers::text(&head.headers, HEADERS.request) == echo;
         let result = conn.exchange(request, wanted).await;
         let now = self.clock.now();
         match result {
