Test the data path of nodes with a store and backend servers in one process

Cause: ingress, links and gate had no tests. Change: a store in memory, backend servers that do what a path says, and nodes on loopback addresses of their own; what passes between callers and backend servers, what may be sent again, times, leaving, configuration, peers without the store, kills, stops and places at a gate.

--- /dev/null
+++ b/crates/mesh/tests/failures.rs
@@ -0,0 +1,287 @@
+//! What callers get while nodes, backend servers and callers fail, leave and come back.
+
+mod support;
+
+use std::time::{Duration, Instant};
+
+use support::raw::{pass, run, soon};
+use support::{Fleet, get, request, until};
+
+/// How soon work is cancelled after its caller has left, in milliseconds.
+const CANCEL_MS: u64 = 500;
+/// How soon a node that is back is used again, in milliseconds.
+const BACK_MS: u64 = 2_000;
+/// The slots of each backend server.
+const SLOTS: usize = 8;
+
+#[test]
+fn a_killed_gate_under_a_request_that_may_run_twice_is_replaced_by_another() {
+    run(async {
+        let mut fleet = Fleet::serving(&["front", "s", "s"]).await;
+        let mut caller = fleet.caller(0).await;
+        caller.send(get("/get/slow/500")).await;
+        until(|| fleet.seen("/get/slow/500") == 1).await;
+        let first = 1 + usize::from(fleet.instances[2].backend.count("/get/slow/500") == 1);
+        fleet.kill(first).await;
+        let reply = caller.reply().await;
+        assert_eq!((reply.status, reply.text()), (200, "slow"));
+        assert_eq!(fleet.seen("/get/slow/500"), 2);
+    });
+}
+
+#[test]
+fn a_killed_gate_under_a_request_that_may_not_run_twice_ends_it() {
+    run(async {
+        let mut fleet = Fleet::serving(&["front", "s", "s"]).await;
+        let mut caller = fleet.caller(0).await;
+        caller
+            .send(request("POST", "/post/slow/500", "", "x"))
+            .await;
+        until(|| fleet.seen("/post/slow/500") == 1).await;
+        let first = 1 + usize::from(fleet.instances[2].backend.count("/post/slow/500") == 1);
+        fleet.kill(first).await;
+        assert_eq!(caller.reply().await.status, 502);
+        pass(100).await;
+        assert_eq!(fleet.seen("/post/slow/500"), 1);
+    });
+}
+
+#[test]
+fn a_killed_ingress_has_its_work_cancelled() {
+    run(async {
+        let mut fleet = Fleet::serving(&["front", "s"]).await;
+        let mut caller = fleet.caller(0).await;
+        caller.send(get("/get/slow/1400")).await;
+        until(|| fleet.seen("/get/slow/1400") == 1).await;
+        fleet.kill(0).await;
+        let backend = &fleet.instances[1].backend;
+        let took = until(|| backend.has_dropped("/get/slow/1400")).await;
+        assert!(took < Duration::from_millis(CANCEL_MS), "{took:?}");
+    });
+}
+
+#[test]
+fn callers_notice_nothing_of_a_gate_that_is_gone() {
+    run(async {
+        let mut fleet = Fleet::serving(&["front", "s", "s"]).await;
+        fleet.kill(1).await;
+        for _ in 0..40 {
+            assert_eq!(fleet.call(0, &get("/get/echo")).await.status, 200);
+        }
+    });
+}
+
+#[test]
+fn a_node_that_is_back_is_used_again() {
+    run(async {
+        let mut fleet = Fleet::serving(&["front", "s"]).await;
+        fleet.kill(1).await;
+        assert_eq!(fleet.call(0, &get("/get/echo")).await.status, 503);
+        fleet.start_one(1);
+        let back = Instant::now();
+        while fleet.call(0, &get("/get/echo")).await.status != 200 {
+            assert!(back.elapsed() < Duration::from_millis(BACK_MS));
+            pass(10).await;
+        }
+    });
+}
+
+#[test]
+fn a_node_that_has_stopped_and_is_back_is_used_again() {
+    run(async {
+        let mut fleet = Fleet::serving(&["front", "s"]).await;
+        fleet.stop(1);
+        fleet.ended(1).await;
+        fleet.start_one(1);
+        let back = Instant::now();
+        while fleet.call(0, &get("/get/echo")).await.status != 200 {
+            assert!(back.elapsed() < Duration::from_millis(BACK_MS));
+            pass(10).await;
+        }
+    });
+}
+
+#[test]
+fn a_backend_server_that_ends_each_connection_is_avoided() {
+    run(async {
+        let fleet = Fleet::serving(&["front", "s", "s"]).await;
+        let broken = &fleet.instances[1].backend;
+        // The connection that the gate keeps is used up first.
+        fleet
+            .call(1, &request("POST", "/post/reset", "", "x"))
+            .await;
+        broken.set_up(false);
+        let mut failed = 0;
+        for _ in 0..60 {
+            let reply = fleet.call(0, &get("/get/echo")).await;
+            failed += usize::from(reply.status != 200);
+        }
+        assert!(failed <= 3, "{failed} of 60 failed");
+        broken.set_up(true);
+        let back = Instant::now();
+        broken.forget();
+        while broken.total() == 0 {
+            assert_eq!(fleet.call(0, &get("/get/echo")).await.status, 200);
+            assert!(back.elapsed() < Duration::from_millis(3 * BACK_MS));
+            pass(20).await;
+        }
+    });
+}
+
+/// Sends requests that take `ms` on connections of their own.
+async fn send_many(fleet: &Fleet, count: usize, ms: u64) -> Vec<support::raw::Raw> {
+    let mut callers = Vec::new();
+    for i in 0..count {
+        let mut caller = fleet.caller(0).await;
+        caller.send(get(&format!("/get/slow/{ms}?{i}"))).await;
+        callers.push(caller);
+    }
+    callers
+}
+
+#[test]
+fn no_backend_server_runs_more_than_its_slots() {
+    run(async {
+        let fleet = Fleet::serving(&["front", "s"]).await;
+        let backend = &fleet.instances[1].backend;
+        backend.take_peak();
+        let mut callers = send_many(&fleet, 30, 100).await;
+        for caller in &mut callers {
+            assert!(matches!(caller.reply().await.status, 200 | 503));
+        }
+        let peak = backend.take_peak();
+        assert!((2..=SLOTS).contains(&peak), "{peak} at once");
+    });
+}
+
+#[test]
+fn callers_that_leave_neither_keep_places_nor_give_away_those_of_others() {
+    run(async {
+        let fleet = Fleet::serving(&["front", "s"]).await;
+        let backend = &fleet.instances[1].backend;
+        backend.take_peak();
+        let before = full_peak(&fleet).await;
+        // Some leave while they run, others while they wait, others as they are let in.
+        for round in 0..30 {
+            let mut callers = send_many(&fleet, 14, 30).await;
+            pass(round).await;
+            callers.truncate(round as usize % 7);
+            pass(3).await;
+        }
+        until(|| backend.take_peak() == 0).await;
+        assert_eq!(full_peak(&fleet).await, before);
+    });
+}
+
+/// Returns how many requests run at once when there are more than enough.
+async fn full_peak(fleet: &Fleet) -> usize {
+    let backend = &fleet.instances[1].backend;
+    backend.take_peak();
+    let mut callers = send_many(fleet, 16, 150).await;
+    for caller in &mut callers {
+        caller.reply().await;
+    }
+    backend.take_peak()
+}
+
+#[test]
+fn who_waits_runs_as_soon_as_a_place_is_free() {
+    run(async {
+        let fleet = Fleet::serving(&["front", "s"]).await;
+        let capacity = full_peak(&fleet).await;
+        let holders = send_many(&fleet, capacity, 1_400).await;
+        until(|| fleet.seen_like("/get/slow/1400") == capacity).await;
+        let mut waiting = fleet.caller(0).await;
+        waiting.send(get("/get/slow/1")).await;
+        pass(50).await;
+        assert_eq!(fleet.seen("/get/slow/1"), 0);
+        drop(holders);
+        let free = Instant::now();
+        assert_eq!(waiting.reply().await.status, 200);
+        assert!(free.elapsed() < Duration::from_millis(CANCEL_MS));
+    });
+}
+
+#[test]
+fn a_request_without_an_identity_is_answered() {
+    run(async {
+        let fleet = Fleet::serving(&["front", "s"]).await;
+        let text = get("/get/echo").replace("Oriolering-Request-Id: id-1\r\n", "");
+        let begun = Instant::now();
+        let reply = fleet.call(0, &text).await;
+        assert_ne!(reply.status, 504);
+        assert!(begun.elapsed() < Duration::from_millis(1_000));
+    });
+}
+
+#[test]
+fn a_body_beyond_the_limit_of_the_configuration_gets_413() {
+    run(async {
+        let fleet = Fleet::serving(&["front", "s"]).await;
+        let body = "b".repeat(1_000_001);
+        let reply = fleet
+            .call(0, &request("POST", "/post/echo", "", &body))
+            .await;
+        assert_eq!(reply.status, 413);
+        assert_eq!(fleet.seen("/post/echo"), 0);
+    });
+}
+
+#[test]
+fn the_answer_to_head_does_not_disturb_the_next() {
+    run(async {
+        let fleet = Fleet::serving(&["front", "s"]).await;
+        let mut caller = fleet.caller(0).await;
+        let both = request("HEAD", "/get/echo", "", "") + &get("/get/echo");
+        caller.send(both).await;
+        assert_eq!(caller.bare_reply().await.status, 200);
+        assert_eq!(caller.reply().await.text(), "i-3 ");
+    });
+}
+
+#[test]
+fn a_caller_that_expects_to_continue_is_served() {
+    run(async {
+        let fleet = Fleet::serving(&["front", "s"]).await;
+        let mut caller = fleet.caller(0).await;
+        let headers = "Expect: 100-continue\r\nContent-Length: 3\r\n";
+        caller
+            .send(request("POST", "/post/echo", headers, ""))
+            .await;
+        assert_eq!(caller.bare_reply().await.status, 100);
+        caller.send("abc").await;
+        assert_eq!(caller.reply().await.text(), "i-3 abc");
+        let seen = fleet.instances[1]
+            .backend
+            .find("/post/echo")
+            .expect("it came");
+        assert_eq!(seen.header("expect"), None);
+    });
+}
+
+#[test]
+fn many_callers_at_once_are_all_answered_by_the_right_answers() {
+    run(async {
+        let fleet = Fleet::serving(&["front", "s", "s", "front"]).await;
+        let mut callers = Vec::new();
+        for i in 0..80_usize {
+            let mut caller = fleet.caller(if i % 2 == 0 { 0 } else { 3 }).await;
+            let body = format!("body-{i}-{}", "x".repeat(i * 300));
+            let text = request("POST", "/post/echo", "", &body);
+            caller.send(text.replace("id-1", &format!("id-{i}"))).await;
+            callers.push((caller, i, body));
+        }
+        for (caller, i, body) in &mut callers {
+            let reply = soon(caller.reply()).await;
+            if reply.status == 503 {
+                continue;
+            }
+            assert_eq!(reply.status, 200);
+            assert_eq!(
+                reply.header("oriolering-request-id"),
+                Some(&*format!("id-{i}"))
+            );
+            assert!(reply.text().ends_with(body.as_str()));
+        }
+    });
+}
--- /dev/null
+++ b/crates/mesh/tests/support/backend.rs
@@ -0,0 +1,255 @@
+//! A backend server that does what the path of a request says.
+//!
+//! The last parts of the path name the behaviour: `echo`, `slow/MS`, `fail`, `unsigned`,
+//! `misdirected`, `full`, `reset`, and `reset-once`, which resets the first of all backend
+//! servers that see the target.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use ntex::http::DateService;
+use oriolering_http::{
+    Answer, Bytes, ConnLimits, HeaderMap, HeaderName, HeaderValue, Request, StatusCode, serve,
+};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
+
+use super::raw::pass;
+
+const LIMITS: ConnLimits = ConnLimits {
+    header_bytes: 65_536,
+    body_bytes: 8_000_000,
+    header_ms: 10_000,
+    idle_ms: 60_000,
+    pipelined: 1,
+};
+pub const SIGNATURE: &str = "3e1b.07.5a2";
+
+thread_local! {
+    /// The targets that were reset once in this test.
+    static RESET: RefCell<HashSet<String>> = RefCell::default();
+}
+
+/// A request as it reached the backend server.
+#[derive(Clone, Debug)]
+pub struct Seen {
+    pub method: String,
+    pub target: String,
+    pub headers: HeaderMap,
+    pub body: Vec<u8>,
+}
+
+impl Seen {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name).and_then(|v| v.to_str().ok())
+    }
+}
+
+#[derive(Clone)]
+pub struct Backend {
+    pub id: String,
+    pub service: String,
+    pub address: SocketAddr,
+    seen: Rc<RefCell<Vec<Seen>>>,
+    /// The targets whose work was dropped before its end.
+    dropped: Rc<RefCell<Vec<String>>>,
+    running: Rc<Cell<usize>>,
+    /// The most requests that ran at once.
+    peak: Rc<Cell<usize>>,
+    /// Whether connections are accepted.
+    up: Rc<Cell<bool>>,
+}
+
+/// Writes down that work was dropped before its end.
+struct Guard {
+    dropped: Rc<RefCell<Vec<String>>>,
+    target: Option<String>,
+    running: Rc<Cell<usize>>,
+}
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        self.running.set(self.running.get() - 1);
+        self.dropped.borrow_mut().extend(self.target.take());
+    }
+}
+
+impl Backend {
+    pub async fn start(id: &str, service: &str, address: SocketAddr) -> Self {
+        let backend = Self {
+            id: id.to_owned(),
+            service: service.to_owned(),
+            address,
+            seen: Rc::default(),
+            dropped: Rc::default(),
+            running: Rc::default(),
+            peak: Rc::default(),
+            up: Rc::new(Cell::new(true)),
+        };
+        let listener = TcpListener::bind(address).await.expect("a port");
+        let served = backend.clone();
+        tokio::task::spawn_local(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                if !served.up.get() {
+                    continue;
+                }
+                tokio::task::spawn_local(served.clone().connection(stream));
+            }
+        });
+        backend
+    }
+
+    /// Returns how often a target has reached this backend server.
+    pub fn count(&self, target: &str) -> usize {
+        self.seen
+            .borrow()
+            .iter()
+            .filter(|s| s.target == target)
+            .count()
+    }
+
+    /// Returns how many requests whose targets begin like this have reached it.
+    pub fn count_like(&self, begin: &str) -> usize {
+        let seen = self.seen.borrow();
+        seen.iter().filter(|s| s.target.starts_with(begin)).count()
+    }
+
+    /// Returns the request with this target.
+    pub fn find(&self, target: &str) -> Option<Seen> {
+        let seen = self.seen.borrow();
+        seen.iter().find(|s| s.target == target).cloned()
+    }
+
+    pub fn has_dropped(&self, target: &str) -> bool {
+        self.dropped.borrow().iter().any(|t| t == target)
+    }
+
+    /// Returns the most requests that ran at once since the last call.
+    pub fn take_peak(&self) -> usize {
+        self.peak.replace(self.running.get())
+    }
+
+    /// Ends each new connection at once, or serves again.
+    pub fn set_up(&self, up: bool) {
+        self.up.set(up);
+    }
+
+    pub fn forget(&self) {
+        self.seen.borrow_mut().clear();
+    }
+
+    /// Returns how many requests other than for its health have reached it.
+    pub fn total(&self) -> usize {
+        self.seen.borrow().len()
+    }
+
+    async fn connection(self, stream: TcpStream) {
+        let socket = socket2::SockRef::from(&stream)
+            .try_clone()
+            .expect("a handle");
+        let cut = Rc::new(Notify::new());
+        let (backend, asked) = (self, Rc::clone(&cut));
+        let handler = move |request| backend.clone().answer(Rc::clone(&asked), request);
+        let date = DateService::default();
+        tokio::select! {
+            () = serve(stream, date, || LIMITS, || false, handler) => {}
+            () = cut.notified() => {
+                let now = Some(std::time::Duration::ZERO);
+                socket.set_linger(now).expect("an option");
+            }
+        }
+    }
+
+    async fn answer(self, cut: Rc<Notify>, request: Request) -> Answer {
+        let path = request.uri.path().to_owned();
+        let target = request.uri.to_string();
+        if path == "/health" {
+            return self.signed(StatusCode::OK, &request, None);
+        }
+        self.seen.borrow_mut().push(Seen {
+            method: request.method.to_string(),
+            target: target.clone(),
+            headers: request.headers.clone(),
+            body: request.body.to_vec(),
+        });
+        self.running.set(self.running.get() + 1);
+        self.peak.set(self.peak.get().max(self.running.get()));
+        let mut guard = Guard {
+            dropped: Rc::clone(&self.dropped),
+            target: Some(target.clone()),
+            running: Rc::clone(&self.running),
+        };
+        let answer = self.act(&cut, &request, &path, &target).await;
+        guard.target = None;
+        answer
+    }
+
+    async fn act(&self, cut: &Notify, request: &Request, path: &str, target: &str) -> Answer {
+        let parts: Vec<&str> = path.split('/').collect();
+        match parts[2..] {
+            ["slow", ms] => {
+                pass(ms.parse().expect("milliseconds")).await;
+                self.signed(StatusCode::OK, request, Some("slow"))
+            }
+            ["fail"] => self.signed(StatusCode::INTERNAL_SERVER_ERROR, request, Some("failed")),
+            ["unsigned"] => {
+                let mut answer = self.signed(StatusCode::OK, request, Some("who knows"));
+                answer.headers.remove("oriolering-response-signature");
+                answer
+            }
+            ["misdirected"] if is_first(target) => {
+                self.unsigned(StatusCode::MISDIRECTED_REQUEST, request)
+            }
+            ["full"] if is_first(target) => {
+                let mut answer = self.unsigned(StatusCode::SERVICE_UNAVAILABLE, request);
+                set(&mut answer, "oriolering-not-executed", "1");
+                answer
+            }
+            ["reset"] => reset(cut).await,
+            ["reset-once"] if is_first(target) => reset(cut).await,
+            _ => {
+                let body = [self.id.as_bytes(), b" ", &request.body].concat();
+                let mut answer = self.unsigned(StatusCode::OK, request);
+                set(&mut answer, "oriolering-response-signature", SIGNATURE);
+                set(&mut answer, "x-end", "stays");
+                set(&mut answer, "keep-alive", "timeout=5");
+                answer.body = Bytes::from(body);
+                answer
+            }
+        }
+    }
+
+    fn signed(&self, status: StatusCode, request: &Request, body: Option<&str>) -> Answer {
+        let mut answer = self.unsigned(status, request);
+        set(&mut answer, "oriolering-response-signature", SIGNATURE);
+        answer.body = Bytes::from(body.unwrap_or_default().to_owned());
+        answer
+    }
+
+    fn unsigned(&self, status: StatusCode, request: &Request) -> Answer {
+        let mut answer = Answer::new(status);
+        if let Some(id) = request.headers.get("oriolering-request-id") {
+            let name = HeaderName::from_static("oriolering-request-id");
+            answer.headers.insert(name, id.clone());
+        }
+        set(&mut answer, "oriolering-server-load", "0,0,8,100");
+        set(&mut answer, "oriolering-instance-id", &self.id);
+        answer
+    }
+}
+
+fn is_first(target: &str) -> bool {
+    RESET.with_borrow_mut(|targets| targets.insert(target.to_owned()))
+}
+
+async fn reset(cut: &Notify) -> Answer {
+    cut.notify_one();
+    std::future::pending().await
+}
+
+fn set(answer: &mut Answer, name: &'static str, value: &str) {
+    let value = HeaderValue::from_str(value).expect("a value");
+    answer.headers.insert(HeaderName::from_static(name), value);
+}
--- /dev/null
+++ b/crates/mesh/tests/support/mod.rs
@@ -0,0 +1,340 @@
+//! Nodes, a store and backend servers of one process, on addresses of their own.
+
+// Each test file uses a part of this module.
+#![allow(dead_code, unreachable_pub)]
+
+pub mod backend;
+#[path = "../../../http/tests/support/mod.rs"]
+pub mod raw;
+pub mod store;
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::time::{Duration, Instant};
+
+use oriolering_mesh::run_until;
+use oriolering_platform::Settings;
+use serde_json::{Value, json};
+use tokio::sync::oneshot;
+use tokio::task::{JoinHandle, LocalSet};
+
+use backend::Backend;
+use raw::{Raw, Reply, pass, soon};
+use store::Store;
+
+const CALLERS_PORT: u16 = 8629;
+const NODES_PORT: u16 = 8624;
+const READY_PORT: u16 = 8625;
+const LINKS_PORT: u16 = 7600;
+const BACKEND_PORT: u16 = 8628;
+const STORE_PORT: u16 = 8627;
+/// Where no store listens.
+const NOWHERE_PORT: u16 = 8626;
+/// How long a node that was told to stop may run on, in milliseconds.
+pub const GRACE_MS: u64 = 4_000;
+/// The bounds that a node keeps in these tests, in milliseconds.
+pub const TIMEOUT_MS: u64 = 1_500;
+pub const SHORT_MS: u64 = 300;
+
+/// Counts the fleets of this process, each of which has a network of its own.
+static FLEETS: AtomicU8 = AtomicU8::new(1);
+
+/// A node and the backend server beside it.
+pub struct Instance {
+    pub ip: IpAddr,
+    pub backend: Backend,
+    stop: Option<oneshot::Sender<()>>,
+    node: Option<JoinHandle<()>>,
+}
+
+/// A store, and instances with a node and a backend server each.
+pub struct Fleet {
+    pub store: Store,
+    pub instances: Vec<Instance>,
+    network: u8,
+}
+
+impl Fleet {
+    /// Returns a fleet whose nodes do not run yet; there is an instance for each service.
+    pub async fn new(services: &[&str]) -> Self {
+        let network = FLEETS.fetch_add(1, Ordering::Relaxed);
+        let address = SocketAddr::new(ip(network, 1), STORE_PORT);
+        let store = Store::start(address).await;
+        let mut fleet = Self {
+            store,
+            instances: Vec::new(),
+            network,
+        };
+        for service in services {
+            fleet.add(service).await;
+        }
+        fleet
+    }
+
+    /// Returns a fleet that serves the usual routes.
+    pub async fn serving(services: &[&str]) -> Self {
+        let mut fleet = Self::new(services).await;
+        fleet.store.put("op/config", &config(1, "s"));
+        fleet.start_all();
+        fleet.settle().await;
+        fleet
+    }
+
+    async fn add(&mut self, service: &str) {
+        let number = self.instances.len() as u8 + 2;
+        let ip = ip(self.network, number);
+        let id = format!("i-{number}");
+        let address = SocketAddr::new(ip, BACKEND_PORT);
+        let backend = Backend::start(&id, service, address).await;
+        self.instances.push(Instance {
+            ip,
+            backend,
+            stop: None,
+            node: None,
+        });
+        self.publish(self.instances.len() - 1, "ready");
+    }
+
+    /// Writes the entry of a backend server to the store.
+    pub fn publish(&self, index: usize, state: &str) {
+        let backend = &self.instances[index].backend;
+        let entry = json!({
+            "service": backend.service,
+            "address": backend.address.to_string(),
+            "zone": "z",
+            "version": "1",
+            "slots": 8,
+            "state": state,
+            "cold_remaining_ms": 0,
+            "sequence": 1,
+        });
+        self.store.put(&format!("servers/{}", backend.id), &entry);
+    }
+
+    /// Removes the entry of a backend server from the store.
+    pub fn withdraw(&self, index: usize) {
+        let id = &self.instances[index].backend.id;
+        self.store.delete(&format!("servers/{id}"));
+    }
+
+    pub fn start_all(&mut self) {
+        for index in 0..self.instances.len() {
+            self.start(index, STORE_PORT);
+        }
+    }
+
+    /// Starts a node that reaches no store.
+    pub fn start_cut_off(&mut self, index: usize) {
+        self.start(index, NOWHERE_PORT);
+    }
+
+    pub fn start_one(&mut self, index: usize) {
+        self.start(index, STORE_PORT);
+    }
+
+    fn start(&mut self, index: usize, store_port: u16) {
+        let store = SocketAddr::new(ip(self.network, 1), store_port);
+        let instance = &mut self.instances[index];
+        let settings = settings(instance.ip, &instance.backend.service, store);
+        let (stop, stopped) = oneshot::channel();
+        instance.stop = Some(stop);
+        instance.node = Some(tokio::task::spawn_local(async move {
+            let stopped = async {
+                // A sender that is dropped ends the test, not the node.
+                if stopped.await.is_err() {
+                    std::future::pending::<()>().await;
+                }
+            };
+            // The end of the node ends its tasks, as the end of a process does.
+            let tasks = LocalSet::new();
+            let node = tasks.run_until(run_until(settings, stopped));
+            node.await.expect("a node");
+        }));
+    }
+
+    /// Tells a node to stop.
+    pub fn stop(&mut self, index: usize) {
+        let stop = self.instances[index].stop.take().expect("it runs");
+        stop.send(()).expect("it listens");
+    }
+
+    /// Ends a node at once, with its connections.
+    pub async fn kill(&mut self, index: usize) {
+        let node = self.instances[index].node.take().expect("it runs");
+        node.abort();
+        assert!(soon(node).await.is_err());
+    }
+
+    /// Waits until a node that was told to stop has ended.
+    pub async fn ended(&mut self, index: usize) {
+        let node = self.instances[index].node.take().expect("it ran");
+        soon(node).await.expect("it ends by itself");
+    }
+
+    /// Waits until all nodes are ready and all of them serve.
+    pub async fn settle(&self) {
+        for index in 0..self.instances.len() {
+            self.wait_ready(index).await;
+            self.wait_served(index).await;
+        }
+        // The backend servers forget what the waiting has brought them.
+        for instance in &self.instances {
+            instance.backend.forget();
+        }
+    }
+
+    pub async fn wait_ready(&self, index: usize) {
+        soon(async {
+            while self.ready(index).await != 200 {
+                pass(10).await;
+            }
+        })
+        .await;
+    }
+
+    /// Waits until requests that enter at a node are served by each backend server of `s`.
+    async fn wait_served(&self, index: usize) {
+        let servers = self.instances.iter().map(|i| &i.backend);
+        let wanted: Vec<&Backend> = servers.filter(|b| b.service == "s").collect();
+        soon(async {
+            loop {
+                let path = format!("/get/echo?settle-{index}");
+                self.call(index, &get(&path)).await;
+                if wanted.iter().all(|b| b.count(&path) > 0) {
+                    return;
+                }
+                pass(5).await;
+            }
+        })
+        .await;
+    }
+
+    /// Returns what a node says to the platform's poll.
+    pub async fn ready(&self, index: usize) -> u16 {
+        let address = SocketAddr::new(self.instances[index].ip, READY_PORT);
+        let Ok(stream) = tokio::net::TcpStream::connect(address).await else {
+            return 0;
+        };
+        let mut poll = Raw::new(stream);
+        poll.send("GET /v1/ready HTTP/1.1\r\nHost: n\r\nConnection: close\r\n\r\n")
+            .await;
+        poll.reply().await.status
+    }
+
+    /// Connects as a caller on the instance of a node.
+    pub async fn caller(&self, index: usize) -> Raw {
+        let address = SocketAddr::new(self.instances[index].ip, CALLERS_PORT);
+        Raw::connect(address).await
+    }
+
+    /// Sends a request on a connection of its own.
+    pub async fn call(&self, index: usize, request: &str) -> Reply {
+        let mut caller = self.caller(index).await;
+        caller.send(request).await;
+        caller.reply().await
+    }
+
+    /// Returns how many requests whose targets begin like this have reached any backend server.
+    pub fn seen_like(&self, begin: &str) -> usize {
+        let backends = self.instances.iter().map(|i| &i.backend);
+        backends.map(|b| b.count_like(begin)).sum()
+    }
+
+    /// Returns how often a target has reached any backend server.
+    pub fn seen(&self, target: &str) -> usize {
+        let backends = self.instances.iter().map(|i| &i.backend);
+        backends.map(|b| b.count(target)).sum()
+    }
+}
+
+fn ip(network: u8, number: u8) -> IpAddr {
+    // Test files of one crate run in processes of their own, and may run at the same time.
+    let process = std::process::id().to_be_bytes()[3].clamp(1, 254);
+    IpAddr::V4(Ipv4Addr::new(127, process, network, number))
+}
+
+fn settings(ip: IpAddr, service: &str, store: SocketAddr) -> Settings {
+    let last = LINKS_PORT + 15;
+    let text = format!(
+        r#"
+        node = "{ip}"
+        zone = "z"
+        ip = "{ip}"
+        internal_ports = [{LINKS_PORT}, {last}]
+        app_addr = "{ip}:{BACKEND_PORT}"
+        service = "{service}"
+        bounds = ["grace_s={}"]
+        [listen]
+        inbound = "{ip}:{NODES_PORT}"
+        outbound = "{ip}:{CALLERS_PORT}"
+        ready = "{ip}:{READY_PORT}"
+        [platform]
+        address = "{store}"
+        "#,
+        GRACE_MS / 1_000
+    );
+    Settings::parse(&text).expect("settings")
+}
+
+/// Returns a configuration whose routes lead to `service`.
+pub fn config(version: u64, service: &str) -> Value {
+    let route = |name: &str, kind: &str, timeout_ms: u64| {
+        json!({
+            "name": name,
+            "host": "h.example",
+            "prefix": format!("/{name}/"),
+            "kind": kind,
+            "timeout_ms": timeout_ms,
+            "target_latency_ms": 200,
+            "priority": 0,
+            "service": service,
+            "max_attempts": 2,
+        })
+    };
+    let health =
+        |name: &str| json!({"name": name, "health_path": "/health", "max_connections": 64});
+    json!({
+        "version": version,
+        "routes": [
+            route("get", "idempotent", TIMEOUT_MS),
+            route("post", "non_idempotent", TIMEOUT_MS),
+            route("short", "idempotent", SHORT_MS),
+        ],
+        "services": [health("s"), health("t"), health("front")],
+        "limits": {
+            "max_header_bytes": 16_384,
+            "max_body_bytes": 1_000_000,
+            "header_timeout_ms": 3_000,
+            "idle_timeout_ms": 15_000,
+        },
+    })
+}
+
+/// Returns a request with an identity and a deadline of its own.
+pub fn get(target: &str) -> String {
+    request("GET", target, "", "")
+}
+
+pub fn request(method: &str, target: &str, headers: &str, body: &str) -> String {
+    let length = match body.len() {
+        0 => String::new(),
+        length => format!("Content-Length: {length}\r\n"),
+    };
+    format!(
+        "{method} {target} HTTP/1.1\r\nHost: h.example\r\n\
+         Oriolering-Request-Id: id-1\r\nOriolering-Request-Deadline: 3000\r\n\
+         {headers}{length}\r\n{body}"
+    )
+}
+
+/// Waits until something holds, and returns how long that took.
+pub async fn until(holds: impl Fn() -> bool) -> Duration {
+    let begun = Instant::now();
+    soon(async {
+        while !holds() {
+            pass(1).await;
+        }
+    })
+    .await;
+    begun.elapsed()
+}
--- /dev/null
+++ b/crates/mesh/tests/support/store.rs
@@ -0,0 +1,143 @@
+//! A store whose items are in memory.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use ntex::http::DateService;
+use oriolering_http::{Answer, Bytes, ConnLimits, Request, StatusCode, serve};
+use serde_json::{Value, json};
+use tokio::net::TcpListener;
+use tokio::sync::Notify;
+use tokio::time::timeout;
+
+const LIMITS: ConnLimits = ConnLimits {
+    header_bytes: 8_192,
+    body_bytes: 8_192,
+    header_ms: 1_000,
+    idle_ms: 60_000,
+    pipelined: 1,
+};
+/// The longest wait of a watch here, in milliseconds.
+const WAIT_MS: u64 = 10_000;
+
+#[derive(Default)]
+struct Data {
+    items: BTreeMap<String, Value>,
+    events: Vec<Value>,
+    revision: u64,
+}
+
+/// The platform's store.
+#[derive(Clone, Default)]
+pub struct Store {
+    data: Rc<RefCell<Data>>,
+    changed: Rc<Notify>,
+}
+
+impl Store {
+    pub async fn start(address: SocketAddr) -> Self {
+        let store = Self::default();
+        let listener = TcpListener::bind(address).await.expect("a port");
+        let served = store.clone();
+        tokio::task::spawn_local(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let store = served.clone();
+                let date = DateService::default();
+                tokio::task::spawn_local(async move {
+                    let handler = move |request| store.clone().answer(request);
+                    serve(stream, date, || LIMITS, || false, handler).await;
+                });
+            }
+        });
+        store
+    }
+
+    pub fn put(&self, key: &str, value: &Value) {
+        let mut data = self.data.borrow_mut();
+        data.revision += 1;
+        let item = json!({
+            "key": key,
+            "value": STANDARD.encode(value.to_string()),
+            "rev": data.revision,
+            "created": data.revision,
+            "lease": 0,
+        });
+        data.items.insert(key.to_owned(), item.clone());
+        data.events.push(item);
+        self.changed.notify_waiters();
+    }
+
+    pub fn delete(&self, key: &str) {
+        let mut data = self.data.borrow_mut();
+        data.revision += 1;
+        data.items.remove(key);
+        let event = json!({"key": key, "rev": data.revision, "deleted": true});
+        data.events.push(event);
+        self.changed.notify_waiters();
+    }
+
+    async fn answer(self, request: Request) -> Answer {
+        let query = request.uri.query().unwrap_or_default();
+        let fields: BTreeMap<&str, &str> =
+            query.split('&').filter_map(|f| f.split_once('=')).collect();
+        let prefix = fields.get("prefix").copied().unwrap_or_default();
+        match request.uri.path() {
+            "/v1/kv-key" => self.item(fields["key"]),
+            "/v1/kv-range" => json_answer(&self.range(prefix)),
+            "/v1/kv-watch" => {
+                let after = fields["after"].parse().expect("a revision");
+                json_answer(&self.watch(prefix, after).await)
+            }
+            path => panic!("the store has no {path}"),
+        }
+    }
+
+    fn item(&self, key: &str) -> Answer {
+        match self.data.borrow().items.get(key) {
+            Some(item) => json_answer(item),
+            None => Answer::new(StatusCode::NOT_FOUND),
+        }
+    }
+
+    fn range(&self, prefix: &str) -> Value {
+        let data = self.data.borrow();
+        let items = data.items.iter().filter(|(key, _)| key.starts_with(prefix));
+        let items: Vec<&Value> = items.map(|(_, item)| item).collect();
+        json!({"items": items, "truncated": false, "as_of": data.revision})
+    }
+
+    async fn watch(&self, prefix: &str, after: u64) -> Value {
+        loop {
+            let changed = self.changed.notified();
+            let events = self.events(prefix, after);
+            if !events.is_empty() {
+                return json!({"events": events, "as_of": self.data.borrow().revision});
+            }
+            let wait = Duration::from_millis(WAIT_MS);
+            if timeout(wait, changed).await.is_err() {
+                return json!({"events": [], "as_of": after});
+            }
+        }
+    }
+
+    fn events(&self, prefix: &str, after: u64) -> Vec<Value> {
+        let data = self.data.borrow();
+        let newer = data
+            .events
+            .iter()
+            .filter(|e| e["rev"].as_u64() > Some(after));
+        let begins = |e: &&Value| e["key"].as_str().is_some_and(|k| k.starts_with(prefix));
+        newer.filter(begins).cloned().collect()
+    }
+}
+
+fn json_answer(value: &Value) -> Answer {
+    let mut answer = Answer::new(StatusCode::OK);
+    answer.body = Bytes::from(value.to_string());
+    answer
+}
