Test places that are given up, refusals and silent gates

Cause: callers that leave together, refusals under load and a gate that never answers were not tested. Change: four tests of the data path.

--- a/crates/mesh/tests/failures.rs
+++ b/crates/mesh/tests/failures.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use support::raw::{pass, run, soon};
-use support::{Fleet, get, request, until};
+use support::{Fleet, TIMEOUT_MS, config, get, request, until};
 
 /// How soon work is cancelled after its caller has left, in milliseconds.
 const CANCEL_MS: u64 = 500;
@@ -202,6 +202,103 @@
     });
 }
 
+#[test]
+fn a_place_that_its_caller_gave_up_goes_to_the_next_who_waits() {
+    run(async {
+        let fleet = Fleet::serving(&["front", "s"]).await;
+        let capacity = full_peak(&fleet).await;
+        let _holders = send_many(&fleet, capacity - 1, 1_300).await;
+        until(|| fleet.seen_like("/get/slow/1300") == capacity - 1).await;
+        // One connection has a request that runs and one that waits, and both leave at once.
+        let mut leaving = fleet.caller(0).await;
+        leaving.send(get("/get/slow/1200")).await;
+        until(|| fleet.seen("/get/slow/1200") == 1).await;
+        leaving.send(get("/get/slow/1100")).await;
+        pass(50).await;
+        let mut waiting = fleet.caller(0).await;
+        waiting.send(get("/get/slow/1")).await;
+        pass(50).await;
+        assert_eq!(fleet.seen("/get/slow/1"), 0);
+        drop(leaving);
+        let free = Instant::now();
+        assert_eq!(waiting.reply().await.status, 200);
+        let took = free.elapsed();
+        assert!(took < Duration::from_millis(CANCEL_MS), "{took:?}");
+    });
+}
+
+#[test]
+fn a_place_given_to_a_caller_that_has_just_left_goes_to_the_next_who_waits() {
+    run(async {
+        let fleet = Fleet::serving(&["front", "s"]).await;
+        let capacity = full_peak(&fleet).await;
+        let mut holders = send_many(&fleet, capacity, 1_400).await;
+        until(|| fleet.seen_like("/get/slow/1400") == capacity).await;
+        // The first request of this connection waits until its aim is missed, so that the
+        // second one overtakes it when a place is free.
+        let mut leaving = fleet.caller(0).await;
+        leaving.send(get("/get/slow/1100")).await;
+        pass(250).await;
+        leaving.send(get("/get/slow/1200")).await;
+        pass(20).await;
+        holders.pop();
+        until(|| fleet.seen("/get/slow/1200") == 1).await;
+        let mut waiting = fleet.caller(0).await;
+        waiting.send(get("/get/slow/1")).await;
+        pass(250).await;
+        assert_eq!(fleet.seen("/get/slow/1") + fleet.seen("/get/slow/1100"), 0);
+        drop(leaving);
+        let free = Instant::now();
+        assert_eq!(waiting.reply().await.status, 200);
+        let took = free.elapsed();
+        assert!(took < Duration::from_millis(CANCEL_MS), "{took:?}");
+    });
+}
+
+#[test]
+fn who_does_not_fit_is_told_when_to_come_back() {
+    run(async {
+        let fleet = Fleet::serving(&["front", "s"]).await;
+        let mut callers = send_many(&fleet, 60, 400).await;
+        let mut refused = 0;
+        for caller in &mut callers {
+            let reply = caller.reply().await;
+            if reply.status == 200 {
+                continue;
+            }
+            assert_eq!(reply.status, 503);
+            refused += 1;
+            let back = reply.header("retry-after").expect("a time");
+            let back: f64 = back.parse().expect("seconds");
+            assert!(
+                back > 0.0 && back <= TIMEOUT_MS as f64 / 3_000.0,
+                "{back} s"
+            );
+        }
+        assert!(refused > 0);
+    });
+}
+
+#[test]
+fn a_gate_that_falls_silent_is_avoided() {
+    run(async {
+        let mut fleet = Fleet::new(&["front", "s", "s"]).await;
+        let silent = fleet.listen_silently(2).await;
+        fleet.store.put("op/config", &config(1, "s"));
+        fleet.start_one(0);
+        fleet.start_one(1);
+        until(|| silent.get() > 0).await;
+        fleet.wait_ready(0).await;
+        let mut failed = 0;
+        for _ in 0..40 {
+            let reply = fleet.call(0, &get("/get/echo")).await;
+            failed += usize::from(reply.status != 200);
+            pass(20).await;
+        }
+        assert!(failed <= 2, "{failed} of 40 failed");
+    });
+}
+
 #[test]
 fn a_request_without_an_identity_is_answered() {
     run(async {
--- a/crates/mesh/tests/support/mod.rs
+++ b/crates/mesh/tests/support/mod.rs
@@ -8,13 +8,16 @@
 pub mod raw;
 pub mod store;
 
+use std::cell::Cell;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::rc::Rc;
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::{Duration, Instant};
 
 use oriolering_mesh::run_until;
 use oriolering_platform::Settings;
 use serde_json::{Value, json};
+use tokio::net::TcpListener;
 use tokio::sync::oneshot;
 use tokio::task::{JoinHandle, LocalSet};
 
@@ -158,6 +161,22 @@
         stop.send(()).expect("it listens");
     }
 
+    /// Listens in place of a node, and never answers; returns how many links there are.
+    pub async fn listen_silently(&self, index: usize) -> Rc<Cell<usize>> {
+        let address = SocketAddr::new(self.instances[index].ip, LINKS_PORT);
+        let listener = TcpListener::bind(address).await.expect("a port");
+        let links = Rc::new(Cell::new(0));
+        let count = Rc::clone(&links);
+        tokio::task::spawn_local(async move {
+            let mut streams = Vec::new();
+            while let Ok((stream, _)) = listener.accept().await {
+                streams.push(stream);
+                count.set(streams.len());
+            }
+        });
+        links
+    }
+
     /// Ends a node at once, with its connections.
     pub async fn kill(&mut self, index: usize) {
         let node = self.instances[index].node.take().expect("it runs");
