--- a/crates/mesh/src/dispatch.rs
+++ b/crates/mesh/src/dispatch.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use compact_str::CompactString;
-use oriolering::{Millis, Route};
+use oriolering::{Load, Millis, Route};
 use oriolering_http::{Answer, Bytes, HeaderMap, StatusCode};
 use smallvec::SmallVec;
 use tokio::time::timeout;
@@ -12,8 +12,10 @@
 use crate::frame::{Answered, Ending, Headers, Offer};
 use crate::headers;
 use crate::node::Node;
+use crate::race;
 use crate::reply::Reply;
 use crate::spots::{Chosen, Way};
+use crate::trail::{Seen, Standing, Story};
 
 /// The most gates that may refuse one request before its caller is told to come back.
 const REFUSALS_MAX: u32 = 4;
@@ -36,11 +38,13 @@
     pub(crate) target: String,
     pub(crate) headers: Headers,
     pub(crate) body: Bytes,
+    /// What is written down of it.
+    pub(crate) story: Story,
 }
 
 /// What is known of a request after some attempts.
 #[derive(Default)]
-struct Progress {
+pub(crate) struct Progress {
     tried: SmallVec<[CompactString; 4]>,
     /// The backend servers that it was sent to.
     sends: u32,
@@ -52,35 +56,60 @@
     failure: Option<(Answered, Vec<u8>)>,
 }
 
+impl Progress {
+    /// Notes a backend server that a request was sent to and may have run at.
+    pub(crate) fn add_send(&mut self, server: CompactString) {
+        self.sends += 1;
+        self.uncertain = true;
+        self.tried.push(server);
+    }
+
+    /// Notes a backend server that is not to be tried again.
+    pub(crate) fn add_tried(&mut self, server: CompactString) {
+        self.tried.push(server);
+    }
+
+    /// Returns the backend servers that are not to be tried again.
+    pub(crate) fn tried(&self) -> &[CompactString] {
+        &self.tried
+    }
+
+    fn standing(&self) -> Standing {
+        Standing {
+            sends: self.sends,
+            refusals: self.refusals,
+            uncertain: self.uncertain,
+        }
+    }
+}
+
 /// Sends a request to backend servers until one answers, or nothing more can be done.
 pub(crate) async fn dispatch(node: Rc<Node>, job: Job) -> Answer {
     node.with_budget(&job.service, |b| b.deposit(node.now()));
     let mut progress = Progress::default();
     let left = job.deadline.since(node.now());
     let attempts = attempts(&node, &job, &mut progress);
-    match timeout(Duration::from_millis(left), attempts).await {
+    let answer = match timeout(Duration::from_millis(left), attempts).await {
         Ok(answer) => answer,
         Err(_) => {
-            log::info!(request = job.request.as_str(), route = job.route.name.as_str(); "a request has used up its time");
+            job.story.deadline(progress.standing());
             Answer::new(StatusCode::GATEWAY_TIMEOUT)
         }
-    }
+    };
+    job.story
+        .answered(Some((&job.route, &job.service)), &answer);
+    answer
 }
 
 async fn attempts(node: &Rc<Node>, job: &Job, progress: &mut Progress) -> Answer {
     loop {
         let now = node.now();
-        let work_ms = node
-            .work
-            .borrow()
-            .estimate(job.route_hash, job.route.aim_ms);
-        let chosen = node.spots.borrow().choose(
-            now,
-            &job.service,
-            work_ms,
-            &progress.tried,
-            &mut rand::rng(),
-        );
+        let load = load_of(node, job);
+        let work_ms = load.work_ms;
+        let chosen =
+            node.spots
+                .borrow()
+                .choose(now, &job.service, load, &progress.tried, &mut rand::rng());
         let Some(chosen) = chosen else {
             return give_up(node, job, progress, "no backend server is open");
         };
@@ -93,15 +122,35 @@
                 "no backend server is expected to answer in time",
             );
         }
-        let (server, reply) = send(node, job, chosen, work_ms).await;
-        if let Some(answer) = follow(node, job, progress, server, reply) {
+        let revision = node.list.borrow().revision();
+        job.story.chosen(&job.service, &chosen, work_ms, revision);
+        let (server, reply) = race::run(node, job, progress, chosen, work_ms).await;
+        let seen = Seen::of(&reply);
+        let answer = follow(node, job, progress, server, reply);
+        job.story
+            .attempt_ended(&job.route, seen, progress.standing(), answer.is_none());
+        if let Some(answer) = answer {
             return answer;
         }
     }
 }
 
+/// Returns what a request asks of a backend server, as far as is known of its route.
+pub(crate) fn load_of(node: &Node, job: &Job) -> Load {
+    let work = node.work.borrow();
+    Load {
+        work_ms: work.estimate(job.route_hash, job.route.aim_ms),
+        bytes: job.body.len() as u64 + work.answer_bytes(job.route_hash),
+    }
+}
+
 /// Sends a request to the chosen gate.
-async fn send(node: &Rc<Node>, job: &Job, chosen: Chosen, work_ms: u64) -> (CompactString, Reply) {
+pub(crate) async fn send(
+    node: &Rc<Node>,
+    job: &Job,
+    chosen: Chosen,
+    work_ms: u64,
+) -> (CompactString, Reply) {
     let now = node.now();
     let offer = Offer {
         server: chosen.server.clone(),
@@ -155,12 +204,11 @@
             return answered_by(node, job, progress, server, answered, body);
         }
         Reply::Ended {
-            ending: Ending::Refused { why, back_ms },
+            ending: Ending::Refused { back_ms, .. },
             ..
         } => {
             progress.refusals += 1;
             progress.back_ms = Some(u64::from(back_ms));
-            log::debug!(request = job.request.as_str(), server = server.as_str(), why = why.as_str(); "a gate refused a request");
             progress.tried.push(server);
             if progress.refusals >= REFUSALS_MAX {
                 return Some(give_up(node, job, progress, "too many gates refused it"));
@@ -168,10 +216,9 @@
             return None;
         }
         Reply::Ended {
-            ending: Ending::Unexecuted { status },
+            ending: Ending::Unexecuted { .. },
             ..
         } => {
-            log::debug!(request = job.request.as_str(), server = server.as_str(), status; "a backend server did not run a request");
             progress.sends += 1;
             progress.tried.push(server);
         }
@@ -195,7 +242,6 @@
             progress.tried.push(server);
         }
         Reply::Lost => {
-            log::info!(request = job.request.as_str(), server = server.as_str(); "the link to the gate ended under a request");
             progress.sends += 1;
             progress.uncertain = true;
             progress.tried.push(server);
@@ -225,6 +271,8 @@
         node.work
             .borrow_mut()
             .record(job.route_hash, ran_ms, answered.work_percent);
+        let bytes = body.len() as u64;
+        node.work.borrow_mut().record_bytes(job.route_hash, bytes);
         return Some(answer(answered, body));
     }
     progress.sends += 1;
@@ -247,6 +295,19 @@
     if progress.sends >= job.route.attempts {
         return false;
     }
+    spend(node, job)
+}
+
+/// Returns whether a second run may begin beside one that is under way, and spends from the
+/// budget if so.
+pub(crate) fn may_send_second(node: &Rc<Node>, job: &Job, progress: &Progress) -> bool {
+    if progress.sends + 1 >= job.route.attempts {
+        return false;
+    }
+    spend(node, job)
+}
+
+fn spend(node: &Rc<Node>, job: &Job) -> bool {
     let now = node.now();
     node.with_budget(&job.service, |budget| {
         let allowed = budget.allows(now);
@@ -263,16 +324,8 @@
         return answer(answered, body);
     }
     let now = node.now();
-    log::info!(
-        request = job.request.as_str(),
-        route = job.route.name.as_str(),
-        service = job.service.as_str(),
-        uncertain = progress.uncertain,
-        refusals = progress.refusals,
-        left = job.deadline.since(now),
-        reason;
-        "a request is given up"
-    );
+    job.story
+        .given_up(reason, progress.standing(), job.deadline.since(now));
     if progress.uncertain {
         return Answer::new(StatusCode::BAD_GATEWAY);
     }
--- a/crates/mesh/src/peer.rs
+++ b/crates/mesh/src/peer.rs
@@ -16,11 +16,11 @@
 /// How long a link with calls may be silent before it is asked, in milliseconds.
 const ASK_BUSY_MS: u64 = 200;
 /// How long a link without calls may be silent before it is asked, in milliseconds.
-const ASK_IDLE_MS: u64 = 2_000;
+const ASK_IDLE_MS: u64 = 1_000;
 /// How long the answer may take before the peer is avoided, in milliseconds.
 const SUSPECT_MS: u64 = 250;
 /// How long the answer may take before the link is given up, in milliseconds.
-const GIVE_UP_MS: u64 = 1_500;
+const GIVE_UP_MS: u64 = 1_200;
 
 struct Waiting {
     sender: oneshot::Sender<Reply>,
@@ -47,10 +47,16 @@
     up: Cell<bool>,
     /// Whether the list no longer names it.
     pub(crate) unlisted: Cell<bool>,
+    /// Whether it is silent and avoided.
+    pub(crate) suspected: Cell<bool>,
     calls: RefCell<HashMap<CallKey, Waiting>>,
     numbers: Cell<u64>,
     heard: Cell<Millis>,
     asked: Cell<Option<Millis>>,
+    /// The version of the routes and the revision of the list that it told last.
+    pub(crate) knows: Cell<(u64, u64)>,
+    /// Whether it said that it watches the store.
+    reading: Cell<bool>,
 }
 
 impl Peer {
@@ -61,13 +67,27 @@
             outbox: RefCell::default(),
             up: Cell::new(false),
             unlisted: Cell::new(false),
+            suspected: Cell::new(false),
             calls: RefCell::default(),
             numbers: Cell::new(0),
             heard: Cell::new(now),
             asked: Cell::new(None),
+            knows: Cell::new((0, 0)),
+            reading: Cell::new(false),
         }
     }
 
+    /// Notes what the peer told of itself.
+    pub(crate) fn learn(&self, routes: u64, servers: u64, reading: bool) {
+        self.knows.set((routes, servers));
+        self.reading.set(reading);
+    }
+
+    /// Returns whether the peer can be reached and watches the store.
+    pub(crate) fn is_reading(&self) -> bool {
+        self.up.get() && self.reading.get()
+    }
+
     /// Returns whether a link is up.
     pub(crate) fn is_up(&self) -> bool {
         self.up.get()
@@ -79,19 +99,23 @@
         *self.outbox.borrow_mut() = Rc::clone(&outbox);
         self.heard.set(now);
         self.asked.set(None);
+        self.suspected.set(false);
         self.up.set(true);
         outbox
     }
 
-    /// Notes that the link ended; its calls are lost.
-    pub(crate) fn close(&self) {
+    /// Notes that the link ended; its calls are lost. Returns how many they are.
+    pub(crate) fn close(&self) -> usize {
         self.up.set(false);
+        self.reading.set(false);
         self.outbox.borrow().close();
         let calls = std::mem::take(&mut *self.calls.borrow_mut());
+        let count = calls.len();
         for waiting in calls.into_values() {
             // The caller may have left, and nobody waits then.
             let _ = waiting.sender.send(Reply::Lost);
         }
+        count
     }
 
     /// Sends a message if a link is up.
@@ -106,10 +130,16 @@
         Rc::clone(&self.outbox.borrow())
     }
 
-    /// Notes that the peer was heard.
-    pub(crate) fn hear(&self, now: Millis) {
+    /// Notes that the peer was heard, and returns whether it was suspected.
+    pub(crate) fn hear(&self, now: Millis) -> bool {
         self.heard.set(now);
         self.asked.set(None);
+        self.suspected.replace(false)
+    }
+
+    /// Returns how long the peer is silent, in milliseconds.
+    pub(crate) fn silent_ms(&self, now: Millis) -> u64 {
+        now.since(self.heard.get())
     }
 
     /// Asks a silent peer whether it is there, and returns what its silence means.
--- a/crates/mesh/src/source.rs
+++ b/crates/mesh/src/source.rs
@@ -5,7 +5,7 @@
 
 use compact_str::CompactString;
 use ntex::http::ResponseHead;
-use oriolering::ServerNote;
+use oriolering::{Millis, ServerNote};
 use oriolering_http::{Bytes, ClientConn, ExchangeError, HeaderMap, Method, Request, Uri};
 use oriolering_platform::{
     ALL_KEYS, Answer, CONFIG_KEY, Change, Event, Range, SERVERS_PREFIX, StoreError, Watch,
@@ -17,22 +17,28 @@
 
 use crate::news;
 use crate::node::Node;
+use crate::trail::{Event as Decision, Trail, clip};
 
 /// How long a connection to the store may take, in milliseconds.
 const CONNECT_MS: u64 = 1_000;
 /// How long the store may take for an answer that does not wait, in milliseconds.
 const ANSWER_MS: u64 = 2_000;
 /// How long a watch waits for a change, in milliseconds.
-const WATCH_MS: u64 = 10_000;
+///
+/// A connection that falls silent for good shows only when this time is over, and a change has
+/// to be in force within two seconds.
+const WATCH_MS: u64 = 2_500;
 /// How long the answer to a watch may take beyond its time, in milliseconds.
-const WATCH_SLACK_MS: u64 = 1_500;
+const WATCH_SLACK_MS: u64 = 500;
 /// The first wait after a failure, in milliseconds.
 const BACKOFF_MIN_MS: u64 = 100;
 /// The longest wait after failures, in milliseconds.
 const BACKOFF_MAX_MS: u64 = 2_000;
 /// How long after the store's return a removal may be a lapse, in milliseconds; live backend
 /// servers are listed again within two seconds.
-const UNSETTLED_MS: u64 = 2_500;
+const UNSETTLED_MS: u64 = 2_000;
+/// The time between two looks whether this node is to watch the store, in milliseconds.
+const IDLE_MS: u64 = 250;
 
 /// Why a call to the store brought nothing.
 #[derive(Debug, Snafu)]
@@ -52,6 +58,7 @@
     node: Rc<Node>,
     conn: Option<ClientConn>,
     failed: bool,
+    lost_at: Millis,
     /// Until when removals may be lapses, in the node's time.
     unsettled: u64,
 }
@@ -62,14 +69,20 @@
         node,
         conn: None,
         failed: false,
+        lost_at: Millis::default(),
         unsettled: 0,
     };
     let mut backoff = BACKOFF_MIN_MS;
     loop {
         let result = source.follow(&mut backoff).await;
         source.conn = None;
-        if let Err(e) = result {
-            source.note_failure(&e);
+        news::set_reading(&source.node, false);
+        match result {
+            Ok(()) => {
+                source.wait_turn().await;
+                continue;
+            }
+            Err(e) => source.note_failure(&e),
         }
         let wait = rand::rng().random_range(backoff / 2..=backoff);
         sleep(Duration::from_millis(wait)).await;
@@ -78,18 +91,28 @@
 }
 
 impl Source {
-    /// Reads everything, then watches until something fails.
+    /// Waits until too few other nodes watch the store.
+    async fn wait_turn(&self) {
+        while !self.node.should_read() {
+            sleep(Duration::from_millis(IDLE_MS)).await;
+        }
+    }
+
+    /// Reads what this node does not know yet, then watches until something fails or enough
+    /// other nodes watch.
     async fn follow(&mut self, backoff: &mut u64) -> Result<(), SourceError> {
-        let mut revision = self.read_all().await?;
-        self.note_success();
-        *backoff = BACKOFF_MIN_MS;
-        loop {
+        let known = self.node.list.borrow().revision();
+        let mut revision = match known > 0 && self.node.version() > 0 {
+            true => known,
+            false => self.read_all().await?,
+        };
+        while self.node.should_read() {
             let path = watch_path(ALL_KEYS, revision, WATCH_MS);
             let watch = match self.watch(&path).await {
                 Err(SourceError::Store {
                     source: StoreError::Compacted,
                 }) => {
-                    log::info!(revision; "the store has dropped its history; reading everything");
+                    self.node.trail.note(Decision::StoreCompacted { revision });
                     revision = self.read_all().await?;
                     continue;
                 }
@@ -99,13 +122,16 @@
             self.note_success();
             revision = watch.revision;
             self.take(watch);
+            news::set_reading(&self.node, true);
         }
+        Ok(())
     }
 
     /// Reads the routes and the whole list, and returns the revision to watch from.
     async fn read_all(&mut self) -> Result<u64, SourceError> {
         let (notes, revision) = self.read_servers().await?;
         self.read_routes().await?;
+        self.note_success();
         let lapsed = self.is_unsettled();
         let now = self.node.now();
         self.node
@@ -114,6 +140,10 @@
             .replace(now, notes, revision, lapsed);
         news::apply_list(&self.node);
         news::announce_all(&self.node);
+        let servers = self.node.list.borrow().servers().count() as u64;
+        self.node
+            .trail
+            .note(Decision::StoreRead { revision, servers });
         Ok(revision)
     }
 
@@ -127,10 +157,13 @@
             // Pages are not a snapshot, so changes since the first one are watched again.
             let revision = *first.get_or_insert(range.revision);
             for broken in &range.broken {
-                log::warn!(error = broken.error.to_string().as_str(); "an item of the store cannot be read");
+                self.node.trail.item_rejected("", &broken.error.to_string());
             }
+            let trail = &self.node.trail;
             let items = range.items.into_iter();
-            notes.extend(items.filter_map(|i| note(&i.key, Some(&i.value), i.revision, false)));
+            notes.extend(
+                items.filter_map(|i| note(trail, &i.key, Some(&i.value), i.revision, false)),
+            );
             match range.more {
                 Some(key) => after = Some(key),
                 None => return Ok((notes, revision)),
@@ -147,10 +180,7 @@
             }
             Err(SourceError::Store {
                 source: StoreError::Missing,
-            }) => {
-                log::info!("no routes are published yet");
-                Ok(())
-            }
+            }) => Ok(()),
             Err(e) => Err(e),
         }
     }
@@ -165,7 +195,7 @@
         let now = self.node.now();
         let mut changed = false;
         for broken in &watch.broken {
-            log::warn!(error = broken.error.to_string().as_str(); "a change of the store cannot be read");
+            self.node.trail.item_rejected("", &broken.error.to_string());
         }
         for Event {
             key,
@@ -183,7 +213,7 @@
                 Change::Put(value) => Some(value.as_slice()),
                 Change::Deleted => None,
             };
-            if let Some(note) = note(&key, value, revision, lapsed) {
+            if let Some(note) = note(&self.node.trail, &key, value, revision, lapsed) {
                 changed |= self.node.list.borrow_mut().note(now, note);
             }
         }
@@ -250,27 +280,44 @@
 
     fn note_failure(&mut self, e: &SourceError) {
         if !self.failed {
-            log::warn!(error = e.to_string().as_str(); "the store is lost");
+            self.lost_at = self.node.now();
+            self.node.trail.note(Decision::StoreLost {
+                error: clip(&e.to_string()),
+                revision: self.node.list.borrow().revision(),
+            });
         }
         self.failed = true;
     }
 
     fn note_success(&mut self) {
         if self.failed {
-            log::info!("the store is back");
-            self.unsettled = self.node.now().0 + UNSETTLED_MS;
+            let now = self.node.now();
+            self.node.trail.note(Decision::StoreBack {
+                lost_ms: now.since(self.lost_at),
+                revision: self.node.list.borrow().revision(),
+            });
+            // Where a peer has watched all the while, only this node was turned away.
+            if !self.node.is_informed() {
+                self.unsettled = now.0 + UNSETTLED_MS;
+            }
         }
         self.failed = false;
     }
 }
 
 /// Returns what a key of the list says, or nothing for other keys.
-fn note(key: &str, value: Option<&[u8]>, revision: u64, lapsed: bool) -> Option<ServerNote> {
+fn note(
+    trail: &Trail,
+    key: &str,
+    value: Option<&[u8]>,
+    revision: u64,
+    lapsed: bool,
+) -> Option<ServerNote> {
     let id = key.strip_prefix(SERVERS_PREFIX)?;
     let record = match value.map(|v| scan_entry(key, v)) {
         Some(Ok(record)) => Some(record),
         Some(Err(e)) => {
-            log::warn!(key, error = e.to_string().as_str(); "an entry names no backend server");
+            trail.item_rejected(key, &e.to_string());
             None
         }
         None => None,
--- a/crates/mesh/src/spots.rs
+++ b/crates/mesh/src/spots.rs
@@ -1,10 +1,11 @@
 //! The backend servers that an ingress can choose from.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use compact_str::CompactString;
-use oriolering::{GateLoad, Millis, Place, ServerRecord, ServerState, Site, choose_place};
+use oriolering::{GateLoad, Load, Millis, Place, ServerRecord, ServerState, Site, choose_place};
 use rand::Rng;
 use smallvec::SmallVec;
 
@@ -27,6 +28,14 @@
         }
     }
 
+    /// Returns the address of the other node, if there is one.
+    pub(crate) fn address(&self) -> Option<SocketAddr> {
+        match self {
+            Self::Local => None,
+            Self::Remote(peer) => Some(peer.address),
+        }
+    }
+
     fn leads_to(&self, peer: &Rc<Peer>) -> bool {
         match self {
             Self::Local => false,
@@ -49,6 +58,10 @@
     pub(crate) way: Way,
     /// What is expected of it.
     pub(crate) place: Place,
+    /// What was known of it.
+    pub(crate) site: Site,
+    /// How many could have been chosen.
+    pub(crate) open: usize,
 }
 
 /// The backend servers that are listed, by service.
@@ -69,6 +82,10 @@
         self.services.clear();
         for (record, way) in records {
             let known = before.remove(&(record.id.clone(), record.born));
+            let state = known.as_ref().map(|spot| spot.record.state);
+            if state != Some(record.state) {
+                log::info!(server = record.id.as_str(), service = record.service.as_str(), ready = record.state == ServerState::Ready; "a backend server is listed");
+            }
             let site = known.map_or_else(
                 || Site::new(now, record.slots, record.zone != zone),
                 |spot| spot.site,
@@ -80,6 +97,9 @@
                 .push(index);
             self.spots.push(Spot { record, site, way });
         }
+        for (id, _) in before.into_keys() {
+            log::info!(server = id.as_str(); "a backend server is no longer listed");
+        }
     }
 
     /// Chooses a backend server of `service` that takes new work and was not tried yet.
@@ -87,7 +107,7 @@
         &self,
         now: Millis,
         service: &str,
-        work_ms: u64,
+        load: Load,
         tried: &[CompactString],
         rng: &mut impl Rng,
     ) -> Option<Chosen> {
@@ -97,12 +117,15 @@
             .filter(|i| self.is_usable(**i) && !tried.contains(&self.spots[**i].record.id))
             .map(|i| (*i, &self.spots[*i].site))
             .collect();
-        let place = choose_place(now, work_ms, open.into_iter(), rng)?;
+        let count = open.len();
+        let place = choose_place(now, load, open.into_iter(), rng)?;
         let spot = &self.spots[place.index];
         Some(Chosen {
             server: spot.record.id.clone(),
             way: spot.way.clone(),
             place,
+            site: spot.site,
+            open: count,
         })
     }
 
@@ -111,6 +134,12 @@
         spot.record.state == ServerState::Ready && spot.way.is_up()
     }
 
+    /// Returns how long work takes at a backend server now, as a percentage of the usual.
+    pub(crate) fn pace(&self, now: Millis, server: &str) -> Option<u64> {
+        let spot = self.spots.iter().find(|s| s.record.id == server)?;
+        Some(spot.site.pace(now))
+    }
+
     /// Changes what is known of one backend server.
     pub(crate) fn with_site(&mut self, server: &str, change: impl Fn(&mut Site)) {
         let found = self.spots.iter_mut().find(|s| s.record.id == server);
--- a/crates/mesh/src/start.rs
+++ b/crates/mesh/src/start.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -13,15 +14,21 @@
 use tokio::time::{Instant, MissedTickBehavior, interval, sleep};
 
 use crate::node::Node;
-use crate::{inbound, ingress, news, outbound, source};
+use crate::reload::Reload;
+use crate::trail::{Event, Lines};
+use crate::{inbound, ingress, metrics, news, outbound, source};
 
 /// The time between two looks at links, the list and the backend server, in milliseconds.
 const TICK_MS: u64 = 25;
 /// How long a node that was told to stop goes on for callers that do not know yet, in
 /// milliseconds: three polls of readiness.
 const NOTICE_MS: u64 = 3_200;
-/// The time before the end of the grace at which a node ends in any case, in milliseconds.
-const MARGIN_MS: u64 = 300;
+/// The time before the end of the grace at which a node ends in any case, in milliseconds; a
+/// node whose machine is slow needs it to end by itself.
+const MARGIN_MS: u64 = 700;
+/// The time before its end in which a stopping node refuses new requests, in milliseconds; what
+/// it has taken before can end in it.
+const REFUSE_MS: u64 = 1_000;
 /// The time between two looks whether a stopping node is idle, in milliseconds.
 const STOP_TICK_MS: u64 = 50;
 /// The bounds of connections that ask for readiness.
@@ -56,24 +63,21 @@
 
 /// Runs a node until the platform tells it to stop.
 ///
+/// `path` is the file that the settings were read from; it is read again on SIGHUP and when it
+/// changes. Decisions are written to `lines`.
+///
 /// # Errors
 ///
 /// Returns an error when an address of the settings cannot be listened on.
-pub async fn run(settings: Settings) -> Result<(), StartError> {
+pub async fn run(settings: Settings, path: PathBuf, lines: Lines) -> Result<(), StartError> {
     let mut stop = signal(SignalKind::terminate()).context(SignalSnafu)?;
-    let mut reload = signal(SignalKind::hangup()).context(SignalSnafu)?;
     let stopped = async move {
-        loop {
-            tokio::select! {
-                _ = stop.recv() => return,
-                _ = reload.recv() => log::info!("the settings file may have changed"),
-            }
-        }
+        stop.recv().await;
     };
-    run_until(settings, stopped).await
+    run_until(settings, path, lines, stopped).await
 }
 
-/// Runs a node until `stopped` ends and the requests under way are served.
+/// Runs a node as [`run`] does, until `stopped` ends and the requests under way are served.
 ///
 /// The node runs on the [`tokio::task::LocalSet`] of the caller, whose end ends its tasks.
 ///
@@ -82,15 +86,20 @@
 /// Returns an error when an address of the settings cannot be listened on.
 pub async fn run_until(
     settings: Settings,
+    path: PathBuf,
+    lines: Lines,
     stopped: impl Future<Output = ()>,
 ) -> Result<(), StartError> {
     let listen = settings.listen;
     let links = SocketAddr::new(settings.ip, *settings.node_ports.start());
-    let node = Node::new(settings);
-    log::info!(node = node.settings.node.as_str(), service = node.settings.backend.service.as_str(), incarnation = node.incarnation; "started");
+    let node = Node::new(settings.clone(), lines);
+    let mut file = Reload::new(path, settings, node.now());
     let callers = bind(listen.callers).await?;
     let polls = bind(listen.ready).await?;
     let links = bind(links).await?;
+    let mut reload = signal(SignalKind::hangup()).context(SignalSnafu)?;
+    note_start(&node);
+    tokio::task::spawn_local(metrics::serve(Rc::clone(&node)));
     tokio::task::spawn_local(ingress::accept(Rc::clone(&node), callers));
     tokio::task::spawn_local(inbound::accept(Rc::clone(&node), links));
     tokio::task::spawn_local(answer_polls(Rc::clone(&node), polls));
@@ -101,13 +110,26 @@
     loop {
         tokio::select! {
             () = &mut stopped => break,
-            _ = ticks.tick() => tick(&node),
+            _ = reload.recv() => file.run(&node, "signal"),
+            _ = ticks.tick() => {
+                tick(&node);
+                file.tick(&node);
+            }
         }
     }
     end(&node).await;
     Ok(())
 }
 
+fn note_start(node: &Node) {
+    let settings = &node.settings;
+    node.trail.note(Event::Started {
+        service: settings.backend.service.clone(),
+        zone: settings.zone.clone(),
+        incarnation: node.incarnation,
+    });
+}
+
 async fn bind(address: SocketAddr) -> Result<TcpListener, StartError> {
     TcpListener::bind(address)
         .await
@@ -116,8 +138,10 @@
 
 fn tick(node: &Rc<Node>) {
     let now = node.now();
+    node.trail.tick();
     node.gate.probe();
     outbound::watch(node);
+    news::chase(node);
     if node.list.borrow_mut().tick(now) {
         news::apply_list(node);
     }
@@ -125,10 +149,14 @@
 
 /// Serves what is under way, and callers that do not know yet that the node leaves.
 async fn end(node: &Rc<Node>) {
-    log::info!(active = node.active.get(); "told to stop");
+    let grace = node.bounds.get().grace_ms;
+    node.trail.note(Event::Stopping {
+        active: node.active.get() as u64,
+        grace_ms: grace,
+    });
+    node.trail.stop();
     node.stopping.set(true);
     node.gate.leave();
-    let grace = node.settings.bounds.grace_ms;
     let begun = Instant::now();
     let notice = begun + Duration::from_millis(NOTICE_MS.min(grace));
     let last = begun + Duration::from_millis(grace.saturating_sub(MARGIN_MS));
@@ -138,10 +166,17 @@
         if now >= last || (idle && now >= notice) {
             break;
         }
+        if now + Duration::from_millis(REFUSE_MS) >= last && !node.refusing.replace(true) {
+            log::info!(active = node.active.get(); "new requests are refused");
+        }
         outbound::watch(node);
+        node.trail.tick();
         sleep(Duration::from_millis(STOP_TICK_MS)).await;
     }
-    log::info!(active = node.active.get(); "stopped");
+    node.trail.note(Event::Stopped {
+        active: node.active.get() as u64,
+        after_ms: begun.elapsed().as_millis() as u64,
+    });
 }
 
 async fn answer_polls(node: Rc<Node>, listener: TcpListener) {
@@ -152,7 +187,8 @@
         let (date, polled) = (node.date.clone(), Rc::clone(&node));
         let handler = move |request| answer_poll(Rc::clone(&polled), request);
         tokio::task::spawn_local(async move {
-            oriolering_http::serve(stream, date, || READY_LIMITS, || false, handler).await;
+            oriolering_http::serve(stream, date, || READY_LIMITS, || false, |_, _| {}, handler)
+                .await;
         });
     }
 }
--- a/crates/node/src/platform.rs
+++ b/crates/node/src/platform.rs
@@ -1,10 +1,10 @@
 //! Runs a node on a platform that writes its settings.
 
-use oriolering_platform::{SETTINGS_VARIABLE, Settings};
-use snafu::ResultExt;
+use std::error::Error;
+use std::path::PathBuf;
 
-use crate::error::{self, NodeError};
-use crate::logging;
+use oriolering_mesh::Lines;
+use oriolering_platform::{SETTINGS_VARIABLE, Settings};
 
 /// The level of log lines; lines below it are not formatted.
 const LOG: &str = "info";
@@ -14,11 +14,15 @@
 /// # Errors
 ///
 /// Returns an error when the settings cannot be used or a part cannot be started.
-pub(crate) fn run() -> Result<(), NodeError> {
-    let path = std::env::var_os(SETTINGS_VARIABLE).unwrap_or_default();
-    let settings = Settings::load(path).context(error::PlatformSettingsSnafu)?;
-    let _logger = logging::start(LOG).context(error::LogSnafu)?;
+pub(crate) fn run() -> Result<(), Box<dyn Error>> {
+    let path = PathBuf::from(std::env::var_os(SETTINGS_VARIABLE).unwrap_or_default());
+    let settings = Settings::load(&path)?;
+    let lines = Lines::start(std::io::stdout())?;
+    let others = lines.clone();
+    let take = Box::new(move |line: &[u8]| others.push_other(line));
+    let _logger = oriolering_node::start_log_with(LOG, take)?;
     let system = ntex::rt::System::new("oriolering-node");
-    let result = system.block_on(oriolering_mesh::run(settings));
-    result.context(error::MeshSnafu)
+    let result = system.block_on(oriolering_mesh::run(settings, path, lines.clone()));
+    lines.finish();
+    Ok(result?)
 }
