Give a place that was given up to the next who waits

Cause: a request that left the gate just as it was given a place freed the place, but nobody looked for the next one, who waited for the end of its time: 1.2 s beside a free place. One that left just as it was refused freed a place that it never had. Ruled out: the room; it names the next as soon as it is asked. Change: such a request frees a place only if it was given one, and the next turn is taken.

--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -174,11 +174,12 @@
     }
 
     async fn wait(&self, key: JobKey) -> Result<(), NoRoom> {
-        let (sender, mut receiver) = oneshot::channel();
+        let (sender, receiver) = oneshot::channel();
         self.waiters.borrow_mut().insert(key, sender);
         let mut guard = Waiting {
             gate: self,
             key,
+            receiver,
             ended: false,
         };
         loop {
@@ -190,7 +191,7 @@
                 .map_or(1_000, |at| at.since(now));
             tokio::select! {
                 biased;
-                result = &mut receiver => {
+                result = &mut guard.receiver => {
                     guard.ended = true;
                     return result.unwrap_or(Err(NoRoom::Leaving));
                 }
@@ -435,6 +436,7 @@
 struct Waiting<'a> {
     gate: &'a Gate,
     key: JobKey,
+    receiver: oneshot::Receiver<Result<(), NoRoom>>,
     ended: bool,
 }
 
@@ -444,10 +446,12 @@
             return;
         }
         let waits = self.gate.waiters.borrow_mut().remove(&self.key).is_some();
-        match waits {
-            true => self.gate.room.borrow_mut().leave(self.key),
+        if waits {
+            self.gate.room.borrow_mut().leave(self.key);
+        } else if let Ok(Ok(())) = self.receiver.try_recv() {
             // It was given a slot that nobody will use.
-            false => self.gate.room.borrow_mut().finish(),
+            self.gate.room.borrow_mut().finish();
+            self.gate.pump();
         }
     }
 }
