Ask for news in the first moments of a node

Cause: a node counted as having asked a peer at its time zero, so news that came within its first 150 ms were never asked for; a node without the store stayed without routes until the next change. Ruled out: the store and the peer, which told what it knew. Change: a node that has asked nobody asks.

--- a/crates/mesh/src/news.rs
+++ b/crates/mesh/src/news.rs
@@ -84,10 +84,11 @@
     let own_routes = node.version();
     let own_servers = node.list.borrow().revision();
     let known = routes <= own_routes && servers <= own_servers;
-    if known || now.since(node.asked.get()) < ASK_MS {
+    let waits = node.asked.get().is_some_and(|at| now.since(at) < ASK_MS);
+    if known || waits {
         return;
     }
-    node.asked.set(now);
+    node.asked.set(Some(now));
     outbox.push(Frame::Want {
         routes: own_routes,
         servers: own_servers,
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -53,7 +53,7 @@
     /// Whether this node watches the store.
     pub(crate) reading: Cell<bool>,
     /// When a peer was asked for news.
-    pub(crate) asked: Cell<Millis>,
+    pub(crate) asked: Cell<Option<Millis>>,
     pub(crate) stopping: Cell<bool>,
     /// Whether new requests are refused, since the process is about to end.
     pub(crate) refusing: Cell<bool>,
