Link to peers from the address of the instance

Cause: a node knows who tells it news by the address that the connection comes from, which the system chose; where it was another one, what the peer knows was not kept and never chased. Ruled out: the news themselves; they came and were not asked for within 150 ms of a question. Change: links are opened from the address on which the node listens for them.

--- a/crates/mesh/src/outbound.rs
+++ b/crates/mesh/src/outbound.rs
@@ -1,10 +1,12 @@
 //! Links from this node to the gates of others.
 
+use std::io;
+use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
 
 use rand::Rng;
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::{sleep, timeout};
 
 use crate::frame::Frame;
@@ -28,7 +30,7 @@
 pub(crate) async fn keep(node: Rc<Node>, peer: Rc<Peer>) {
     let mut backoff = BACKOFF_MIN_MS;
     while !peer.unlisted.get() {
-        let connect = TcpStream::connect(peer.address);
+        let connect = connect(node.settings.ip, peer.address);
         let within = Duration::from_millis(CONNECT_MS);
         if let Ok(Ok(stream)) = timeout(within, connect).await {
             backoff = BACKOFF_MIN_MS;
@@ -42,6 +44,16 @@
     node.trail.note(Event::PeerGone { peer: peer.address });
 }
 
+/// Connects from the address of this node's instance, by which its peer knows it.
+async fn connect(from: IpAddr, to: SocketAddr) -> io::Result<TcpStream> {
+    let socket = match to {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.bind(SocketAddr::new(from, 0))?;
+    socket.connect(to).await
+}
+
 async fn run(node: &Rc<Node>, peer: &Rc<Peer>, stream: TcpStream) {
     if let Err(e) = link::prepare(&stream) {
         log::info!(peer = peer.address.to_string().as_str(), error = e.to_string().as_str(); "a link ended at once");
