--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -31,5 +31,5 @@
 mod start;
 mod trail;
 
-pub use start::{StartError, run};
+pub use start::{StartError, run, run_until};
 pub use trail::{Dropped, Lines, Rank};
--- a/crates/mesh/src/start.rs
+++ b/crates/mesh/src/start.rs
@@ -70,6 +70,26 @@
 ///
 /// Returns an error when an address of the settings cannot be listened on.
 pub async fn run(settings: Settings, path: PathBuf, lines: Lines) -> Result<(), StartError> {
+    let mut stop = signal(SignalKind::terminate()).context(SignalSnafu)?;
+    let stopped = async move {
+        stop.recv().await;
+    };
+    run_until(settings, path, lines, stopped).await
+}
+
+/// Runs a node as [`run`] does, until `stopped` ends and the requests under way are served.
+///
+/// The node runs on the [`tokio::task::LocalSet`] of the caller, whose end ends its tasks.
+///
+/// # Errors
+///
+/// Returns an error when an address of the settings cannot be listened on.
+pub async fn run_until(
+    settings: Settings,
+    path: PathBuf,
+    lines: Lines,
+    stopped: impl Future<Output = ()>,
+) -> Result<(), StartError> {
     let listen = settings.listen;
     let links = SocketAddr::new(settings.ip, *settings.node_ports.start());
     let node = Node::new(settings.clone(), lines);
@@ -77,7 +97,6 @@
     let callers = bind(listen.callers).await?;
     let polls = bind(listen.ready).await?;
     let links = bind(links).await?;
-    let mut stop = signal(SignalKind::terminate()).context(SignalSnafu)?;
     let mut reload = signal(SignalKind::hangup()).context(SignalSnafu)?;
     note_start(&node);
     tokio::task::spawn_local(metrics::serve(Rc::clone(&node)));
@@ -87,9 +106,10 @@
     tokio::task::spawn_local(source::run(Rc::clone(&node)));
     let mut ticks = interval(Duration::from_millis(TICK_MS));
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut stopped = std::pin::pin!(stopped);
     loop {
         tokio::select! {
-            _ = stop.recv() => break,
+            () = &mut stopped => break,
             _ = reload.recv() => file.run(&node, "signal"),
             _ = ticks.tick() => {
                 tick(&node);
--- a/crates/oriolering/tests/load/fleet.rs
+++ b/crates/oriolering/tests/load/fleet.rs
@@ -1,6 +1,8 @@
 //! A fleet of ingresses and gates that plays a load in its own time.
 
-use oriolering::{Entry, GateLoad, Job, Millis, Site, Turn, WorkTimes, choose_place};
+use oriolering::{
+    Entry, GateLoad, Job, Load as Demand, Millis, Site, Turn, WorkTimes, choose_place,
+};
 use rand::rngs::SmallRng;
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
@@ -151,11 +153,12 @@
         let now = Millis(self.now);
         let ingress = &self.ingresses[self.calls[call].ingress];
         let work_ms = ingress.work.estimate(ROUTE, self.load.aim_ms);
+        let demand = Demand { work_ms, bytes: 0 };
         let tried = &self.calls[call].tried;
         let open = ingress.sites.iter().enumerate();
         let mut open = open.filter(|(i, _)| !tried.contains(i));
         let (gate, expected_ms, elsewhere_ms) = match self.strategy {
-            Strategy::Adaptive => match choose_place(now, work_ms, open, &mut self.choices) {
+            Strategy::Adaptive => match choose_place(now, demand, open, &mut self.choices) {
                 Some(place) => (place.index, place.expected_ms, place.next_ms),
                 None => return self.refuse(call),
             },
