Leave the first watch to one of many nodes, and gather changes between watches

Cause: when the whole system starts no node knows another, and all watched the list while 89 backend servers entered it one by one. Change: a node without peers waits a random time before its first watch, and a watch follows the last one after 150 ms. A link that ends removes its own peer only, not one that was listed again.

--- a/crates/mesh/src/outbound.rs
+++ b/crates/mesh/src/outbound.rs
@@ -40,7 +40,14 @@
         sleep(Duration::from_millis(wait)).await;
         backoff = (backoff * 2).min(BACKOFF_MAX_MS);
     }
-    node.peers.borrow_mut().remove(&peer.address);
+    let mut peers = node.peers.borrow_mut();
+    // The list may name the address again, with a peer of its own.
+    if peers
+        .get(&peer.address)
+        .is_some_and(|p| Rc::ptr_eq(p, &peer))
+    {
+        peers.remove(&peer.address);
+    }
     node.trail.note(Event::PeerGone { peer: peer.address });
 }
 
--- a/crates/mesh/src/source.rs
+++ b/crates/mesh/src/source.rs
@@ -43,6 +43,12 @@
 const TURN_MS: u64 = 150;
 /// The longest such wait, in milliseconds; well below the time for a change to be in force.
 const TURN_MAX_MS: u64 = 1_200;
+/// The longest time that a node without peers leaves to others to begin, in milliseconds; the
+/// first of them finds all others and links to them.
+const ALONE_MAX_MS: u64 = 3_000;
+/// The time between the answer to a watch and the next watch, in milliseconds, so that changes
+/// that follow each other closely come together.
+const GATHER_MS: u64 = 150;
 /// The time in which a node that starts links to its peers, in milliseconds.
 const LINK_MS: u64 = 150;
 
@@ -110,8 +116,16 @@
     /// the time to begin.
     async fn wait_turn(&self) {
         let mut waited = 0;
+        let alone = match self.node.settings.first_start {
+            true => rand::rng().random_range(0..ALONE_MAX_MS),
+            false => 0,
+        };
         loop {
-            let turn = (self.node.readers_ahead() as u64 * TURN_MS).min(TURN_MAX_MS);
+            let ahead = self.node.readers_ahead() as u64 * TURN_MS;
+            let turn = match self.node.peers.borrow().is_empty() {
+                true => alone,
+                false => ahead.min(TURN_MAX_MS),
+            };
             match self.node.should_read() {
                 true if waited >= turn => return,
                 true => waited += IDLE_MS,
@@ -177,6 +191,7 @@
             revision = watch.revision;
             self.take(watch);
             news::set_reading(&self.node, true);
+            sleep(Duration::from_millis(GATHER_MS)).await;
         }
         Ok(())
     }
