--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -19,6 +19,7 @@
 mod status_report;
 mod table;
 mod trace;
+mod trail;
 
 use std::io::{self, ErrorKind, Write};
 use std::process::ExitCode;
--- a/crates/ctl/src/trace.rs
+++ b/crates/ctl/src/trace.rs
@@ -1,17 +1,17 @@
-//! `oriolering trace`: shows the hops of one call.
+//! `oriolering trace`: shows the hops of one call, or the decisions about one request.
 
 use std::collections::BTreeMap;
 
-use clap::{Arg, ArgMatches, Command};
+use clap::{Arg, ArgAction, ArgGroup, ArgMatches, Command};
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 
 use crate::client::{self, Answer};
-use crate::failure::Failure;
+use crate::failure::{Failure, UsageSnafu};
 use crate::format::{Format, to_json};
 use crate::status::{micros, show};
-use crate::{cli, table};
+use crate::{cli, table, trail};
 
 /// The most spans that are shown.
 const MAX_SPANS: usize = 1_000;
@@ -34,42 +34,73 @@
 /// Returns the subcommand.
 pub(crate) fn command() -> Command {
     Command::new("trace")
-        .about("Shows the hops of one call as a tree")
+        .about("Shows the hops of one call, or the decisions about one request")
         .long_about(
             "Shows the hops of one call as a tree, with the time in each. Every node keeps\n\
              its own spans for a short while, so name all nodes that the call may have\n\
-             passed.",
+             passed.\n\
+             \n\
+             With --lines it reads collected log lines of nodes on a platform in place of\n\
+             asking nodes, and shows what they decided about a request: its lines in the\n\
+             order of time, what changed at these nodes meanwhile, and what that comes to.\n\
+             Clocks of nodes may differ by some milliseconds.",
         )
         .after_help(
             "Example:\n  oriolering trace --node 127.0.0.1:7400 --node 127.0.0.1:7401 \
-             4bf92f3577b34da6a3ce929d0e0e4736",
+             4bf92f3577b34da6a3ce929d0e0e4736\n  \
+             oriolering trace --lines node-1.log --lines node-2.log 9c41d07be2a35f68",
+        )
+        .arg(
+            cli::node_arg()
+                .required(false)
+                .help("The admin address of a node; may be given several times"),
+        )
+        .arg(
+            Arg::new("lines")
+                .long("lines")
+                .value_name("FILE")
+                .action(ArgAction::Append)
+                .conflicts_with("node")
+                .help("A file with log lines of nodes, or - for the input; may be given several times"),
+        )
+        .group(
+            ArgGroup::new("from")
+                .args(["node", "lines"])
+                .multiple(true)
+                .required(true),
         )
-        .arg(cli::node_arg().help("The admin address of a node; may be given several times"))
         .arg(
             Arg::new("trace")
-                .value_name("TRACEID")
+                .value_name("ID")
                 .required(true)
-                .value_parser(parse_trace)
-                .help("The trace identity: the second part of the traceparent header"),
+                .help(
+                    "The trace identity, which is the second part of the traceparent header; \
+                     with --lines that of the request",
+                ),
         )
         .arg(Format::arg())
 }
 
-fn parse_trace(text: &str) -> Result<String, String> {
+fn parse_trace(text: &str) -> Result<String, Failure> {
     let is_hex = text.len() == 32 && text.bytes().all(|c| c.is_ascii_hexdigit());
     match is_hex {
         true => Ok(text.to_ascii_lowercase()),
-        false => Err(
-            "write the 32 hexadecimal digits between the first two hyphens of the \
-                      traceparent header"
-                .to_owned(),
-        ),
+        false => UsageSnafu {
+            text: format!("'{text}' is no trace identity"),
+            remedy: "write the 32 hexadecimal digits between the first two hyphens of the \
+                     traceparent header",
+        }
+        .fail(),
     }
 }
 
 /// Returns the tree of the spans of all nodes.
 pub(crate) fn run(args: &ArgMatches) -> Result<String, Failure> {
-    let trace = args.get_one::<String>("trace").cloned().unwrap_or_default();
+    let id = args.get_one::<String>("trace").cloned().unwrap_or_default();
+    if args.contains_id("lines") {
+        return trail::run(args, &id);
+    }
+    let trace = parse_trace(&id)?;
     let path = format!("/trace?id={trace}");
     let answers = client::ask(&client::nodes(args), &path);
     let answers: Vec<Answer<Vec<Span>>> = answers.iter().map(Answer::read).collect();
