--- a/crates/bench/tests/docs.rs
+++ b/crates/bench/tests/docs.rs
@@ -36,12 +36,95 @@
 }
 
 fn node_source() -> String {
-    let files = sources(&root().join("crates/node/src"));
-    assert!(files.len() > 30, "the sources of the node are there");
-    files
-        .iter()
-        .map(|path| fs::read_to_string(path).unwrap())
-        .collect()
+    let source = all_sources("crates/node/src");
+    assert!(source.len() > 30_000, "the sources of the node are there");
+    source
+}
+
+/// Returns the text of all sources below a directory of the repository.
+fn all_sources(dir: &str) -> String {
+    let files = sources(&root().join(dir));
+    let texts = files.iter().map(|path| fs::read_to_string(path).unwrap());
+    texts.collect()
+}
+
+/// Returns the sources that only a node on a platform runs.
+fn mesh_source() -> String {
+    all_sources("crates/mesh/src") + &all_sources("crates/http/src")
+}
+
+/// Returns the name of an event as a line writes it.
+fn event_name(variant: &str) -> String {
+    let mut name = String::new();
+    for c in variant.chars() {
+        if c.is_uppercase() && !name.is_empty() {
+            name.push('_');
+        }
+        name.extend(c.to_lowercase());
+    }
+    name
+}
+
+/// Returns the fields of each event, in their order, from the enum in the source.
+fn event_fields(source: &str) -> Vec<(String, Vec<String>)> {
+    let from = source.find("pub(crate) enum Event {").unwrap();
+    let length = source[from..].find("\n}\n").unwrap();
+    let mut events: Vec<(String, Vec<String>)> = Vec::new();
+    for line in source[from..from + length].lines().skip(1) {
+        if line.trim_start().starts_with("///") {
+            continue;
+        }
+        let (variant, fields) = match line.split_once(" {") {
+            Some((variant, fields)) => (Some(variant.trim()), fields),
+            None => (None, line),
+        };
+        events.extend(variant.map(|name| (event_name(name), Vec::new())));
+        let names = fields
+            .split(", ")
+            .filter_map(|field| field.split_once(": "));
+        let names = names.map(|(name, _)| name.trim().to_owned());
+        if let Some((_, known)) = events.last_mut() {
+            known.extend(names);
+        }
+    }
+    events
+}
+
+/// Returns the rank of each event from the match in the source.
+fn event_ranks(source: &str) -> Vec<(String, String)> {
+    let from = source.find("fn rank(&self)").unwrap();
+    let length = source[from..].find("\n    }\n").unwrap();
+    let mut ranks = Vec::new();
+    let mut open = Vec::new();
+    for word in source[from..from + length].split_whitespace() {
+        if let Some(variant) = word.strip_prefix("Self::") {
+            open.push(event_name(variant));
+        }
+        if let Some(rank) = word.strip_prefix("Rank::") {
+            let rank = rank.trim_end_matches(',').to_lowercase();
+            ranks.extend(open.drain(..).map(|event| (event, rank.clone())));
+        }
+    }
+    ranks
+}
+
+/// Returns the metrics that the platform's node registers, with their labels.
+fn platform_metrics(source: &str) -> BTreeSet<Vec<String>> {
+    let mut found = BTreeSet::new();
+    for call in ["counter", "gauge", "words", "durations"] {
+        let start = format!("    {call}(meter, counts, \"");
+        for rest in source.split(&start).skip(1) {
+            let mut texts = rest.split('"');
+            let name = texts.next().unwrap().to_owned();
+            let label = match call {
+                "words" => texts.nth(1).unwrap().to_owned(),
+                "durations" => "le".to_owned(),
+                _ => String::new(),
+            };
+            found.insert(vec![name, label]);
+        }
+    }
+    found
 }
 
 /// Returns the text between the markers of a list in a page.
@@ -136,6 +219,87 @@
     assert_eq!(listed, logged);
 }
 
+#[test]
+fn the_page_lists_every_event_with_its_rank_and_fields() {
+    let source = page("crates/mesh/src/trail/event.rs");
+    let ranks = event_ranks(&source);
+    let fields = event_fields(&source);
+    assert!(fields.len() > 30, "the source has events");
+    assert_eq!(ranks.len(), fields.len(), "each event has a rank");
+    let code = |text: &String| format!("`{text}`");
+    let expected: Vec<String> = fields
+        .iter()
+        .map(|(event, fields)| {
+            let (_, rank) = ranks.iter().find(|(name, _)| name == event).unwrap();
+            let fields: Vec<String> = fields.iter().map(code).collect();
+            format!("| `{event}` | {rank} | {} |", fields.join(", "))
+        })
+        .collect();
+    let text = page("docs/OPERATIONS.md");
+    let rows = list(&text, "events")
+        .lines()
+        .filter(|l| l.starts_with("| `"));
+    let listed: Vec<String> = rows
+        .map(|row| {
+            let cells: Vec<&str> = row.split(" | ").take(3).collect();
+            format!("{} |", cells.join(" | "))
+        })
+        .collect();
+    assert_eq!(listed, expected);
+}
+
+#[test]
+fn the_page_lists_every_metric_of_a_node_on_a_platform() {
+    let registered = platform_metrics(&page("crates/mesh/src/metrics.rs"));
+    assert!(registered.len() > 15, "the source registers metrics");
+    let text = page("docs/OPERATIONS.md");
+    let rows = cells(list(&text, "platform metrics"), 3);
+    let listed: BTreeSet<Vec<String>> = rows
+        .into_iter()
+        .map(|row| vec![row[0].clone(), row[2].clone()])
+        .collect();
+    assert_eq!(listed, registered);
+}
+
+#[test]
+fn the_page_lists_every_word_of_a_label() {
+    let source = page("crates/mesh/src/counts.rs");
+    let text = page("docs/OPERATIONS.md");
+    let listed = list(&text, "platform metrics");
+    let arrays = source.split("pub(crate) const ").skip(1);
+    let arrays = arrays.filter(|rest| rest.contains(": [&str; "));
+    let mut words = 0;
+    for array in arrays {
+        let values = array.split(';').nth(1).unwrap();
+        for word in values.split('"').skip(1).step_by(2) {
+            assert!(listed.contains(&format!("`{word}`")), "{word}");
+            words += 1;
+        }
+    }
+    assert!(words > 30, "the source has labels");
+}
+
+#[test]
+fn the_page_lists_every_other_line_of_a_node_on_a_platform() {
+    let text = page("docs/OPERATIONS.md");
+    let listed = cells(list(&text, "other lines"), 2);
+    assert_eq!(listed, logged(&mesh_source()));
+}
+
+#[test]
+fn the_deploy_file_names_the_address_of_the_metrics() {
+    let source = page("crates/mesh/src/metrics.rs");
+    let value = |name: &str| {
+        let rest = source.split(name).nth(1).unwrap();
+        let value = rest.split([';', '=']).nth(1).unwrap();
+        value.trim().trim_matches('"').replace('_', "")
+    };
+    let path = value("const METRICS_PATH");
+    let line = format!("metrics = \"{}{path}\"", value("const METRICS_PORT"));
+    let deploy = page("deploy/system.toml");
+    assert!(deploy.lines().any(|other| other == line), "{line}");
+}
+
 #[test]
 fn links_between_pages_resolve() {
     let docs = fs::read_dir(root().join("docs")).unwrap();
--- a/crates/ctl/tests/sessions/main.rs
+++ b/crates/ctl/tests/sessions/main.rs
@@ -2,5 +2,6 @@
 
 mod common;
 mod documents;
+mod lines;
 mod node_commands;
 mod set_commands;
--- a/crates/mesh/src/dispatch.rs
+++ b/crates/mesh/src/dispatch.rs
@@ -110,7 +110,8 @@
             );
         }
         let revision = node.list.borrow().revision();
-        job.story.chosen(&job.service, &chosen, work_ms, revision);
+        job.story
+            .chosen(now, &job.service, &chosen, work_ms, revision);
         let (server, reply) = send(node, job, chosen, work_ms).await;
         let seen = Seen::of(&reply);
         let answer = follow(node, job, progress, server, reply);
--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -122,22 +122,23 @@
         let arrived = self.clock.now();
         self.offered.set(arrived);
         let work_ms = u64::from(offer.work_ms);
-        let mut visit = Visit::new(&self.trail, &offer);
+        let mut visit = Visit::new(&self.trail, &offer, arrived);
         if let Err(why) = self.enter(arrived, &offer, &mut visit).await {
             let back_ms = self.room.borrow().back_ms(work_ms) as u32;
-            visit.refused(why, u64::from(back_ms), self.known());
+            visit.refused(why, u64::from(back_ms), self.known(self.clock.now()));
             return (Ending::Refused { why, back_ms }, Bytes::new());
         }
         let _permit = Permit(Rc::clone(&self));
-        let spent = self.clock.now().since(arrived);
+        let now = self.clock.now();
+        let spent = now.since(arrived);
         let left = u64::from(offer.left_ms).saturating_sub(spent);
         if left == 0 {
             let why = NoRoom::Late;
-            visit.refused(why, 0, self.known());
+            visit.refused(why, 0, self.known(now));
             return (Ending::Refused { why, back_ms: 0 }, Bytes::new());
         }
         let limit = Duration::from_millis(left + OVERTIME_MS);
-        visit.admitted(self.known());
+        visit.admitted(self.known(now));
         let result = timeout(limit, self.exchange(offer, body, left)).await;
         let (ending, body) = result.unwrap_or((Ending::Failed, Bytes::new()));
         visit.ran(&ending);
@@ -161,7 +162,7 @@
             }
             Entry::Refuse(why) => Err(why),
             Entry::Wait(key) => {
-                visit.queued(self.known());
+                visit.queued(self.known(now));
                 self.wait(key).await
             }
         }
@@ -312,10 +313,11 @@
     }
 
     /// Returns what is known at a decision.
-    fn known(&self) -> Known {
+    fn known(&self, now: Millis) -> Known {
         Known {
             load: self.load(),
-            age_ms: self.clock.now().since(self.heard.get()),
+            now,
+            age_ms: now.since(self.heard.get()),
         }
     }
 
--- a/crates/mesh/src/ingress.rs
+++ b/crates/mesh/src/ingress.rs
@@ -103,14 +103,14 @@
 /// Finds the route of a request and the part of it that takes it.
 fn plan(node: &Rc<Node>, request: &Request) -> Result<Job, Answer> {
     let id = headers::text(&request.headers, HEADERS.request).unwrap_or_default();
-    let story = Story::new(&node.trail, id);
+    let now = node.now();
+    let story = Story::new(&node.trail, id, now);
     let Some(published) = node.routes() else {
         story.unready();
         let answer = dispatch::unavailable(UNREADY_BACK_MS);
         story.answered(None, &answer);
         return Err(answer);
     };
-    let now = node.now();
     let map = &request.headers;
     let host = headers::text(map, header::HOST.as_str())
         .or_else(|| request.uri.host())
--- a/crates/mesh/src/reload.rs
+++ b/crates/mesh/src/reload.rs
@@ -13,9 +13,9 @@
 use crate::node::Node;
 use crate::trail::{Event, clip};
 
-/// The time between two looks at the file of settings, in milliseconds; a platform that sends
-/// no signal is followed within two seconds.
-const LOOK_MS: u64 = 1_000;
+/// The time between two looks at the file of settings, in milliseconds; as long as
+/// the platform's bound on a new configuration.
+const LOOK_MS: u64 = 2_000;
 
 /// What tells two versions of a file apart without reading it.
 type Stamp = Option<(SystemTime, u64)>;
@@ -43,8 +43,7 @@
     }
 
     /// Reads the file again if it has changed, from time to time.
-    pub(crate) fn tick(&mut self, node: &Node) {
-        let now = node.now();
+    pub(crate) fn tick(&mut self, node: &Node, now: Millis) {
         if now.since(self.looked) < LOOK_MS {
             return;
         }
--- a/crates/mesh/src/start.rs
+++ b/crates/mesh/src/start.rs
@@ -87,10 +87,7 @@
         tokio::select! {
             _ = stop.recv() => break,
             _ = reload.recv() => file.run(&node, "signal"),
-            _ = ticks.tick() => {
-                tick(&node);
-                file.tick(&node);
-            }
+            _ = ticks.tick() => tick(&node, &mut file),
         }
     }
     end(&node).await;
@@ -112,9 +109,10 @@
         .context(ListenSnafu { address })
 }
 
-fn tick(node: &Rc<Node>) {
+fn tick(node: &Rc<Node>, file: &mut Reload) {
     let now = node.now();
-    node.trail.tick();
+    node.trail.tick(now);
+    file.tick(node, now);
     node.gate.probe();
     outbound::watch(node);
     if node.list.borrow_mut().tick(now) {
@@ -142,7 +140,7 @@
             break;
         }
         outbound::watch(node);
-        node.trail.tick();
+        node.trail.tick(node.now());
         sleep(Duration::from_millis(STOP_TICK_MS)).await;
     }
     node.trail.note(Event::Stopped {
--- a/crates/mesh/src/trail.rs
+++ b/crates/mesh/src/trail.rs
@@ -37,8 +37,11 @@
 /// The share of requests that go well and are written down: one in this many. At the documented
 /// rates of requests a node then writes a few lines a second on a calm day.
 const SAMPLE: u64 = 64;
-/// How often the lines go to the output, in milliseconds; a killed process loses that much.
-const FLUSH_MS: u64 = 250;
+/// How often lines of failures and changes go to the output, in milliseconds; a killed process
+/// loses that much. Waking the writing thread costs more than the lines do.
+const FLUSH_MS: u64 = 500;
+/// How often lines of successes alone go to the output, in milliseconds.
+const FLUSH_CALM_MS: u64 = 2_000;
 /// How often dropped lines are told, in milliseconds.
 const TELL_MS: u64 = 1_000;
 /// The longest text from outside that a line repeats, in bytes.
@@ -179,16 +182,19 @@
     }
 
     /// Hands the lines to the output, and tells once a second what was dropped.
-    pub(crate) fn tick(&self) {
-        let now = self.clock.now();
+    pub(crate) fn tick(&self, now: Millis) {
         if now.since(self.flushed.get()) < FLUSH_MS {
             return;
         }
-        self.flushed.set(now);
         if now.since(self.told.get()) >= TELL_MS {
             self.told.set(now);
             self.tell_dropped();
         }
+        let calm = now.since(self.flushed.get()) < FLUSH_CALM_MS;
+        if calm && !self.lines.is_urgent() {
+            return;
+        }
+        self.flushed.set(now);
         self.lines.flush();
     }
 
--- a/crates/mesh/src/trail/lines.rs
+++ b/crates/mesh/src/trail/lines.rs
@@ -84,6 +84,8 @@
     waiting: Vec<u8>,
     quota: Quota,
     dropped: Dropped,
+    /// Whether more than successes wait.
+    urgent: bool,
     /// Whether the thread is to write what waits.
     due: bool,
     /// Whether the thread is writing.
@@ -117,6 +119,7 @@
             waiting: Vec::new(),
             quota: Quota::default(),
             dropped: Dropped::default(),
+            urgent: false,
             due: false,
             busy: false,
         };
@@ -152,6 +155,7 @@
             return;
         }
         state.quota.spend(line.len());
+        state.urgent |= rank != Rank::Success;
         state.waiting.extend_from_slice(line);
     }
 
@@ -169,6 +173,11 @@
         std::mem::take(&mut state.dropped)
     }
 
+    /// Returns whether more than lines of successes wait.
+    pub(crate) fn is_urgent(&self) -> bool {
+        self.0.lock().urgent
+    }
+
     /// Has the thread write what waits; returns at once.
     pub fn flush(&self) {
         let mut state = self.0.lock();
@@ -176,6 +185,7 @@
             return;
         }
         state.due = true;
+        state.urgent = false;
         self.0.due.notify_one();
     }
 
--- a/crates/mesh/src/trail/story.rs
+++ b/crates/mesh/src/trail/story.rs
@@ -87,6 +87,8 @@
     /// Whether it is written down even if all goes well.
     kept: Cell<bool>,
     done: Cell<bool>,
+    /// When the last step was taken; answers follow at once.
+    last: Cell<Millis>,
     /// Whether the node itself answers, without a backend server.
     own: Cell<bool>,
     attempt: RefCell<Attempt>,
@@ -94,15 +96,16 @@
 }
 
 impl Story {
-    /// Returns the story of a request that arrived now.
-    pub(crate) fn new(trail: &Rc<Trail>, request: &str) -> Self {
+    /// Returns the story of a request that arrived at `now`.
+    pub(crate) fn new(trail: &Rc<Trail>, request: &str, now: Millis) -> Self {
         trail.counts.requests.add(1);
         Self {
             trail: Rc::clone(trail),
             request: clip(request),
-            begun: trail.clock.now(),
+            begun: now,
             kept: Cell::new(is_sampled(request)),
             done: Cell::new(false),
+            last: Cell::new(now),
             own: Cell::new(false),
             attempt: RefCell::default(),
             steps: RefCell::new(Vec::with_capacity(STEPS)),
@@ -144,8 +147,14 @@
     }
 
     /// Tells the backend server that was chosen, and why.
-    pub(crate) fn chosen(&self, service: &str, chosen: &Chosen, work_ms: u64, revision: u64) {
-        let now = self.trail.clock.now();
+    pub(crate) fn chosen(
+        &self,
+        now: Millis,
+        service: &str,
+        chosen: &Chosen,
+        work_ms: u64,
+        revision: u64,
+    ) {
         let mut attempt = self.attempt.borrow_mut();
         attempt.number += 1;
         attempt.server = chosen.server.clone();
@@ -184,7 +193,7 @@
         }
         let attempt = self.attempt.borrow().clone();
         let at = self.trail.clock.now();
-        self.step(
+        self.step_before_end(
             at,
             Event::AttemptEnded {
                 request: self.request.clone(),
@@ -233,14 +242,18 @@
     /// Tells the answer that the caller gets; the story ends with it.
     pub(crate) fn answered(&self, route: Option<(&Route, &str)>, answer: &Answer) {
         self.done.set(true);
-        let now = self.trail.clock.now();
+        let now = self.last.get();
         let took_ms = now.since(self.begun);
         let aim_ms = route.map(|(route, _)| route.aim_ms);
         let status = answer.status.as_u16();
         if status >= 500 || aim_ms.is_some_and(|aim| took_ms > aim) {
             self.kept.set(true);
         }
-        let back = crate::headers::text(&answer.headers, "retry-after");
+        // Only an answer of the node itself tells its caller when to come back.
+        let back = self
+            .own
+            .get()
+            .then(|| crate::headers::text(&answer.headers, "retry-after"));
         self.step(
             now,
             Event::Answered {
@@ -252,7 +265,7 @@
                 aim_ms,
                 attempts: self.attempt.borrow().number,
                 own: self.own.get(),
-                retry_after: back.map(clip),
+                retry_after: back.flatten().map(clip),
             },
         );
         self.tell();
@@ -265,7 +278,20 @@
         self.step(self.trail.clock.now(), event);
     }
 
+    /// Adds how an attempt ended before what was decided on that.
+    fn step_before_end(&self, now: Millis, event: Event) {
+        let last = self.steps.borrow_mut().pop();
+        let (end, other) = match last {
+            Some((at, end @ Event::GivenUp { .. })) => (Some((at, end)), None),
+            other => (None, other),
+        };
+        self.steps.borrow_mut().extend(other);
+        self.step(now, event);
+        self.steps.borrow_mut().extend(end);
+    }
+
     fn step(&self, now: Millis, event: Event) {
+        self.last.set(now);
         self.trail.counts.count(&event);
         self.steps.borrow_mut().push((now, event));
     }
--- a/crates/mesh/src/trail/visit.rs
+++ b/crates/mesh/src/trail/visit.rs
@@ -15,6 +15,8 @@
     pub(crate) load: GateLoad,
     /// The age of the backend server's own last word, in milliseconds.
     pub(crate) age_ms: u64,
+    /// When the decision is taken.
+    pub(crate) now: Millis,
 }
 
 /// What becomes of one request at a gate; told when it ends.
@@ -35,13 +37,13 @@
 }
 
 impl Visit {
-    /// Returns the visit of a request that arrived now.
-    pub(crate) fn new(trail: &Rc<Trail>, offer: &Offer) -> Self {
+    /// Returns the visit of a request that arrived at `now`.
+    pub(crate) fn new(trail: &Rc<Trail>, offer: &Offer, now: Millis) -> Self {
         Self {
             trail: Rc::clone(trail),
             request: clip(&offer.request),
             server: offer.server.clone(),
-            arrived: trail.clock.now(),
+            arrived: now,
             aim_ms: offer.aim_ms,
             left_ms: offer.left_ms,
             work_ms: offer.work_ms,
@@ -56,7 +58,7 @@
 
     /// Tells that the request waits.
     pub(crate) fn queued(&mut self, known: Known) {
-        let now = self.now();
+        let now = known.now;
         self.step(
             now,
             Event::Queued {
@@ -79,7 +81,7 @@
     pub(crate) fn refused(&mut self, why: NoRoom, back_ms: u64, known: Known) {
         self.done = true;
         self.kept = true;
-        let now = self.now();
+        let now = known.now;
         self.step(
             now,
             Event::Refused {
@@ -102,7 +104,7 @@
 
     /// Tells that the request runs.
     pub(crate) fn admitted(&mut self, known: Known) {
-        let now = self.now();
+        let now = known.now;
         self.started = Some(now);
         let waited_ms = now.since(self.arrived);
         self.step(
--- a/crates/node/src/args.rs
+++ b/crates/node/src/args.rs
@@ -19,7 +19,20 @@
 /// The subcommand that serves on a platform.
 const PLATFORM: &str = "platform";
 const PLATFORM_HELP: &str = "\
-The platform writes the settings; the environment variable ORIOLERING_NODE_FILE names the file.";
+The platform writes the settings; the environment variable ORIOLERING_NODE_FILE names the file.
+
+Output:
+  Log lines go to the standard output, one JSON object a line. Metrics are served as text at
+  port 9464 of the instance's address, path /metrics.
+
+Signals:
+  SIGHUP   reads the settings file again; a file that changes is read again without it
+  SIGTERM  leaves, serves what is under way for at most the grace time, and ends
+
+Exit codes:
+  0    ended after SIGTERM
+  101  a fault of the program; what panicked is on standard error
+  2    the arguments or settings cannot be used, or an address is not free";
 
 /// What a command line asks for.
 pub(crate) enum Task {
