--- a/crates/bench/tests/docs.rs
+++ b/crates/bench/tests/docs.rs
@@ -286,6 +286,27 @@
     assert_eq!(listed, logged(&mesh_source()));
 }
 
+/// The lines that the page shows stand in the recorded lines that the command is tested with.
+#[test]
+fn the_lines_on_the_page_are_recorded() {
+    let text = page("docs/OPERATIONS.md");
+    let stories: Vec<&str> = text.split("<!-- lines: ").skip(1).collect();
+    assert_eq!(stories.len(), 4, "the kinds of failures");
+    for story in stories {
+        let name = story.split(" -->").next().unwrap();
+        let dir = root().join("crates/ctl/tests/fixtures/lines").join(name);
+        let files = fs::read_dir(dir).unwrap();
+        let texts = files.map(|file| fs::read_to_string(file.unwrap().path()).unwrap());
+        let recorded: String = texts.collect();
+        let shown = story.split("<!-- end -->").next().unwrap();
+        let shown: Vec<&str> = shown.lines().filter(|l| l.starts_with('{')).collect();
+        assert!(shown.len() > 1, "{name} shows lines");
+        for line in shown {
+            assert!(recorded.lines().any(|l| l == line), "{name}: {line}");
+        }
+    }
+}
+
 #[test]
 fn the_deploy_file_names_the_address_of_the_metrics() {
     let source = page("crates/mesh/src/metrics.rs");
--- a/crates/ctl/src/trail.rs
+++ b/crates/ctl/src/trail.rs
@@ -18,6 +18,9 @@
 const BEFORE_MS: u64 = 3_000;
 /// How long after the last line of a request a change may explain it, in milliseconds.
 const AFTER_MS: u64 = 1_000;
+/// How long before a request the stop of a node may have begun, in milliseconds: longer than the
+/// grace that platforms give.
+const STOP_BEFORE_MS: u64 = 30_000;
 /// The most lines that are shown.
 const MAX_LINES: usize = 1_000;
 /// The changes that matter to every request of a node.
@@ -142,10 +145,12 @@
 
     /// Returns whether a line tells a change that may matter to the request.
     fn concerns(&self, line: &Line) -> bool {
-        if line.fields.contains_key("request") || line.at_ms < self.from_ms {
-            return false;
-        }
-        if line.at_ms > self.to_ms {
+        let earlier = match line.event() {
+            "stopping" => STOP_BEFORE_MS,
+            _ => 0,
+        };
+        let in_time = line.at_ms + earlier >= self.from_ms && line.at_ms <= self.to_ms;
+        if line.fields.contains_key("request") || !in_time {
             return false;
         }
         let here = self.nodes.contains(line.text("node"));
@@ -256,7 +261,11 @@
     }
     if let Some(cancelled) = find(own, "cancelled") {
         let ms = cancelled.number("waited_ms");
-        return format!("ended: its caller left after {ms} ms{}", stop(cancelled));
+        let who = match cancelled.is("stopping") {
+            true => "its node ended, or its caller left,",
+            false => "its caller left",
+        };
+        return format!("ended: {who} after {ms} ms{}", stop(cancelled));
     }
     let Some(answered) = find(own, "answered") else {
         return "ended: not told; the lines of the node that it came to are missing".to_owned();
@@ -279,9 +288,10 @@
 fn reason(own: &[&Line], answered: &Line) -> String {
     if let Some(up) = find(own, "given_up") {
         let refusals = find(own, "attempt_ended").map_or("", |line| line.text("why"));
-        let last = match refusals.is_empty() {
-            true => String::new(),
-            false => format!(", the last gate refused it as {refusals}"),
+        let last = match (refusals.is_empty(), find(own, "exchange_broke")) {
+            (false, _) => format!(", the last gate refused it as {refusals}"),
+            (true, Some(broke)) => format!(", {}", broke.text("error")),
+            (true, None) => String::new(),
         };
         return format!("since {}{last}", up.text("reason"));
     }
