Name differing settings in the platform's package

Cause: the reload held a name of the platform, which its package alone may hold; the test of names failed. Change: the package names what differs; the node decides what it can take over.

--- a/crates/mesh/src/reload.rs
+++ b/crates/mesh/src/reload.rs
@@ -8,7 +8,7 @@
 
 use compact_str::CompactString;
 use oriolering::Millis;
-use oriolering_platform::{Bounds, Settings};
+use oriolering_platform::{BUDGET_SLACK_SETTING, Bounds, GRACE_SETTING, Settings};
 
 use crate::node::Node;
 use crate::trail::{Event, clip};
@@ -17,6 +17,9 @@
 /// the platform's bound on a new configuration.
 const LOOK_MS: u64 = 2_000;
 
+/// The settings that come into force while the node runs.
+const RELOADED: [&str; 2] = [GRACE_SETTING, BUDGET_SLACK_SETTING];
+
 /// What tells two versions of a file apart without reading it.
 type Stamp = Option<(SystemTime, u64)>;
 
@@ -66,8 +69,11 @@
                 return;
             }
         };
-        let changed = apply(node, settings.bounds);
-        let needs_restart = differences(&self.read, &settings);
+        apply(node, settings.bounds);
+        let differences = self.read.differences(&settings);
+        let (changed, needs_restart): (Vec<_>, Vec<_>) = differences
+            .into_iter()
+            .partition(|name| RELOADED.contains(name));
         self.read = settings;
         node.trail.note(Event::SettingsReloaded {
             cause,
@@ -82,45 +88,12 @@
     }
 }
 
-/// Puts new bounds in force, and returns the names of those that changed.
-fn apply(node: &Node, next: Bounds) -> Vec<&'static str> {
+/// Puts the bounds in force that can change while the node runs.
+fn apply(node: &Node, next: Bounds) {
     let mut bounds = node.bounds.get();
-    let mut changed = Vec::new();
-    if bounds.grace_ms != next.grace_ms {
-        bounds.grace_ms = next.grace_ms;
-        changed.push("bounds.grace_s");
-    }
-    if bounds.budget_slack != next.budget_slack {
-        bounds.budget_slack = next.budget_slack;
-        changed.push("bounds.budget_slack");
-    }
+    bounds.grace_ms = next.grace_ms;
+    bounds.budget_slack = next.budget_slack;
     node.bounds.set(bounds);
-    changed
-}
-
-/// Returns the names of the settings that differ and take a new start.
-fn differences(before: &Settings, after: &Settings) -> Vec<&'static str> {
-    let with_fixed = |settings: &Settings| Bounds {
-        grace_ms: 0,
-        budget_slack: 0,
-        ..settings.bounds
-    };
-    let all = [
-        ("node", before.node != after.node),
-        ("zone", before.zone != after.zone),
-        ("ip", before.ip != after.ip),
-        ("app_addr, service", before.backend != after.backend),
-        ("listen", before.listen != after.listen),
-        ("internal_ports", before.node_ports != after.node_ports),
-        ("bounds", with_fixed(before) != with_fixed(after)),
-        ("limits", before.limits != after.limits),
-        ("platform", before.store != after.store),
-        ("seeds", before.seeds != after.seeds),
-        ("heartbeat_ms", before.heartbeat_ms != after.heartbeat_ms),
-        ("bootstrap", before.first_start != after.first_start),
-    ];
-    let differ = all.into_iter().filter(|(_, differs)| *differs);
-    differ.map(|(name, _)| name).collect()
 }
 
 fn join(names: &[&str]) -> CompactString {
