--- a/crates/mesh/src/ingress.rs
+++ b/crates/mesh/src/ingress.rs
@@ -105,7 +105,8 @@
 /// Finds the route of a request and the part of it that takes it.
 fn plan(node: &Rc<Node>, request: &Request) -> Result<Job, Answer> {
     let id = headers::text(&request.headers, HEADERS.request).unwrap_or_default();
-    let story = Story::new(&node.trail, id);
+    let now = node.now();
+    let story = Story::new(&node.trail, id, now);
     if node.refusing.get() {
         let answer = dispatch::unavailable(STOPPED_BACK_MS);
         story.answered(None, &answer);
@@ -117,7 +118,6 @@
         story.answered(None, &answer);
         return Err(answer);
     };
-    let now = node.now();
     let map = &request.headers;
     let host = headers::text(map, header::HOST.as_str())
         .or_else(|| request.uri.host())
--- a/crates/mesh/src/race.rs
+++ b/crates/mesh/src/race.rs
@@ -86,6 +86,7 @@
         };
         if wants_second_run(run) && dispatch::may_send_second(node, job, progress) {
             job.story.chosen(
+                now,
                 &job.service,
                 &chosen,
                 work_ms,
--- a/crates/mesh/src/start.rs
+++ b/crates/mesh/src/start.rs
@@ -111,10 +111,7 @@
         tokio::select! {
             () = &mut stopped => break,
             _ = reload.recv() => file.run(&node, "signal"),
-            _ = ticks.tick() => {
-                tick(&node);
-                file.tick(&node);
-            }
+            _ = ticks.tick() => tick(&node, &mut file),
         }
     }
     end(&node).await;
@@ -136,9 +133,10 @@
         .context(ListenSnafu { address })
 }
 
-fn tick(node: &Rc<Node>) {
+fn tick(node: &Rc<Node>, file: &mut Reload) {
     let now = node.now();
-    node.trail.tick();
+    node.trail.tick(now);
+    file.tick(node, now);
     node.gate.probe();
     outbound::watch(node);
     news::chase(node);
@@ -170,7 +168,7 @@
             log::info!(active = node.active.get(); "new requests are refused");
         }
         outbound::watch(node);
-        node.trail.tick();
+        node.trail.tick(node.now());
         sleep(Duration::from_millis(STOP_TICK_MS)).await;
     }
     node.trail.note(Event::Stopped {
