--- a/crates/mesh/src/ingress.rs
+++ b/crates/mesh/src/ingress.rs
@@ -12,7 +12,7 @@
 use crate::dispatch::{self, Job};
 use crate::headers;
 use crate::node::Node;
-use crate::trail::Story;
+use crate::trail::{Standing, Story};
 
 /// The most requests of one connection that run at once.
 const PIPELINED: usize = 64;
@@ -107,11 +107,6 @@
     let id = headers::text(&request.headers, HEADERS.request).unwrap_or_default();
     let now = node.now();
     let story = Story::new(&node.trail, id, now);
-    if node.refusing.get() {
-        let answer = dispatch::unavailable(STOPPED_BACK_MS);
-        story.answered(None, &answer);
-        return Err(answer);
-    }
     let Some(published) = node.routes() else {
         story.unready();
         let answer = dispatch::unavailable(UNREADY_BACK_MS);
@@ -131,6 +126,12 @@
     let part = node.splitter.borrow_mut().choose(route, &mut rand::rng());
     let waits = headers::text(map, HEADERS.deadline).and_then(scan_deadline);
     let limit = waits.unwrap_or(route.timeout_ms).min(route.timeout_ms);
+    if node.stop.get().is_some_and(|stop| stop.refuses(now, limit)) {
+        story.given_up("the node is about to end", Standing::default(), limit);
+        let answer = dispatch::unavailable(STOPPED_BACK_MS);
+        story.answered(None, &answer);
+        return Err(answer);
+    }
     let routes = (published.table.version(), now.since(published.since));
     story.routed(route, part, routes, request.body.len());
     Ok(Job {
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -8,7 +8,7 @@
 use compact_str::CompactString;
 use ntex::http::DateService;
 use oriolering::{
-    Clock, FleetBudget, Millis, RouteTable, ServerList, ServerRecord, ServerState, Splitter,
+    Clock, FleetBudget, Millis, RouteTable, ServerList, ServerRecord, ServerState, Splitter, Stop,
     WorkTimes,
 };
 use oriolering_platform::{Bounds, Settings};
@@ -55,8 +55,8 @@
     /// When a peer was asked for news.
     pub(crate) asked: Cell<Option<Millis>>,
     pub(crate) stopping: Cell<bool>,
-    /// Whether new requests are refused, since the process is about to end.
-    pub(crate) refusing: Cell<bool>,
+    /// The end of the process, once it was told to stop.
+    pub(crate) stop: Cell<Option<Stop>>,
     /// The bounds in force, which may change while the node runs.
     pub(crate) bounds: Cell<Bounds>,
     /// The requests of callers that run.
@@ -93,7 +93,7 @@
             reading: Cell::new(false),
             asked: Cell::default(),
             stopping: Cell::new(false),
-            refusing: Cell::new(false),
+            stop: Cell::new(None),
             active: Cell::new(0),
         })
     }
@@ -237,6 +237,11 @@
         true
     }
 
+    /// Returns whether nothing runs here, for callers or at the gate.
+    pub(crate) fn is_idle(&self) -> bool {
+        self.active.get() == 0 && self.gate.load().running == 0
+    }
+
     /// Returns whether the node can serve callers.
     pub(crate) fn is_ready(&self) -> bool {
         let known = self.published.borrow().is_some();
--- a/crates/mesh/src/start.rs
+++ b/crates/mesh/src/start.rs
@@ -6,12 +6,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use oriolering::Stop;
 use oriolering_http::{Answer, Request, StatusCode};
 use oriolering_platform::{READY_PATH, Settings};
 use snafu::{ResultExt, Snafu};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::time::{Instant, MissedTickBehavior, interval, sleep};
+use tokio::time::{MissedTickBehavior, interval, sleep};
 
 use crate::node::Node;
 use crate::reload::Reload;
@@ -20,15 +21,6 @@
 
 /// The time between two looks at links, the list and the backend server, in milliseconds.
 const TICK_MS: u64 = 25;
-/// How long a node that was told to stop goes on for callers that do not know yet, in
-/// milliseconds: three polls of readiness.
-const NOTICE_MS: u64 = 3_200;
-/// The time before the end of the grace at which a node ends in any case, in milliseconds; a
-/// node whose machine is slow needs it to end by itself.
-const MARGIN_MS: u64 = 700;
-/// The time before its end in which a stopping node refuses new requests, in milliseconds; what
-/// it has taken before can end in it.
-const REFUSE_MS: u64 = 1_000;
 /// The time between two looks whether a stopping node is idle, in milliseconds.
 const STOP_TICK_MS: u64 = 50;
 /// The bounds of connections that ask for readiness.
@@ -155,25 +147,18 @@
     node.trail.stop();
     node.stopping.set(true);
     node.gate.leave();
-    let begun = Instant::now();
-    let notice = begun + Duration::from_millis(NOTICE_MS.min(grace));
-    let last = begun + Duration::from_millis(grace.saturating_sub(MARGIN_MS));
-    loop {
-        let now = Instant::now();
-        let idle = node.active.get() == 0 && node.gate.load().running == 0;
-        if now >= last || (idle && now >= notice) {
-            break;
-        }
-        if now + Duration::from_millis(REFUSE_MS) >= last && !node.refusing.replace(true) {
-            log::info!(active = node.active.get(); "new requests are refused");
-        }
+    let begun = node.now();
+    let stop = Stop::new(begun, grace);
+    node.stop.set(Some(stop));
+    while !stop.is_over(node.now(), node.is_idle()) {
         outbound::watch(node);
+        news::chase(node);
         node.trail.tick(node.now());
         sleep(Duration::from_millis(STOP_TICK_MS)).await;
     }
     node.trail.note(Event::Stopped {
         active: node.active.get() as u64,
-        after_ms: begun.elapsed().as_millis() as u64,
+        after_ms: node.now().since(begun),
     });
 }
 
--- a/crates/mesh/src/trail/story.rs
+++ b/crates/mesh/src/trail/story.rs
@@ -61,7 +61,7 @@
 }
 
 /// What an ingress knows of a request after an attempt.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Standing {
     /// The backend servers that it was sent to.
     pub(crate) sends: u32,
