Send back what waits at a gate whose backend server became slow

Ruled out: placement; the gate was the best when they were sent. Change: a gate refuses a waiting request that is expected to end sooner elsewhere once its pace has changed, and the work done is counted at the pace of each moment.

--- a/crates/mesh/src/race.rs
+++ b/crates/mesh/src/race.rs
@@ -14,6 +14,8 @@
 use crate::reply::Reply;
 use crate::spots::Chosen;
 
+/// The usual pace of a backend server, as a percentage.
+const USUAL_PERCENT: u64 = 100;
 /// The time between two looks at a run, in milliseconds; a tenth of the time for which a noisy
 /// neighbour slows a backend server down.
 const LOOK_MS: u64 = 30;
@@ -63,23 +65,31 @@
     work_ms: u64,
 ) -> Chosen {
     let started = node.now();
+    let (mut looked, mut done_us) = (started, 0);
     loop {
         sleep(Duration::from_millis(LOOK_MS)).await;
         let now = node.now();
+        let pace = node
+            .spots
+            .borrow()
+            .pace(now, server)
+            .unwrap_or(USUAL_PERCENT);
+        done_us += now.since(looked) * 1_000 * USUAL_PERCENT / pace.max(USUAL_PERCENT);
+        looked = now;
         let load = dispatch::load_of(node, job);
         let mut tried = progress.tried().to_vec();
         tried.push(server.clone());
         let spots = node.spots.borrow();
         let chosen = spots.choose(now, &job.service, load, &tried, &mut rand::rng());
-        let percent = spots.pace(now, server).unwrap_or(100);
         drop(spots);
         let Some(chosen) = chosen else {
             continue;
         };
         let run = Run {
             elapsed_ms: now.since(started),
+            done_ms: done_us / 1_000,
             work_ms,
-            percent,
+            percent: pace,
             elsewhere_ms: chosen.place.expected_ms,
             aim_ms: (job.arrived + job.route.aim_ms).since(now),
             left_ms: job.deadline.since(now),
--- a/crates/oriolering/src/room.rs
+++ b/crates/oriolering/src/room.rs
@@ -187,6 +187,9 @@
         if let Some(turn) = self.scan_hopeless(now) {
             return Some(turn);
         }
+        if let Some(turn) = self.scan_misplaced() {
+            return Some(turn);
+        }
         if self.running >= self.capacity() {
             return None;
         }
@@ -246,6 +249,19 @@
         Millis(job.deadline.0.saturating_sub(run + RETURN_MS))
     }
 
+    /// Finds a waiting request that is expected to end sooner elsewhere, since the backend
+    /// server became slow while it waited.
+    fn scan_misplaced(&mut self) -> Option<Turn> {
+        if self.percent < SLOW_PERCENT {
+            return None;
+        }
+        let run = |job: &Job| job.work_ms * u64::from(self.percent) / 100;
+        let misplaced = |job: &Job| self.is_better_elsewhere(*job, run(job));
+        let index = self.waiting.iter().position(|(_, job)| misplaced(job))?;
+        let (key, _) = self.waiting.remove(index)?;
+        Some(Turn::Refuse(key, NoRoom::Elsewhere))
+    }
+
     /// Finds a waiting request that cannot end before its deadline any more.
     fn scan_hopeless(&mut self, now: Millis) -> Option<Turn> {
         let late = |job: &Job| self.latest_start(job) < now;
--- a/crates/oriolering/src/second_run.rs
+++ b/crates/oriolering/src/second_run.rs
@@ -18,6 +18,8 @@
 pub struct Run {
     /// How long it has run, in milliseconds.
     pub elapsed_ms: u64,
+    /// How much of its work is done, as milliseconds at the usual pace.
+    pub done_ms: u64,
     /// How long it takes at the usual pace, in milliseconds.
     pub work_ms: u64,
     /// How long work takes at its backend server now, as a percentage of the usual duration.
@@ -33,7 +35,7 @@
 impl Run {
     /// Returns how much longer the run is expected to take.
     fn remaining_ms(self) -> u64 {
-        let done = self.elapsed_ms.min(self.work_ms * 9 / 10);
+        let done = self.done_ms.min(self.work_ms * 9 / 10);
         let rest = self.work_ms - done;
         let slow = rest * self.percent / 100;
         slow.min(SLOW_MS + rest)
--- a/crates/oriolering/tests/room.rs
+++ b/crates/oriolering/tests/room.rs
@@ -494,3 +494,21 @@
         prop_assert!(waiting.is_empty());
     }
 }
+
+#[test]
+fn sends_back_what_waits_when_the_backend_server_becomes_slow() {
+    let now = Millis(0);
+    let mut room = Room::new(5);
+    let job = Job {
+        priority: 1,
+        aim: now + 600,
+        deadline: now + 1_500,
+        work_ms: 255,
+        elsewhere_ms: Some(316),
+    };
+    while room.offer(now, job) == Entry::Start {}
+    assert_eq!(room.next(now), None, "it is as good here as elsewhere");
+    room.set_pace(400);
+    let turn = room.next(now + 20);
+    assert!(matches!(turn, Some(Turn::Refuse(_, NoRoom::Elsewhere))));
+}
