Read what holds now after a restart, and send nothing to another backend server's address

Ruled out: the gates' own state; a fresh read has the right list at once. Change: only the first start of the whole system takes an old reading; a gate refuses, unsent, what is meant for another backend server than the one that answers at its address; one that answers 421 is avoided for two seconds, and other refusals count as failures of a backend server.

--- a/crates/mesh/src/dispatch.rs
+++ b/crates/mesh/src/dispatch.rs
@@ -19,6 +19,9 @@
 
 /// The most gates that may refuse one request before its caller is told to come back.
 const REFUSALS_MAX: u32 = 4;
+/// How long a backend server is avoided whose address answered for another one, in
+/// milliseconds; the list has changed by then.
+const MOVED_MS: u64 = 2_000;
 /// The time to come back after, when no gate told one, in milliseconds.
 const BACK_MS: u64 = 100;
 /// The part of the time left within which a caller comes back, in percent; callers do not wait
@@ -217,9 +220,16 @@
             return None;
         }
         Reply::Ended {
-            ending: Ending::Unexecuted { .. },
+            ending: Ending::Unexecuted { status },
             ..
         } => {
+            let moved = status == StatusCode::MISDIRECTED_REQUEST.as_u16();
+            node.spots
+                .borrow_mut()
+                .with_site(&server, |site| match moved {
+                    true => site.suspect = now + MOVED_MS,
+                    false => site.record(now, true),
+                });
             progress.sends += 1;
             progress.tried.push(server);
         }
--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -53,6 +53,8 @@
     probes_lost: Cell<u32>,
     down_since: Cell<Option<Millis>>,
     leaving: Cell<bool>,
+    /// The identity with which the backend server answered last.
+    answers_as: RefCell<Option<CompactString>>,
     /// Whether the list says that the backend server leaves.
     server_leaves: Cell<bool>,
     server: RefCell<CompactString>,
@@ -82,6 +84,7 @@
             probes_lost: Cell::new(0),
             down_since: Cell::new(None),
             leaving: Cell::new(false),
+            answers_as: RefCell::default(),
             server_leaves: Cell::new(false),
             server: RefCell::default(),
         }
@@ -129,6 +132,11 @@
         self.offered.set(arrived);
         let work_ms = u64::from(offer.work_ms);
         let mut visit = Visit::new(&self.trail, &offer, arrived);
+        if self.is_another(&offer.server) {
+            let why = NoRoom::Down;
+            visit.refused(why, 0, self.known(arrived));
+            return (Ending::Refused { why, back_ms: 0 }, Bytes::new());
+        }
         if let Err(why) = self.enter(arrived, &offer, &mut visit).await {
             let back_ms = self.room.borrow().back_ms(work_ms) as u32;
             visit.refused(why, u64::from(back_ms), self.known(self.clock.now()));
@@ -282,6 +290,9 @@
 
     /// Takes in the load that an answer of the backend server tells.
     fn hear(&self, map: &HeaderMap) {
+        if let Some(id) = headers::text(map, HEADERS.server) {
+            *self.answers_as.borrow_mut() = Some(id.into());
+        }
         let Some(load) = headers::text(map, HEADERS.load).and_then(scan_load) else {
             return;
         };
@@ -313,6 +324,7 @@
     }
 
     fn note_down(&self, e: &ExchangeError) {
+        *self.answers_as.borrow_mut() = None;
         if self.leaving.get() || self.load().closed {
             return;
         }
@@ -321,6 +333,14 @@
         self.tell();
     }
 
+    /// Returns whether the backend server said last that it is another one than `server`.
+    ///
+    /// An address may be given to another backend server before the list tells it.
+    fn is_another(&self, server: &str) -> bool {
+        let answers_as = self.answers_as.borrow();
+        answers_as.as_ref().is_some_and(|id| id != server)
+    }
+
     /// Returns what is known at a decision.
     fn known(&self, now: Millis) -> Known {
         Known {
--- a/crates/mesh/src/source.rs
+++ b/crates/mesh/src/source.rs
@@ -135,10 +135,16 @@
         }
     }
 
-    /// Reads what the store knew a moment ago, which is cheap and names the first peers.
+    /// Reads what names the first peers.
     ///
-    /// The list counts as incomplete, so that what is newer comes from peers or from a watch.
+    /// Where the whole system starts for the first time, what the store knew a moment ago does,
+    /// and is cheap; the list counts as incomplete then, so that what is newer comes from peers
+    /// or from a watch. A node that starts again reads what holds now, since addresses may have
+    /// been given to other backend servers.
     async fn begin(&mut self) -> Result<(), SourceError> {
+        if !self.node.settings.first_start {
+            return self.read_all().await.map(drop);
+        }
         let mut after: Option<CompactString> = None;
         loop {
             let path = range_path(ALL_KEYS, after.as_deref(), true);
