--- a/crates/mesh/tests/failures.rs
+++ b/crates/mesh/tests/failures.rs
@@ -391,3 +391,18 @@
         }
     });
 }
+
+#[test]
+fn nothing_is_sent_to_an_address_that_answers_as_another_backend_server() {
+    run(async {
+        let fleet = Fleet::serving(&["front", "s"]).await;
+        let served = fleet.call(0, &get("/get/before")).await;
+        assert_eq!(served.status, 200);
+        fleet.withdraw(1);
+        fleet.publish_as(1, "i-old");
+        pass(300).await;
+        let reply = fleet.call(0, &get("/get/after")).await;
+        assert_eq!(reply.status, 503);
+        assert_eq!(fleet.seen("/get/after"), 0);
+    });
+}
--- a/crates/mesh/tests/support/mod.rs
+++ b/crates/mesh/tests/support/mod.rs
@@ -101,6 +101,16 @@
 
     /// Writes the entry of a backend server to the store.
     pub fn publish(&self, index: usize, state: &str) {
+        let id = self.instances[index].backend.id.clone();
+        self.write_entry(index, &id, state);
+    }
+
+    /// Writes an entry with another identity at the address of a backend server.
+    pub fn publish_as(&self, index: usize, id: &str) {
+        self.write_entry(index, id, "ready");
+    }
+
+    fn write_entry(&self, index: usize, id: &str, state: &str) {
         let backend = &self.instances[index].backend;
         let entry = json!({
             "service": backend.service,
@@ -112,7 +122,7 @@
             "cold_remaining_ms": 0,
             "sequence": 1,
         });
-        self.store.put(&format!("servers/{}", backend.id), &entry);
+        self.store.put(&format!("servers/{id}"), &entry);
     }
 
     /// Removes the entry of a backend server from the store.
