Count what repeats spend, by service and window, and the calls of repeated runs

Change: an offer says whether the request may have reached a backend server before, the gate's node keeps the identities of what runs, and an identity that names such a run as its parent is counted. No decision changes.

--- a/crates/mesh/src/counts.rs
+++ b/crates/mesh/src/counts.rs
@@ -31,6 +31,8 @@
     "lost",
     "unlinked",
 ];
+/// What was sent again: a second try, a second run, a call that a repeated run made.
+pub(crate) const REPEATS: [&str; 3] = ["try", "run", "call"];
 /// Why a gate refuses a request.
 pub(crate) const REFUSALS: [&str; 6] = [
     "elsewhere",
@@ -156,6 +158,7 @@
     pub(crate) late: Count,
     pub(crate) attempts: Words<{ ATTEMPTS.len() }>,
     pub(crate) second_tries: Count,
+    pub(crate) repeats: Words<{ REPEATS.len() }>,
     pub(crate) request_ms: Durations,
     pub(crate) admitted: Count,
     pub(crate) queued: Count,
@@ -188,6 +191,7 @@
             late: Count::default(),
             attempts: Words::new(ATTEMPTS),
             second_tries: Count::default(),
+            repeats: Words::new(REPEATS),
             request_ms: Durations::default(),
             admitted: Count::default(),
             queued: Count::default(),
--- a/crates/mesh/src/dispatch.rs
+++ b/crates/mesh/src/dispatch.rs
@@ -9,6 +9,7 @@
 use smallvec::SmallVec;
 use tokio::time::timeout;
 
+use crate::budgets::Repeat;
 use crate::frame::{Answered, Ending, Headers, Offer};
 use crate::headers;
 use crate::node::Node;
@@ -43,6 +44,8 @@
     pub(crate) target: String,
     pub(crate) headers: Headers,
     pub(crate) body: Bytes,
+    /// Whether a repeated run of another request made it.
+    pub(crate) repeat: bool,
     /// What is written down of it.
     pub(crate) story: Story,
 }
@@ -73,6 +76,11 @@
         self.tried.push(server);
     }
 
+    /// Returns whether the request was sent to a backend server.
+    pub(crate) fn is_sent(&self) -> bool {
+        self.sends > 0
+    }
+
     /// Returns the backend servers that are not to be tried again.
     pub(crate) fn tried(&self) -> &[CompactString] {
         &self.tried
@@ -89,7 +97,7 @@
 
 /// Sends a request to backend servers until one answers, or nothing more can be done.
 pub(crate) async fn dispatch(node: Rc<Node>, job: Job) -> Answer {
-    node.with_budget(&job.service, |b| b.deposit(node.now()));
+    node.deposit(&job.service, job.repeat);
     let mut progress = Progress::default();
     let left = job.deadline.since(node.now());
     let attempts = attempts(&node, &job, &mut progress);
@@ -151,12 +159,14 @@
     }
 }
 
-/// Sends a request to the chosen gate.
+/// Sends a request to the chosen gate; `repeat` tells whether it may have reached a backend
+/// server before.
 pub(crate) async fn send(
     node: &Rc<Node>,
     job: &Job,
     chosen: Chosen,
     work_ms: u64,
+    repeat: bool,
 ) -> (CompactString, Reply) {
     let now = node.now();
     let offer = Offer {
@@ -165,6 +175,7 @@
         route: job.route_hash,
         fingerprint: job.fingerprint,
         idempotent: job.route.kind.is_idempotent(),
+        repeat: repeat || job.repeat,
         priority: job.route.priority,
         aim_ms: (job.arrived + job.route.aim_ms).since(now) as u32,
         left_ms: job.deadline.since(now) as u32,
@@ -361,7 +372,7 @@
     if progress.sends >= job.route.attempts {
         return false;
     }
-    spend(node, job)
+    node.spend(&job.service, Repeat::Try)
 }
 
 /// Returns whether a second run may begin beside one that is under way, and spends from the
@@ -374,18 +385,7 @@
     if node.suspects.is_suspect(job.fingerprint) {
         return false;
     }
-    spend(node, job)
-}
-
-fn spend(node: &Rc<Node>, job: &Job) -> bool {
-    let now = node.now();
-    node.with_budget(&job.service, |budget| {
-        let allowed = budget.allows(now);
-        if allowed {
-            budget.spend(now);
-        }
-        allowed
-    })
+    node.spend(&job.service, Repeat::Run)
 }
 
 /// Returns the final answer to a request for which nothing more can be done.
--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -23,6 +23,7 @@
 use crate::outgoing;
 use crate::pool::Pool;
 use crate::pulse::Pulse;
+use crate::runs::Runs;
 use crate::suspects::Suspects;
 use crate::trail::{Known, Trail, Visit};
 
@@ -54,6 +55,8 @@
     waiters: RefCell<HashMap<JobKey, oneshot::Sender<Result<(), NoRoom>>>>,
     listeners: Listeners,
     suspects: Rc<Suspects>,
+    /// What runs at the backend server.
+    pub(crate) runs: Runs,
     /// Held while somebody looks whether the backend server has crashed; when that was done.
     looked: Mutex<Option<Millis>>,
     pulse: Pulse,
@@ -87,6 +90,7 @@
             waiters: RefCell::default(),
             listeners: Listeners::default(),
             suspects,
+            runs: Runs::default(),
             looked: Mutex::default(),
             offered: Cell::new(now),
             probing: Cell::new(false),
@@ -269,6 +273,7 @@
         let echo = (!id.is_empty()).then_some(id);
         let wanted = |head: &ResponseHead| headers::text(&head.headers, HEADERS.request) == echo;
         let running = self.suspects.enter(&offer);
+        let _run = self.runs.enter(id, offer.repeat);
         let result = conn.exchange(request, wanted).await;
         let now = self.clock.now();
         match result {
--- a/crates/mesh/src/ingress.rs
+++ b/crates/mesh/src/ingress.rs
@@ -5,7 +5,7 @@
 
 use oriolering::Route;
 use oriolering_http::{Answer, ConnLimits, Request, StatusCode, header};
-use oriolering_platform::{HEADERS, scan_deadline};
+use oriolering_platform::{HEADERS, scan_deadline, scan_parent};
 use tokio::net::TcpListener;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -139,6 +139,7 @@
     story.trace(&mut headers);
     story.routed(&route, part, routes, request.body.len());
     let service = &route.parts[part].service;
+    let repeat = scan_parent(id).is_some_and(|parent| node.gate.runs.is_repeat(parent));
     Ok(Job {
         story,
         request: id.into(),
@@ -152,6 +153,7 @@
         target: target(request),
         headers,
         body: request.body.clone(),
+        repeat,
     })
 }
 
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -8,6 +8,7 @@
 //! Decisions are in [`oriolering`], connections in [`oriolering_http`], and the platform's
 //! names and formats in [`oriolering_platform`].
 
+mod budgets;
 mod counts;
 mod dispatch;
 mod fingerprint;
@@ -32,6 +33,7 @@
 mod reload;
 mod reply;
 mod routes_text;
+mod runs;
 mod source;
 mod spots;
 mod start;
--- a/crates/mesh/src/metrics.rs
+++ b/crates/mesh/src/metrics.rs
@@ -154,6 +154,7 @@
     counter(meter, counts, "late_answers_total", |c| &c.late);
     words(meter, counts, "attempts_total", "outcome", |c| &c.attempts);
     counter(meter, counts, "second_tries_total", |c| &c.second_tries);
+    words(meter, counts, "repeats_total", "kind", |c| &c.repeats);
     durations(meter, counts, "request_ms", |c| &c.request_ms);
     gauge(meter, counts, "requests_active", |c| &c.active);
 }
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -5,15 +5,14 @@
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 
-use compact_str::CompactString;
 use ntex::http::DateService;
 use oriolering::{
-    Clock, FleetBudget, Millis, RouteTable, ServerList, ServerRecord, ServerState, Splitter, Stop,
-    WorkTimes,
+    Clock, Millis, RouteTable, ServerList, ServerRecord, ServerState, Splitter, Stop, WorkTimes,
 };
 use oriolering_platform::{Bounds, Settings};
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::budgets::{Budgets, Repeat};
 use crate::gate::Gate;
 use crate::news::News;
 use crate::peer::Peer;
@@ -80,7 +79,7 @@
     pub(crate) suspects: Rc<Suspects>,
     pub(crate) work: RefCell<WorkTimes>,
     pub(crate) splitter: RefCell<Splitter>,
-    budgets: RefCell<HashMap<CompactString, FleetBudget>>,
+    budgets: Budgets,
     /// Whether this node watches the store.
     pub(crate) reading: Cell<bool>,
     /// What is asked and sent of news.
@@ -99,6 +98,7 @@
     pub(crate) fn new(settings: Settings, lines: Lines) -> Rc<Self> {
         let clock = Clock::system();
         let trail = Rc::new(Trail::new(&settings.node, clock.clone(), lines));
+        let budgets = Budgets::new(Rc::clone(&trail), clock.now());
         let date = DateService::default();
         let incarnation = rand::random();
         let suspects = Suspects::new(clock.clone(), Rc::clone(&trail), incarnation);
@@ -125,7 +125,7 @@
             suspects,
             work: RefCell::default(),
             splitter: RefCell::default(),
-            budgets: RefCell::default(),
+            budgets,
             reading: Cell::new(false),
             news: News::default(),
             stopping: Cell::new(false),
@@ -152,22 +152,30 @@
             .map_or(0, |p| p.table.version())
     }
 
-    /// Changes the budget for second tries at a service.
-    pub(crate) fn with_budget<T>(
-        &self,
-        service: &str,
-        change: impl FnOnce(&mut FleetBudget) -> T,
-    ) -> T {
-        let bounds = self.bounds.get();
-        let nodes = self.peers.borrow().len() as u64 + 1;
-        let slack = bounds.budget_slack / nodes;
-        let mut budgets = self.budgets.borrow_mut();
-        let budget = budgets.entry(service.into()).or_insert_with(|| {
-            let percent = (bounds.retry_budget_ratio * 100.0) as u64;
-            FleetBudget::new(percent, slack, bounds.budget_window_ms)
-        });
-        budget.set_slack(slack);
-        change(budget)
+    /// Counts a request for a service; `repeat` tells whether a repeated run made it.
+    pub(crate) fn deposit(&self, service: &str, repeat: bool) {
+        let (now, bounds, nodes) = (self.now(), self.bounds.get(), self.nodes());
+        self.budgets.deposit(now, service, bounds, nodes);
+        if repeat {
+            self.budgets.note_call(now, service, bounds, nodes);
+        }
+    }
+
+    /// Spends from the budget of a service, if it allows that.
+    pub(crate) fn spend(&self, service: &str, repeat: Repeat) -> bool {
+        let (bounds, nodes) = (self.bounds.get(), self.nodes());
+        self.budgets
+            .spend(self.now(), service, bounds, nodes, repeat)
+    }
+
+    /// Tells from time to time what was spent.
+    pub(crate) fn tell_spending(&self, now: Millis) {
+        self.budgets.tick(now, self.nodes());
+    }
+
+    /// Returns how many nodes there are, by the list.
+    fn nodes(&self) -> u64 {
+        self.peers.borrow().len() as u64 + 1
     }
 
     /// Takes over what the list from `source` says: who can be chosen, and which nodes are peers.
--- a/crates/mesh/src/race.rs
+++ b/crates/mesh/src/race.rs
@@ -29,7 +29,8 @@
     work_ms: u64,
 ) -> (CompactString, Reply) {
     let server = chosen.server.clone();
-    let mut first = pin!(dispatch::send(node, job, chosen, work_ms));
+    let repeat = progress.is_sent();
+    let mut first = pin!(dispatch::send(node, job, chosen, work_ms, repeat));
     if !job.route.kind.is_idempotent() {
         return first.await;
     }
@@ -38,7 +39,7 @@
         result = &mut first => return result,
         second = wait_for_second(node, job, progress, &server, work_ms) => second,
     };
-    let mut second = pin!(dispatch::send(node, job, second, work_ms));
+    let mut second = pin!(dispatch::send(node, job, second, work_ms, true));
     tokio::select! {
         biased;
         result = &mut first => match is_good(&result.1) {
--- a/crates/mesh/src/trail/event.rs
+++ b/crates/mesh/src/trail/event.rs
@@ -179,6 +179,15 @@
         after_ms: u64,
         stopping: bool,
     },
+    /// What was spent on repeats at a service, in the window that ends now.
+    BudgetSpent {
+        service: CompactString,
+        requests: u64,
+        repeats: u64,
+        calls: u64,
+        allowed: u64,
+        nodes: u64,
+    },
     /// The process runs.
     Started {
         service: CompactString,
@@ -349,6 +358,7 @@
             | Self::Stopping { .. }
             | Self::Stopped { .. }
             | Self::SettingsReloaded { .. }
+            | Self::BudgetSpent { .. }
             | Self::StoreBack { .. }
             | Self::StoreCompacted { .. }
             | Self::StoreRead { .. }
--- a/crates/mesh/src/trail/tally.rs
+++ b/crates/mesh/src/trail/tally.rs
@@ -40,6 +40,7 @@
             | Event::Ran { .. }
             | Event::ExchangeBroke { .. }
             | Event::Suspected { .. }
+            | Event::BudgetSpent { .. }
             | Event::Started { .. }
             | Event::Stopping { .. }
             | Event::Stopped { .. }
--- a/crates/oriolering/src/fleet_budget.rs
+++ b/crates/oriolering/src/fleet_budget.rs
@@ -18,6 +18,21 @@
     window_ms: u64,
     requests: VecDeque<Millis>,
     repeats: VecDeque<Millis>,
+    /// The calls that repeated runs made.
+    calls: VecDeque<Millis>,
+}
+
+/// What a [`FleetBudget`] counted in its window.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Spending {
+    /// The requests that entered.
+    pub requests: u64,
+    /// The second tries and second runs.
+    pub repeats: u64,
+    /// The calls that repeated runs made.
+    pub calls: u64,
+    /// The second tries and second runs that are allowed.
+    pub allowed: u64,
 }
 
 impl FleetBudget {
@@ -29,6 +44,7 @@
             window_ms,
             requests: VecDeque::new(),
             repeats: VecDeque::new(),
+            calls: VecDeque::new(),
         }
     }
 
@@ -46,9 +62,18 @@
     /// Returns whether one more request may be sent again.
     pub fn allows(&mut self, now: Millis) -> bool {
         self.expire(now);
-        let share = self.requests.len() as u64 * self.percent / 100;
-        let allowed = (share + self.slack) * USED_PERCENT / 100;
-        (self.repeats.len() as u64) < allowed
+        (self.repeats.len() as u64) < self.allowed()
+    }
+
+    /// Returns what was counted in the window that ends now.
+    pub fn spending(&mut self, now: Millis) -> Spending {
+        self.expire(now);
+        Spending {
+            requests: self.requests.len() as u64,
+            repeats: self.repeats.len() as u64,
+            calls: self.calls.len() as u64,
+            allowed: self.allowed(),
+        }
     }
 
     /// Counts a request that is sent again.
@@ -56,9 +81,19 @@
         self.repeats.push_back(now);
     }
 
+    /// Counts a call that a repeated run made.
+    pub fn note_call(&mut self, now: Millis) {
+        self.calls.push_back(now);
+    }
+
+    fn allowed(&self) -> u64 {
+        let share = self.requests.len() as u64 * self.percent / 100;
+        (share + self.slack) * USED_PERCENT / 100
+    }
+
     fn expire(&mut self, now: Millis) {
         let window = self.window_ms;
-        for times in [&mut self.requests, &mut self.repeats] {
+        for times in [&mut self.requests, &mut self.repeats, &mut self.calls] {
             while times.front().is_some_and(|t| now.since(*t) >= window) {
                 times.pop_front();
             }
--- a/crates/oriolering/src/lib.rs
+++ b/crates/oriolering/src/lib.rs
@@ -85,7 +85,7 @@
 pub use explain::{Class, Explanation};
 pub use fan_out::{FAN_OUT, FanOut};
 pub use fate::Fate;
-pub use fleet_budget::FleetBudget;
+pub use fleet_budget::{FleetBudget, Spending};
 pub use gate::Gate;
 pub use gate_load::GateLoad;
 pub use header::{
