Add a failing test: calls of repeated runs exceed the budget of the called service

Cause: a repeat spends from the budget of its own service alone, and the calls that its run makes are counted nowhere. Callers see nothing; the called service gets more repeats than is allowed.

--- /dev/null
+++ b/crates/mesh/tests/budget.rs
@@ -0,0 +1,40 @@
+//! What repeats cost the services that they lead to.
+
+mod support;
+
+use support::raw::{pass, run};
+use support::{Fleet, config_with_calls, get};
+
+/// The requests of callers, each of which is broken off once.
+const REQUESTS: usize = 10;
+/// The calls that each run of one makes.
+const CALLS: usize = 20;
+/// The platform's documented bounds: repeats in percent of the requests, and the slack.
+const PERCENT: usize = 20;
+const SLACK: usize = 60;
+
+#[test]
+fn calls_of_repeated_runs_stay_within_the_budget_of_the_called_service() {
+    run(async {
+        let mut fleet = Fleet::new(&["front", "s", "s", "t"]).await;
+        fleet.store.put("op/config", &config_with_calls(1));
+        fleet.start_all();
+        fleet.settle().await;
+        for number in 0..REQUESTS {
+            let target = format!("/get/call/{CALLS}/reset-once?{number}");
+            let request = get(&target).replace("id-1", &format!("id-{number}"));
+            fleet.call(0, &request).await;
+        }
+        pass(50).await;
+        let called = fleet.seen_like("/inner/");
+        let repeated: usize = (0..REQUESTS)
+            .map(|number| fleet.seen_like(&format!("/inner/echo?{number}-repeat-")))
+            .sum();
+        let allowed = called * PERCENT / 100 + SLACK;
+        assert!(repeated > 0, "no run was repeated");
+        assert!(
+            repeated <= allowed,
+            "{repeated} of {called} calls were made by repeated runs, {allowed} are allowed"
+        );
+    });
+}
--- a/crates/mesh/tests/support/backend.rs
+++ b/crates/mesh/tests/support/backend.rs
@@ -2,7 +2,10 @@
 //!
 //! The last parts of the path name the behaviour: `echo`, `slow/MS`, `fail`, `unsigned`,
 //! `misdirected`, `full`, `reset`, `reset-once`, which resets the first of all backend servers
-//! that see the target, and `crash`, which ends the backend server with all its connections.
+//! that see the target, `crash`, which ends the backend server with all its connections, and
+//! `call/N` and `call/N/reset-once`, which first make N calls, one after the other, to the route
+//! `inner` through the node of the instance. Their queries name the caller's query, `first` or
+//! `repeat`, and a number.
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashSet;
@@ -17,7 +20,8 @@
 use tokio::sync::Notify;
 use tokio::task::AbortHandle;
 
-use super::raw::pass;
+use super::raw::{Raw, pass};
+use super::{CALLERS_PORT, get};
 
 const LIMITS: ConnLimits = ConnLimits {
     header_bytes: 65_536,
@@ -247,6 +251,18 @@
                 std::future::pending().await
             }
             ["reset-once"] if is_first(target) => reset(cut).await,
+            ["call", calls] => {
+                self.make_calls(request, calls, is_first(target)).await;
+                self.signed(StatusCode::OK, request, Some("called"))
+            }
+            ["call", calls, "reset-once"] => {
+                let first = is_first(target);
+                self.make_calls(request, calls, first).await;
+                match first {
+                    true => reset(cut).await,
+                    false => self.signed(StatusCode::OK, request, Some("called")),
+                }
+            }
             _ => {
                 let id = self.answers_as.borrow().clone();
                 let body = [id.as_bytes(), b" ", &request.body].concat();
@@ -260,6 +276,22 @@
         }
     }
 
+    /// Makes calls to other services, as a part of running `request`.
+    async fn make_calls(&self, request: &Request, calls: &str, first: bool) {
+        let id = request.headers.get("oriolering-request-id");
+        let parent = id.expect("an identity").to_str().expect("text");
+        let query = request.uri.query().unwrap_or_default();
+        let run = if first { "first" } else { "repeat" };
+        let node = SocketAddr::new(self.address.ip(), CALLERS_PORT);
+        for number in 0..calls.parse().expect("a number") {
+            let target = format!("/inner/echo?{query}-{run}-{number}");
+            let call = get(&target).replace("id-1", &format!("{parent}.{run}{number}"));
+            let mut caller = Raw::connect(node).await;
+            caller.send(call).await;
+            caller.reply().await;
+        }
+    }
+
     fn signed(&self, status: StatusCode, request: &Request, body: Option<&str>) -> Answer {
         let mut answer = self.unsigned(status, request);
         set(&mut answer, "oriolering-response-signature", SIGNATURE);
--- a/crates/mesh/tests/support/mod.rs
+++ b/crates/mesh/tests/support/mod.rs
@@ -425,6 +425,17 @@
     })
 }
 
+/// Returns a configuration in which the route `inner` leads to the service `t`.
+pub fn config_with_calls(version: u64) -> Value {
+    let mut config = config(version, "s");
+    let mut inner = config["routes"][0].clone();
+    inner["name"] = "inner".into();
+    inner["prefix"] = "/inner/".into();
+    inner["service"] = "t".into();
+    config["routes"].as_array_mut().expect("a list").push(inner);
+    config
+}
+
 /// Returns a request with an identity and a deadline of its own.
 pub fn get(target: &str) -> String {
     request("GET", target, "", "")
