Count a repeat from its decision until a window after it may have arrived

Fault: the budget counted a repeat for one window from the decision on it, while the rule counts arrivals. Repeats that are under way for long (a request with a deadline of 6 or 8 s, a frozen node, a link that stalls) arrive bunched with those decided a window later, and a repeat that a gate refused counted although it never arrived. Change: a repeat is held before it is sent, counts while it is under way, and for one more window from the end of its attempt; one that did not arrive is given back. A guard that is dropped on the way counts as arrived.

--- a/crates/mesh/src/budgets.rs
+++ b/crates/mesh/src/budgets.rs
@@ -1,11 +1,11 @@
-//! The budgets for second tries of one node, by service.
+//! The budgets for repeats of one node, by service.
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
 
 use compact_str::CompactString;
-use oriolering::{FleetBudget, Millis, Spending};
+use oriolering::{Clock, FleetBudget, Millis, Spending};
 use oriolering_platform::Bounds;
 
 use crate::trail::{Event, Trail};
@@ -42,56 +42,66 @@
 
 /// The budgets of the services that requests entered for.
 pub(crate) struct Budgets {
+    clock: Clock,
     trail: Rc<Trail>,
+    bounds: Cell<Bounds>,
+    /// How many nodes share the slack.
+    nodes: Cell<u64>,
     entries: RefCell<HashMap<CompactString, Entry>>,
     told: Cell<Millis>,
 }
 
 impl Budgets {
     /// Returns the budgets of a node that starts now.
-    pub(crate) fn new(trail: Rc<Trail>, now: Millis) -> Self {
+    pub(crate) fn new(clock: Clock, trail: Rc<Trail>, bounds: Bounds) -> Self {
+        let told = Cell::new(clock.now());
         Self {
+            clock,
             trail,
+            bounds: Cell::new(bounds),
+            nodes: Cell::new(1),
             entries: RefCell::default(),
-            told: Cell::new(now),
+            told,
         }
     }
 
+    /// Puts other bounds in force.
+    pub(crate) fn set_bounds(&self, bounds: Bounds) {
+        self.bounds.set(bounds);
+    }
+
+    /// Takes in how many nodes the list names, this one included.
+    pub(crate) fn see_nodes(&self, nodes: u64) {
+        self.nodes.set(nodes);
+    }
+
     /// Counts a request for a service.
-    pub(crate) fn deposit(&self, now: Millis, service: &str, bounds: Bounds, nodes: u64) {
-        self.with(service, bounds, nodes, |budget| budget.deposit(now));
+    pub(crate) fn deposit(&self, service: &str) {
+        let now = self.clock.now();
+        self.with(service, |budget| budget.deposit(now));
     }
 
-    /// Spends on a second try or run, if the budget allows it.
-    pub(crate) fn spend(
-        &self,
-        now: Millis,
-        service: &str,
-        bounds: Bounds,
-        nodes: u64,
-        repeat: Repeat,
-    ) -> bool {
-        let allowed = self.with(service, bounds, nodes, |budget| {
-            let allowed = budget.allows(now);
-            if allowed {
-                budget.spend(now);
-            }
-            allowed
-        });
-        if allowed {
-            self.trail.counts.repeats.add(repeat.as_str());
-        }
-        allowed
+    /// Holds a repeat at a service, if its budget allows that.
+    pub(crate) fn hold(self: &Rc<Self>, service: &str, kind: Repeat) -> Option<Hold> {
+        let now = self.clock.now();
+        let allowed = self.with(service, |budget| budget.hold(now));
+        allowed.then(|| Hold {
+            budgets: Rc::clone(self),
+            service: service.into(),
+            kind,
+            sent: false,
+        })
     }
 
     /// Counts a call that a repeated run made.
-    pub(crate) fn note_call(&self, now: Millis, service: &str, bounds: Bounds, nodes: u64) {
-        self.with(service, bounds, nodes, |budget| budget.note_call(now));
+    pub(crate) fn note_call(&self, service: &str) {
+        let now = self.clock.now();
+        self.with(service, |budget| budget.note_call(now));
         self.trail.counts.repeats.add(Repeat::Call.as_str());
     }
 
     /// Tells once a second what was spent, if that has changed.
-    pub(crate) fn tick(&self, now: Millis, nodes: u64) {
+    pub(crate) fn tick(&self, now: Millis) {
         if now.since(self.told.get()) < TELL_MS {
             return;
         }
@@ -108,19 +118,14 @@
                 repeats: spending.repeats,
                 calls: spending.calls,
                 allowed: spending.allowed,
-                nodes,
+                nodes: self.nodes.get(),
             });
         }
     }
 
-    fn with<T>(
-        &self,
-        service: &str,
-        bounds: Bounds,
-        nodes: u64,
-        change: impl FnOnce(&mut FleetBudget) -> T,
-    ) -> T {
-        let slack = bounds.budget_slack / nodes;
+    fn with<T>(&self, service: &str, change: impl FnOnce(&mut FleetBudget) -> T) -> T {
+        let bounds = self.bounds.get();
+        let slack = bounds.budget_slack / self.nodes.get();
         let mut entries = self.entries.borrow_mut();
         let entry = entries.entry(service.into()).or_insert_with(|| {
             let percent = (bounds.retry_budget_ratio * 100.0) as u64;
@@ -133,3 +138,39 @@
         change(&mut entry.budget)
     }
 }
+
+/// A repeat that its budget allows.
+///
+/// It counts as arrived when it is dropped after it was sent, and is given back otherwise.
+pub(crate) struct Hold {
+    budgets: Rc<Budgets>,
+    service: CompactString,
+    kind: Repeat,
+    sent: bool,
+}
+
+impl Hold {
+    /// Notes that the repeat is on its way, and may arrive from now on.
+    pub(crate) fn send(&mut self) {
+        self.sent = true;
+    }
+
+    /// Notes that the repeat did not arrive, and may be sent elsewhere.
+    pub(crate) fn take_back(&mut self) {
+        self.sent = false;
+    }
+}
+
+impl Drop for Hold {
+    fn drop(&mut self) {
+        let now = self.budgets.clock.now();
+        let sent = self.sent;
+        self.budgets.with(&self.service, |budget| match sent {
+            true => budget.arrive(now),
+            false => budget.release(),
+        });
+        if sent {
+            self.budgets.trail.counts.repeats.add(self.kind.as_str());
+        }
+    }
+}
--- a/crates/mesh/src/dispatch.rs
+++ b/crates/mesh/src/dispatch.rs
@@ -9,7 +9,7 @@
 use smallvec::SmallVec;
 use tokio::time::timeout;
 
-use crate::budgets::Repeat;
+use crate::budgets::{Hold, Repeat};
 use crate::frame::{Answered, Ending, Headers, Offer};
 use crate::headers;
 use crate::node::Node;
@@ -64,6 +64,8 @@
     back_ms: Option<u64>,
     /// For how long a gate quarantines it, in milliseconds.
     quarantined_ms: Option<u64>,
+    /// What allows the next attempt, if that is a repeat.
+    pub(crate) hold: Option<Hold>,
     /// The last failure that a backend server answered itself.
     failure: Option<(Answered, Vec<u8>)>,
 }
@@ -76,11 +78,6 @@
         self.tried.push(server);
     }
 
-    /// Returns whether the request was sent to a backend server.
-    pub(crate) fn is_sent(&self) -> bool {
-        self.sends > 0
-    }
-
     /// Returns the backend servers that are not to be tried again.
     pub(crate) fn tried(&self) -> &[CompactString] {
         &self.tried
@@ -97,7 +94,10 @@
 
 /// Sends a request to backend servers until one answers, or nothing more can be done.
 pub(crate) async fn dispatch(node: Rc<Node>, job: Job) -> Answer {
-    node.deposit(&job.service, job.repeat);
+    node.budgets.deposit(&job.service);
+    if job.repeat {
+        node.budgets.note_call(&job.service);
+    }
     let mut progress = Progress::default();
     let left = job.deadline.since(node.now());
     let attempts = attempts(&node, &job, &mut progress);
@@ -139,9 +139,10 @@
         chosen.place.next_ms = chosen.place.alternative_ms(progress.away);
         let revision = node.list.borrow().revision();
         job.story.chosen(now, &chosen, work_ms, revision);
-        let (server, reply) = race::run(node, job, progress, chosen, work_ms).await;
-        let seen = Seen::of(&server, &reply);
-        let answer = follow(node, job, progress, server, reply);
+        let tried = race::run(node, job, progress, chosen, work_ms).await;
+        let seen = Seen::of(&tried.server, &tried.reply);
+        progress.hold = tried.hold;
+        let answer = follow(node, job, progress, tried.server, tried.reply);
         job.story
             .attempt_ended(seen, progress.standing(), answer.is_none());
         if let Some(answer) = answer {
@@ -159,15 +160,22 @@
     }
 }
 
-/// Sends a request to the chosen gate; `repeat` tells whether it may have reached a backend
-/// server before.
+/// What an attempt came to at the chosen backend server.
+pub(crate) struct Tried {
+    pub(crate) server: CompactString,
+    pub(crate) reply: Reply,
+    /// What allowed it, if it was a repeat that did not arrive.
+    pub(crate) hold: Option<Hold>,
+}
+
+/// Sends a request to the chosen gate; `hold` is there if it may have arrived somewhere before.
 pub(crate) async fn send(
     node: &Rc<Node>,
     job: &Job,
     chosen: Chosen,
     work_ms: u64,
-    repeat: bool,
-) -> (CompactString, Reply) {
+    mut hold: Option<Hold>,
+) -> Tried {
     let now = node.now();
     let offer = Offer {
         server: chosen.server.clone(),
@@ -175,7 +183,7 @@
         route: job.route_hash,
         fingerprint: job.fingerprint,
         idempotent: job.route.kind.is_idempotent(),
-        repeat: repeat || job.repeat,
+        repeat: hold.is_some() || job.repeat,
         priority: job.route.priority,
         aim_ms: (job.arrived + job.route.aim_ms).since(now) as u32,
         left_ms: job.deadline.since(now) as u32,
@@ -186,24 +194,39 @@
         target: job.target.clone(),
         headers: job.headers.clone(),
     };
+    let server = chosen.server;
     node.spots
         .borrow_mut()
-        .with_site(&chosen.server, |site| site.sent += 1);
+        .with_site(&server, |site| site.sent += 1);
+    if let Some(hold) = &mut hold {
+        hold.send();
+    }
     let reply = match chosen.way {
-        Way::Local => {
-            let gate = Rc::clone(&node.gate);
-            let (ending, body) = gate.run(offer, job.body.clone()).await;
-            node.spots
-                .borrow_mut()
-                .tell_local(node.now(), node.gate.load());
-            Reply::Ended {
-                ending,
-                body: body.to_vec(),
-            }
-        }
+        Way::Local => send_here(node, offer, job.body.clone()).await,
         Way::Remote(peer) => peer.call(offer, &job.body).await,
     };
-    (chosen.server, reply)
+    let hold = hold.filter(|_| !reply.may_have_arrived()).map(|mut hold| {
+        hold.take_back();
+        hold
+    });
+    Tried {
+        server,
+        reply,
+        hold,
+    }
+}
+
+/// Sends a request to the gate of this node.
+async fn send_here(node: &Rc<Node>, offer: Offer, body: Bytes) -> Reply {
+    let gate = Rc::clone(&node.gate);
+    let (ending, body) = gate.run(offer, body).await;
+    node.spots
+        .borrow_mut()
+        .tell_local(node.now(), node.gate.load());
+    Reply::Ended {
+        ending,
+        body: body.to_vec(),
+    }
 }
 
 /// What an attempt came to.
@@ -296,14 +319,8 @@
 }
 
 /// Takes in the reply to one of two attempts, while the other one is still under way.
-pub(crate) fn note_first(
-    node: &Rc<Node>,
-    job: &Job,
-    progress: &mut Progress,
-    server: CompactString,
-    reply: Reply,
-) {
-    match note(node, job, progress, server, reply) {
+pub(crate) fn note_first(node: &Rc<Node>, job: &Job, progress: &mut Progress, tried: Tried) {
+    match note(node, job, progress, tried.server, tried.reply) {
         // A good answer is not noted but used; what follows the others is decided at the end.
         Noted::Answer(_) | Noted::Unsent | Noted::Sent | Noted::Ended => {}
     }
@@ -361,7 +378,7 @@
 }
 
 /// Returns whether a request that reached a backend server may be sent to another one, and
-/// spends from the budget if so.
+/// holds that from the budget if so.
 fn may_repeat(node: &Rc<Node>, job: &Job, progress: &mut Progress) -> bool {
     if is_quarantined(node, job, progress) {
         return false;
@@ -372,20 +389,20 @@
     if progress.sends >= job.route.attempts {
         return false;
     }
-    node.spend(&job.service, Repeat::Try)
+    progress.hold = node.budgets.hold(&job.service, Repeat::Try);
+    progress.hold.is_some()
 }
 
-/// Returns whether a second run may begin beside one that is under way, and spends from the
-/// budget if so.
-pub(crate) fn may_send_second(node: &Rc<Node>, job: &Job, progress: &Progress) -> bool {
+/// Returns what allows a second run beside one that is under way, if it may begin.
+pub(crate) fn hold_second(node: &Rc<Node>, job: &Job, progress: &Progress) -> Option<Hold> {
     if progress.sends + 1 >= job.route.attempts {
-        return false;
+        return None;
     }
     // A second run of what may have crashed a backend server would put another one at risk.
     if node.suspects.is_suspect(job.fingerprint) {
-        return false;
+        return None;
     }
-    node.spend(&job.service, Repeat::Run)
+    node.budgets.hold(&job.service, Repeat::Run)
 }
 
 /// Returns the final answer to a request for which nothing more can be done.
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -12,7 +12,7 @@
 use oriolering_platform::{Bounds, Settings};
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::budgets::{Budgets, Repeat};
+use crate::budgets::Budgets;
 use crate::gate::Gate;
 use crate::news::News;
 use crate::peer::Peer;
@@ -79,7 +79,7 @@
     pub(crate) suspects: Rc<Suspects>,
     pub(crate) work: RefCell<WorkTimes>,
     pub(crate) splitter: RefCell<Splitter>,
-    budgets: Budgets,
+    pub(crate) budgets: Rc<Budgets>,
     /// Whether this node watches the store.
     pub(crate) reading: Cell<bool>,
     /// What is asked and sent of news.
@@ -98,7 +98,7 @@
     pub(crate) fn new(settings: Settings, lines: Lines) -> Rc<Self> {
         let clock = Clock::system();
         let trail = Rc::new(Trail::new(&settings.node, clock.clone(), lines));
-        let budgets = Budgets::new(Rc::clone(&trail), clock.now());
+        let budgets = Budgets::new(clock.clone(), Rc::clone(&trail), settings.bounds);
         let date = DateService::default();
         let incarnation = rand::random();
         let suspects = Suspects::new(clock.clone(), Rc::clone(&trail), incarnation);
@@ -125,7 +125,7 @@
             suspects,
             work: RefCell::default(),
             splitter: RefCell::default(),
-            budgets,
+            budgets: Rc::new(budgets),
             reading: Cell::new(false),
             news: News::default(),
             stopping: Cell::new(false),
@@ -152,32 +152,6 @@
             .map_or(0, |p| p.table.version())
     }
 
-    /// Counts a request for a service; `repeat` tells whether a repeated run made it.
-    pub(crate) fn deposit(&self, service: &str, repeat: bool) {
-        let (now, bounds, nodes) = (self.now(), self.bounds.get(), self.nodes());
-        self.budgets.deposit(now, service, bounds, nodes);
-        if repeat {
-            self.budgets.note_call(now, service, bounds, nodes);
-        }
-    }
-
-    /// Spends from the budget of a service, if it allows that.
-    pub(crate) fn spend(&self, service: &str, repeat: Repeat) -> bool {
-        let (bounds, nodes) = (self.bounds.get(), self.nodes());
-        self.budgets
-            .spend(self.now(), service, bounds, nodes, repeat)
-    }
-
-    /// Tells from time to time what was spent.
-    pub(crate) fn tell_spending(&self, now: Millis) {
-        self.budgets.tick(now, self.nodes());
-    }
-
-    /// Returns how many nodes there are, by the list.
-    fn nodes(&self) -> u64 {
-        self.peers.borrow().len() as u64 + 1
-    }
-
     /// Takes over what the list from `source` says: who can be chosen, and which nodes are peers.
     ///
     /// Returns the peers that are new.
@@ -211,6 +185,7 @@
             peer.unlisted.set(!listed);
             listed || peer.is_up()
         });
+        self.budgets.see_nodes(peers.len() as u64 + 1);
         drop(peers);
         self.describe_gate(&choices);
         self.spots
--- a/crates/mesh/src/race.rs
+++ b/crates/mesh/src/race.rs
@@ -8,7 +8,8 @@
 use oriolering::{Run, wants_second_run};
 use tokio::time::sleep;
 
-use crate::dispatch::{self, Job, Progress};
+use crate::budgets::Hold;
+use crate::dispatch::{self, Job, Progress, Tried};
 use crate::frame::Ending;
 use crate::node::Node;
 use crate::reply::Reply;
@@ -27,46 +28,46 @@
     progress: &mut Progress,
     chosen: Chosen,
     work_ms: u64,
-) -> (CompactString, Reply) {
+) -> Tried {
     let server = chosen.server.clone();
-    let repeat = progress.is_sent();
-    let mut first = pin!(dispatch::send(node, job, chosen, work_ms, repeat));
+    let hold = progress.hold.take();
+    let mut first = pin!(dispatch::send(node, job, chosen, work_ms, hold));
     if !job.route.kind.is_idempotent() {
         return first.await;
     }
-    let second = tokio::select! {
+    let (second, hold) = tokio::select! {
         biased;
         result = &mut first => return result,
         second = wait_for_second(node, job, progress, &server, work_ms) => second,
     };
-    let mut second = pin!(dispatch::send(node, job, second, work_ms, true));
+    let mut second = pin!(dispatch::send(node, job, second, work_ms, Some(hold)));
     tokio::select! {
         biased;
-        result = &mut first => match is_good(&result.1) {
+        result = &mut first => match is_good(&result.reply) {
             true => result,
             false => {
-                dispatch::note_first(node, job, progress, result.0, result.1);
+                dispatch::note_first(node, job, progress, result);
                 second.await
             }
         },
-        result = &mut second => match is_good(&result.1) {
+        result = &mut second => match is_good(&result.reply) {
             true => result,
             false => {
-                dispatch::note_first(node, job, progress, result.0, result.1);
+                dispatch::note_first(node, job, progress, result);
                 first.await
             }
         },
     }
 }
 
-/// Waits until a second run is worth its cost, and returns where.
+/// Waits until a second run is worth its cost, and returns where and what allows it.
 async fn wait_for_second(
     node: &Rc<Node>,
     job: &Job,
     progress: &Progress,
     server: &CompactString,
     work_ms: u64,
-) -> Chosen {
+) -> (Chosen, Hold) {
     let started = node.now();
     let (mut looked, mut done_us) = (started, 0);
     loop {
@@ -97,10 +98,13 @@
             aim_ms: (job.arrived + job.route.aim_ms).since(now),
             left_ms: job.deadline.since(now),
         };
-        if wants_second_run(run) && dispatch::may_send_second(node, job, progress) {
+        if !wants_second_run(run) {
+            continue;
+        }
+        if let Some(hold) = dispatch::hold_second(node, job, progress) {
             let revision = node.list.borrow().revision();
             job.story.chosen(now, &chosen, work_ms, revision);
-            return chosen;
+            return (chosen, hold);
         }
     }
 }
--- a/crates/mesh/src/reply.rs
+++ b/crates/mesh/src/reply.rs
@@ -12,3 +12,17 @@
     /// The link was not up; nothing was sent.
     Unlinked,
 }
+
+impl Reply {
+    /// Returns whether the request may have arrived at the backend server.
+    pub(crate) fn may_have_arrived(&self) -> bool {
+        match self {
+            Self::Ended { ending, .. } => match ending {
+                Ending::Answered(_) | Ending::Unexecuted { .. } | Ending::Failed => true,
+                Ending::Refused { .. } | Ending::Unsent => false,
+            },
+            Self::Lost => true,
+            Self::Unlinked => false,
+        }
+    }
+}
--- a/crates/mesh/src/start.rs
+++ b/crates/mesh/src/start.rs
@@ -128,7 +128,7 @@
 fn tick(node: &Rc<Node>, file: &mut Reload) {
     let now = node.now();
     node.trail.tick(now);
-    node.tell_spending(now);
+    node.budgets.tick(now);
     file.tick(node, now);
     node.gate.probe();
     outbound::watch(node);
--- a/crates/oriolering/src/fleet_budget.rs
+++ b/crates/oriolering/src/fleet_budget.rs
@@ -1,4 +1,4 @@
-//! The budget for second tries of a service, shared by all nodes without shared state.
+//! The budget for repeats at a service, shared by all nodes without shared state.
 
 use std::collections::VecDeque;
 
@@ -7,17 +7,25 @@
 /// The part of the allowance that is used, so that different views stay below it, in percent.
 const USED_PERCENT: u64 = 80;
 
-/// A node's share of the second tries that a service allows in a sliding window.
+/// A node's share of the repeats that a service allows in a sliding window.
 ///
 /// Each node may repeat a share of the requests that entered at it, and its part of the slack:
 /// the sum over all nodes stays within what is allowed for the service as a whole.
+///
+/// A repeat is held before it is sent and counts from then on, since it may arrive at any time.
+/// Once it is known to have arrived it counts for one more window; one that did not arrive is
+/// released. So the repeats that arrive within any window are at most what was allowed when the
+/// last of them was held.
 #[derive(Clone, Debug)]
 pub struct FleetBudget {
     percent: u64,
     slack: u64,
     window_ms: u64,
     requests: VecDeque<Millis>,
-    repeats: VecDeque<Millis>,
+    /// The repeats that are under way.
+    held: u64,
+    /// When the others had arrived at the latest.
+    arrived: VecDeque<Millis>,
     /// The calls that repeated runs made.
     calls: VecDeque<Millis>,
 }
@@ -27,11 +35,11 @@
 pub struct Spending {
     /// The requests that entered.
     pub requests: u64,
-    /// The second tries and second runs.
+    /// The repeats that arrived or are under way.
     pub repeats: u64,
     /// The calls that repeated runs made.
     pub calls: u64,
-    /// The second tries and second runs that are allowed.
+    /// The repeats that are allowed.
     pub allowed: u64,
 }
 
@@ -43,7 +51,8 @@
             slack,
             window_ms,
             requests: VecDeque::new(),
-            repeats: VecDeque::new(),
+            held: 0,
+            arrived: VecDeque::new(),
             calls: VecDeque::new(),
         }
     }
@@ -59,10 +68,23 @@
         self.requests.push_back(now);
     }
 
-    /// Returns whether one more request may be sent again.
-    pub fn allows(&mut self, now: Millis) -> bool {
+    /// Holds one repeat that is about to be sent, and returns whether that is allowed.
+    pub fn hold(&mut self, now: Millis) -> bool {
         self.expire(now);
-        (self.repeats.len() as u64) < self.allowed()
+        let allowed = self.counted() < self.allowed();
+        self.held += u64::from(allowed);
+        allowed
+    }
+
+    /// Gives back a repeat that was held and did not arrive.
+    pub fn release(&mut self) {
+        self.held = self.held.saturating_sub(1);
+    }
+
+    /// Counts a repeat that was held and has arrived, or may have.
+    pub fn arrive(&mut self, now: Millis) {
+        self.release();
+        self.arrived.push_back(now);
     }
 
     /// Returns what was counted in the window that ends now.
@@ -70,22 +92,21 @@
         self.expire(now);
         Spending {
             requests: self.requests.len() as u64,
-            repeats: self.repeats.len() as u64,
+            repeats: self.counted(),
             calls: self.calls.len() as u64,
             allowed: self.allowed(),
         }
     }
 
-    /// Counts a request that is sent again.
-    pub fn spend(&mut self, now: Millis) {
-        self.repeats.push_back(now);
-    }
-
     /// Counts a call that a repeated run made.
     pub fn note_call(&mut self, now: Millis) {
         self.calls.push_back(now);
     }
 
+    fn counted(&self) -> u64 {
+        self.held + self.arrived.len() as u64
+    }
+
     fn allowed(&self) -> u64 {
         let share = self.requests.len() as u64 * self.percent / 100;
         (share + self.slack) * USED_PERCENT / 100
@@ -93,7 +114,7 @@
 
     fn expire(&mut self, now: Millis) {
         let window = self.window_ms;
-        for times in [&mut self.requests, &mut self.repeats, &mut self.calls] {
+        for times in [&mut self.requests, &mut self.arrived, &mut self.calls] {
             while times.front().is_some_and(|t| now.since(*t) >= window) {
                 times.pop_front();
             }
--- a/crates/oriolering/tests/fleet_budget.rs
+++ b/crates/oriolering/tests/fleet_budget.rs
@@ -1,15 +1,18 @@
-//! The shared budget for second tries.
+//! The shared budget for repeats.
 
 use oriolering::{FleetBudget, Millis};
 use proptest::prelude::*;
 use rstest::rstest;
 
 const WINDOW_MS: u64 = 10_000;
+/// The longest time from the decision on a repeat to its arrival in the plays.
+const DELAY_MS: u64 = 6_000;
 
+/// Sends as many repeats as are allowed, all of which arrive at once.
 fn spend_all(budget: &mut FleetBudget, now: Millis) -> u64 {
     let mut count = 0;
-    while budget.allows(now) {
-        budget.spend(now);
+    while budget.hold(now) {
+        budget.arrive(now);
         count += 1;
     }
     count
@@ -36,81 +39,137 @@
 fn what_was_spent_comes_back_after_a_window() {
     let mut budget = FleetBudget::new(20, 10, WINDOW_MS);
     assert_eq!(spend_all(&mut budget, Millis(0)), 8);
-    assert!(!budget.allows(Millis(WINDOW_MS - 1)));
-    assert!(budget.allows(Millis(WINDOW_MS)));
+    assert!(!budget.hold(Millis(WINDOW_MS - 1)));
+    assert!(budget.hold(Millis(WINDOW_MS)));
 }
 
 #[test]
 fn requests_count_for_one_window() {
     let mut budget = FleetBudget::new(20, 0, WINDOW_MS);
     (0..100).for_each(|_| budget.deposit(Millis(0)));
-    assert!(budget.allows(Millis(WINDOW_MS - 1)));
-    assert!(!budget.allows(Millis(WINDOW_MS)));
+    assert!(budget.hold(Millis(WINDOW_MS - 1)));
+    assert!(!budget.hold(Millis(WINDOW_MS)));
 }
 
 #[test]
 fn a_smaller_slack_holds_at_once() {
     let mut budget = FleetBudget::new(20, 100, WINDOW_MS);
-    assert!(budget.allows(Millis(0)));
+    assert!(budget.hold(Millis(0)));
     budget.set_slack(0);
-    assert!(!budget.allows(Millis(0)));
+    assert!(!budget.hold(Millis(0)));
 }
 
+#[test]
+fn a_repeat_that_did_not_arrive_is_free() {
+    let mut budget = FleetBudget::new(20, 2, WINDOW_MS);
+    for _ in 0..100 {
+        assert!(budget.hold(Millis(0)));
+        budget.release();
+    }
+    assert_eq!(spend_all(&mut budget, Millis(0)), 1);
+}
+
+#[test]
+fn a_repeat_under_way_counts_however_long_it_takes() {
+    let mut budget = FleetBudget::new(20, 2, WINDOW_MS);
+    assert!(budget.hold(Millis(0)));
+    assert!(!budget.hold(Millis(5 * WINDOW_MS)));
+    budget.arrive(Millis(5 * WINDOW_MS));
+    assert!(!budget.hold(Millis(6 * WINDOW_MS - 1)));
+    assert!(budget.hold(Millis(6 * WINDOW_MS)));
+}
+
+/// What happens at a node, and how long after that a repeat arrives.
 #[derive(Clone, Copy, Debug)]
 enum Event {
     Request,
-    Failure,
+    Failure { delay: u64, arrives: bool },
 }
 
 /// The events of one node with the pauses before them.
 fn events() -> impl Strategy<Value = Vec<(u64, Event)>> {
-    let event = prop_oneof![3 => Just(Event::Request), 2 => Just(Event::Failure)];
+    let failure = (0..DELAY_MS, prop::bool::weighted(0.8));
+    let event = prop_oneof![
+        3 => Just(Event::Request),
+        2 => failure.prop_map(|(delay, arrives)| Event::Failure { delay, arrives }),
+    ];
     prop::collection::vec((0..300_u64, event), 1..400)
 }
 
-/// Returns the times of requests and of second tries.
-fn play(events: &[(u64, Event)], budget: &mut FleetBudget) -> (Vec<u64>, Vec<u64>) {
-    let (mut requests, mut repeats, mut now) = (Vec::new(), Vec::new(), 0);
+/// What one node did: when requests entered, and when repeats were held and arrived.
+#[derive(Default)]
+struct Played {
+    requests: Vec<u64>,
+    repeats: Vec<(u64, u64)>,
+}
+
+fn play(events: &[(u64, Event)], budget: &mut FleetBudget) -> Played {
+    let (mut played, mut now) = (Played::default(), 0);
+    let mut under_way: Vec<(u64, bool)> = Vec::new();
     for (pause, event) in events {
         now += pause;
+        under_way.sort_unstable();
+        while under_way.first().is_some_and(|(at, _)| *at <= now) {
+            let (at, arrives) = under_way.remove(0);
+            match arrives {
+                true => budget.arrive(Millis(at)),
+                false => budget.release(),
+            }
+        }
         match event {
             Event::Request => {
                 budget.deposit(Millis(now));
-                requests.push(now);
+                played.requests.push(now);
             }
-            Event::Failure if budget.allows(Millis(now)) => {
-                budget.spend(Millis(now));
-                repeats.push(now);
+            Event::Failure { delay, arrives } if budget.hold(Millis(now)) => {
+                under_way.push((now + delay, *arrives));
+                if *arrives {
+                    played.repeats.push((now, now + delay));
+                }
             }
-            Event::Failure => {}
+            Event::Failure { .. } => {}
         }
     }
-    (requests, repeats)
+    played
 }
 
-fn within(times: &[u64], from: i64, until: i64) -> u64 {
-    times
-        .iter()
-        .filter(|t| (from..until).contains(&(**t as i64)))
-        .count() as u64
+/// Returns the arrivals of the first window that holds more of them than the requests allow
+/// that entered before its last decision, and what they allow.
+fn breach(nodes: &[Played], percent: f64, slack: u64, window: u64) -> Option<(u64, f64)> {
+    let repeats = || nodes.iter().flat_map(|node| &node.repeats);
+    let requests = || nodes.iter().flat_map(|node| &node.requests);
+    let counted = |(_, from): &(u64, u64)| {
+        let arrivals = repeats().filter(|(_, at)| (*from..from + window).contains(at));
+        let last = arrivals.clone().map(|(held, _)| *held).max().unwrap_or(0);
+        // A node may have decided on its part of them as long before as they were under way.
+        let since = from.saturating_sub(DELAY_MS + window);
+        let requests = requests().filter(|at| (since..=last).contains(*at));
+        let allowed = requests.count() as f64 * percent / 100.0 + slack as f64;
+        (arrivals.count() as u64, allowed)
+    };
+    let mut windows = repeats().map(counted);
+    windows.find(|(arrivals, allowed)| *arrivals as f64 > *allowed)
 }
 
 proptest! {
     #[test]
-    fn no_window_holds_more_second_tries_than_its_requests_allow(
+    fn no_window_holds_more_arrivals_than_were_allowed_when_the_last_was_held(
         events in events(),
         percent in 0..50_u64,
         slack in 0..20_u64,
         window in 500..8_000_u64,
     ) {
         let mut budget = FleetBudget::new(percent, slack, window);
-        let (requests, repeats) = play(&events, &mut budget);
-        for repeat in &repeats {
-            // The window that ends with this second try.
-            let (from, until) = (*repeat as i64 + 1 - window as i64, *repeat as i64 + 1);
-            let tries = within(&repeats, from, until);
-            let allowed = within(&requests, from, until) * percent / 100 + slack;
-            prop_assert!(tries <= allowed, "{tries} tries, {allowed} allowed");
+        let played = play(&events, &mut budget);
+        for (_, from) in &played.repeats {
+            let arrivals = played.repeats.iter();
+            let arrivals = arrivals.filter(|(_, at)| (*from..from + window).contains(at));
+            let last = arrivals.clone().map(|(held, _)| *held).max().unwrap_or(0);
+            let requests = played.requests.iter();
+            let requests = requests.filter(|at| **at <= last && **at + window > last);
+            let allowed = requests.count() as u64 * percent / 100 + slack;
+            let count = arrivals.count() as u64;
+            prop_assert!(count <= allowed, "{count} arrivals, {allowed} allowed");
         }
     }
 
@@ -121,18 +180,11 @@
     ) {
         let (percent, window) = (20, 4_000);
         let share = slack / nodes.len() as u64;
-        let (mut requests, mut repeats) = (Vec::new(), Vec::new());
-        for events in &nodes {
-            let mut budget = FleetBudget::new(percent, share, window);
-            let (own, tries) = play(events, &mut budget);
-            requests.extend(own);
-            repeats.extend(tries);
-        }
-        for repeat in &repeats {
-            let (from, until) = (*repeat as i64 + 1 - window as i64, *repeat as i64 + 1);
-            let tries = within(&repeats, from, until);
-            let allowed = within(&requests, from, until) as f64 * 0.2 + slack as f64;
-            prop_assert!(tries as f64 <= allowed, "{tries} tries, {allowed} allowed");
-        }
+        let played: Vec<Played> = nodes
+            .iter()
+            .map(|events| play(events, &mut FleetBudget::new(percent, share, window)))
+            .collect();
+        let breach = breach(&played, percent as f64, slack, window);
+        prop_assert!(breach.is_none(), "arrivals and allowed: {breach:?}");
     }
 }
--- a/crates/oriolering/tests/load/second_run.rs
+++ b/crates/oriolering/tests/load/second_run.rs
@@ -18,10 +18,10 @@
         let run = self.run_at(call, gate, place.expected_ms);
         let now = Millis(self.now);
         let budget = &mut self.ingresses[self.calls[call].ingress].budget;
-        if !wants_second_run(run) || !budget.allows(now) {
+        if !wants_second_run(run) || !budget.hold(now) {
             return self.look_again(call, gate);
         }
-        budget.spend(now);
+        budget.arrive(now);
         self.calls[call].doubled = true;
         self.figures.second_runs += 1;
         self.send(call, place.index, run.work_ms, place.next_ms);
