Give a started node no part of the slack for a window, and no larger part for a shorter list

Fault: each node took the slack divided by the nodes that its list named at the moment, with empty books after a start. Lists that shrink while entries lapse, and processes that start again, made the parts of all nodes sum up to more than the slack; a node that starts six times within a window took its part six times. Change: SlackShare remembers the most nodes seen and has no part for a window after a start, unless the settings say that the whole system starts for the first time. The part is divided after the requests are counted, so it is not rounded away on small nodes.

--- a/crates/mesh/src/budgets.rs
+++ b/crates/mesh/src/budgets.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 
 use compact_str::CompactString;
-use oriolering::{Clock, FleetBudget, Millis, Spending};
+use oriolering::{Clock, FleetBudget, Millis, SlackShare, Spending};
 use oriolering_platform::Bounds;
 
 use crate::trail::{Event, Trail};
@@ -45,23 +45,25 @@
     clock: Clock,
     trail: Rc<Trail>,
     bounds: Cell<Bounds>,
-    /// How many nodes share the slack.
-    nodes: Cell<u64>,
+    /// This node's part of the slack.
+    share: Cell<SlackShare>,
     entries: RefCell<HashMap<CompactString, Entry>>,
     told: Cell<Millis>,
 }
 
 impl Budgets {
     /// Returns the budgets of a node that starts now.
-    pub(crate) fn new(clock: Clock, trail: Rc<Trail>, bounds: Bounds) -> Self {
-        let told = Cell::new(clock.now());
+    ///
+    /// `first` tells whether the whole system starts for the first time.
+    pub(crate) fn new(clock: Clock, trail: Rc<Trail>, bounds: Bounds, first: bool) -> Self {
+        let now = clock.now();
         Self {
             clock,
             trail,
             bounds: Cell::new(bounds),
-            nodes: Cell::new(1),
+            share: Cell::new(SlackShare::new(now, first)),
             entries: RefCell::default(),
-            told,
+            told: Cell::new(now),
         }
     }
 
@@ -72,7 +74,9 @@
 
     /// Takes in how many nodes the list names, this one included.
     pub(crate) fn see_nodes(&self, nodes: u64) {
-        self.nodes.set(nodes);
+        let mut share = self.share.get();
+        share.see(nodes);
+        self.share.set(share);
     }
 
     /// Counts a request for a service.
@@ -122,23 +126,29 @@
                 repeats: spending.repeats,
                 calls: spending.calls,
                 allowed: spending.allowed,
-                nodes: self.nodes.get(),
+                nodes: self.nodes(),
             });
         }
     }
 
+    /// Returns how many nodes the slack is divided among, if this one has a part of it.
+    fn nodes(&self) -> Option<u64> {
+        let window_ms = self.bounds.get().budget_window_ms;
+        self.share.get().nodes(self.clock.now(), window_ms)
+    }
+
     fn with<T>(&self, service: &str, change: impl FnOnce(&mut FleetBudget) -> T) -> T {
         let bounds = self.bounds.get();
-        let slack = bounds.budget_slack / self.nodes.get();
+        let nodes = self.nodes();
         let mut entries = self.entries.borrow_mut();
         let entry = entries.entry(service.into()).or_insert_with(|| {
             let percent = (bounds.retry_budget_ratio * 100.0) as u64;
             Entry {
-                budget: FleetBudget::new(percent, slack, bounds.budget_window_ms),
+                budget: FleetBudget::new(percent, bounds.budget_window_ms),
                 told: Spending::default(),
             }
         });
-        entry.budget.set_slack(slack);
+        entry.budget.set_slack(bounds.budget_slack, nodes);
         change(&mut entry.budget)
     }
 }
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -102,6 +102,7 @@
             clock.clone(),
             Rc::clone(&trail),
             settings.bounds,
+            settings.first_start,
         ));
         let date = DateService::default();
         let incarnation = rand::random();
--- a/crates/mesh/src/trail/event.rs
+++ b/crates/mesh/src/trail/event.rs
@@ -186,7 +186,7 @@
         repeats: u64,
         calls: u64,
         allowed: u64,
-        nodes: u64,
+        nodes: Option<u64>,
     },
     /// The process runs.
     Started {
--- a/crates/mesh/tests/budget.rs
+++ b/crates/mesh/tests/budget.rs
@@ -38,3 +38,32 @@
         );
     });
 }
+
+/// How often the node starts, and the requests that are broken off once after each start.
+const STARTS: usize = 6;
+const AFTER_START: usize = 25;
+
+#[test]
+fn repeats_of_a_node_that_starts_again_and_again_stay_within_the_budget() {
+    run(async {
+        let mut fleet = Fleet::serving(&["front", "s", "s"]).await;
+        for start in 0..STARTS {
+            for number in 0..AFTER_START {
+                let target = format!("/get/reset-once?{start}-{number}");
+                fleet.call(0, &get(&target)).await;
+            }
+            fleet.kill(0).await;
+            fleet.start_one(0);
+            fleet.wait_ready(0).await;
+            fleet.wait_served(0).await;
+        }
+        let requests = STARTS * AFTER_START;
+        let repeats = fleet.seen_like("/get/reset-once") - requests;
+        let allowed = requests * PERCENT / 100 + SLACK;
+        assert!(repeats > 0, "no request was repeated");
+        assert!(
+            repeats <= allowed,
+            "{repeats} of {requests} requests were repeated, {allowed} are allowed"
+        );
+    });
+}
--- a/crates/mesh/tests/support/mod.rs
+++ b/crates/mesh/tests/support/mod.rs
@@ -78,6 +78,8 @@
     /// The rate of its link, in megabits a second.
     rate: u32,
     pub log: Log,
+    /// Whether a node has run here before.
+    ran: bool,
     stop: Option<oneshot::Sender<()>>,
     node: Option<JoinHandle<()>>,
 }
@@ -126,6 +128,7 @@
             backend,
             rate: RATE_MBPS,
             log: Log::default(),
+            ran: false,
             stop: None,
             node: None,
         });
@@ -211,6 +214,7 @@
     fn start(&mut self, index: usize, store: SocketAddr) {
         let instance = &mut self.instances[index];
         let settings = settings(instance, store);
+        instance.ran = true;
         let (stop, stopped) = oneshot::channel();
         instance.stop = Some(stop);
         let log = instance.log.clone();
@@ -304,7 +308,7 @@
     }
 
     /// Waits until requests that enter at a node are served by each backend server of `s`.
-    async fn wait_served(&self, index: usize) {
+    pub async fn wait_served(&self, index: usize) {
         let servers = self.instances.iter().map(|i| &i.backend);
         let wanted: Vec<&Backend> = servers.filter(|b| b.service == "s").collect();
         soon(async {
@@ -366,6 +370,7 @@
 
 fn settings(instance: &Instance, store: SocketAddr) -> Settings {
     let Instance { ip, rate, .. } = instance;
+    let first = !instance.ran;
     let service = &instance.backend.service;
     let last = LINKS_PORT + 15;
     let text = format!(
@@ -376,6 +381,7 @@
         internal_ports = [{LINKS_PORT}, {last}]
         app_addr = "{ip}:{BACKEND_PORT}"
         service = "{service}"
+        bootstrap = {first}
         bounds = ["grace_s={}"]
         [listen]
         inbound = "{ip}:{NODES_PORT}"
--- a/crates/oriolering/src/fleet_budget.rs
+++ b/crates/oriolering/src/fleet_budget.rs
@@ -20,6 +20,8 @@
 pub struct FleetBudget {
     percent: u64,
     slack: u64,
+    /// How many nodes the slack is divided among.
+    nodes: u64,
     window_ms: u64,
     requests: VecDeque<Millis>,
     /// The repeats that are under way.
@@ -44,11 +46,12 @@
 }
 
 impl FleetBudget {
-    /// Returns a budget of `percent` of the requests and `slack` more in a window.
-    pub fn new(percent: u64, slack: u64, window_ms: u64) -> Self {
+    /// Returns a budget of `percent` of the requests in a window, without any slack.
+    pub fn new(percent: u64, window_ms: u64) -> Self {
         Self {
             percent,
-            slack,
+            slack: 0,
+            nodes: 1,
             window_ms,
             requests: VecDeque::new(),
             held: 0,
@@ -57,9 +60,11 @@
         }
     }
 
-    /// Changes the slack, since the number of nodes changed.
-    pub fn set_slack(&mut self, slack: u64) {
-        self.slack = slack;
+    /// Changes the slack of the service and the number of nodes that it is divided among; a
+    /// node that is not one of them has no part of it.
+    pub fn set_slack(&mut self, slack: u64, nodes: Option<u64>) {
+        self.slack = nodes.map_or(0, |_| slack);
+        self.nodes = nodes.unwrap_or(1).max(1);
     }
 
     /// Counts a request.
@@ -113,8 +118,8 @@
     }
 
     fn allowed(&self) -> u64 {
-        let share = self.requests.len() as u64 * self.percent / 100;
-        (share + self.slack) * USED_PERCENT / 100
+        let share = self.requests.len() as u64 * self.percent * self.nodes;
+        (share + self.slack * 100) * USED_PERCENT / (100 * 100 * self.nodes)
     }
 
     fn expire(&mut self, now: Millis) {
--- a/crates/oriolering/src/lib.rs
+++ b/crates/oriolering/src/lib.rs
@@ -62,6 +62,7 @@
 mod server_list;
 mod server_load;
 mod server_record;
+mod slack_share;
 mod slots;
 mod split;
 mod spread;
@@ -127,6 +128,7 @@
 pub use server_list::{ServerList, ServerNote};
 pub use server_load::ServerLoad;
 pub use server_record::{ServerRecord, ServerState};
+pub use slack_share::SlackShare;
 pub use split::Splitter;
 pub use spread::{QUARANTINE_MAX_MS, QUARANTINES_MAX, Spread};
 pub use stop::Stop;
--- a/crates/oriolering/tests/fleet_budget.rs
+++ b/crates/oriolering/tests/fleet_budget.rs
@@ -8,6 +8,13 @@
 /// The longest time from the decision on a repeat to its arrival in the plays.
 const DELAY_MS: u64 = 6_000;
 
+/// Returns the budget of a node that has `slack` alone.
+fn budget_of(percent: u64, slack: u64, window_ms: u64) -> FleetBudget {
+    let mut budget = FleetBudget::new(percent, window_ms);
+    budget.set_slack(slack, Some(1));
+    budget
+}
+
 /// Sends as many repeats as are allowed, all of which arrive at once.
 fn spend_all(budget: &mut FleetBudget, now: Millis) -> u64 {
     let mut count = 0;
@@ -28,7 +35,7 @@
     #[case] slack: u64,
     #[case] expected: u64,
 ) {
-    let mut budget = FleetBudget::new(20, slack, WINDOW_MS);
+    let mut budget = budget_of(20, slack, WINDOW_MS);
     for _ in 0..requests {
         budget.deposit(Millis(5));
     }
@@ -37,7 +44,7 @@
 
 #[test]
 fn what_was_spent_comes_back_after_a_window() {
-    let mut budget = FleetBudget::new(20, 10, WINDOW_MS);
+    let mut budget = budget_of(20, 10, WINDOW_MS);
     assert_eq!(spend_all(&mut budget, Millis(0)), 8);
     assert!(!budget.hold(Millis(WINDOW_MS - 1)));
     assert!(budget.hold(Millis(WINDOW_MS)));
@@ -45,7 +52,7 @@
 
 #[test]
 fn requests_count_for_one_window() {
-    let mut budget = FleetBudget::new(20, 0, WINDOW_MS);
+    let mut budget = budget_of(20, 0, WINDOW_MS);
     (0..100).for_each(|_| budget.deposit(Millis(0)));
     assert!(budget.hold(Millis(WINDOW_MS - 1)));
     assert!(!budget.hold(Millis(WINDOW_MS)));
@@ -53,15 +60,15 @@
 
 #[test]
 fn a_smaller_slack_holds_at_once() {
-    let mut budget = FleetBudget::new(20, 100, WINDOW_MS);
+    let mut budget = budget_of(20, 100, WINDOW_MS);
     assert!(budget.hold(Millis(0)));
-    budget.set_slack(0);
+    budget.set_slack(0, Some(1));
     assert!(!budget.hold(Millis(0)));
 }
 
 #[test]
 fn a_repeat_that_did_not_arrive_is_free() {
-    let mut budget = FleetBudget::new(20, 2, WINDOW_MS);
+    let mut budget = budget_of(20, 2, WINDOW_MS);
     for _ in 0..100 {
         assert!(budget.hold(Millis(0)));
         budget.release();
@@ -71,7 +78,7 @@
 
 #[test]
 fn a_repeat_under_way_counts_however_long_it_takes() {
-    let mut budget = FleetBudget::new(20, 2, WINDOW_MS);
+    let mut budget = budget_of(20, 2, WINDOW_MS);
     assert!(budget.hold(Millis(0)));
     assert!(!budget.hold(Millis(5 * WINDOW_MS)));
     budget.arrive(Millis(5 * WINDOW_MS));
@@ -159,7 +166,7 @@
         slack in 0..20_u64,
         window in 500..8_000_u64,
     ) {
-        let mut budget = FleetBudget::new(percent, slack, window);
+        let mut budget = budget_of(percent, slack, window);
         let played = play(&events, &mut budget);
         for (_, from) in &played.repeats {
             let arrivals = played.repeats.iter();
@@ -182,7 +189,7 @@
         let share = slack / nodes.len() as u64;
         let played: Vec<Played> = nodes
             .iter()
-            .map(|events| play(events, &mut FleetBudget::new(percent, share, window)))
+            .map(|events| play(events, &mut budget_of(percent, share, window)))
             .collect();
         let breach = breach(&played, percent as f64, slack, window);
         prop_assert!(breach.is_none(), "arrivals and allowed: {breach:?}");
--- a/crates/oriolering/tests/load/ingress.rs
+++ b/crates/oriolering/tests/load/ingress.rs
@@ -17,11 +17,12 @@
 impl Ingress {
     pub(crate) fn new(load: &Load) -> Self {
         let site = || Site::new(Millis(0), load.slots, false);
-        let slack = load.budget_slack / load.ingresses as u64;
+        let mut budget = FleetBudget::new(load.budget_percent, load.budget_window_ms);
+        budget.set_slack(load.budget_slack, Some(load.ingresses as u64));
         Self {
             sites: (0..load.servers).map(|_| site()).collect(),
             work: WorkTimes::default(),
-            budget: FleetBudget::new(load.budget_percent, slack, load.budget_window_ms),
+            budget,
         }
     }
 
--- /dev/null
+++ b/crates/oriolering/tests/slack_share.rs
@@ -0,0 +1,116 @@
+//! The parts of a slack that all nodes share, while lists differ and processes start again.
+
+use oriolering::{FleetBudget, Millis, SlackShare};
+use proptest::prelude::*;
+
+const WINDOW_MS: u64 = 4_000;
+
+/// One process of a node.
+struct Process {
+    share: SlackShare,
+    budget: FleetBudget,
+}
+
+impl Process {
+    fn start(now: u64, first: bool, nodes: u64) -> Self {
+        let mut share = SlackShare::new(Millis(now), first);
+        share.see(nodes);
+        Self {
+            share,
+            budget: FleetBudget::new(0, WINDOW_MS),
+        }
+    }
+
+    /// Sends a repeat if that is allowed.
+    fn repeat(&mut self, now: u64, slack: u64) -> bool {
+        let now = Millis(now);
+        self.budget
+            .set_slack(slack, self.share.nodes(now, WINDOW_MS));
+        let allowed = self.budget.hold(now);
+        if allowed {
+            self.budget.arrive(now);
+        }
+        allowed
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Event {
+    /// The node wants to send repeats.
+    Repeats(u8),
+    /// Its list names so many nodes.
+    List(u64),
+    /// Its process starts again.
+    Start,
+}
+
+fn events(nodes: usize) -> impl Strategy<Value = Vec<(u64, usize, Event)>> {
+    let event = prop_oneof![
+        6 => (1..20_u8).prop_map(Event::Repeats),
+        2 => (1..=nodes as u64).prop_map(Event::List),
+        1 => Just(Event::Start),
+    ];
+    prop::collection::vec((0..400_u64, 0..nodes, event), 1..300)
+}
+
+/// Returns when repeats were sent, by any node.
+fn play(nodes: usize, slack: u64, events: &[(u64, usize, Event)]) -> Vec<u64> {
+    let all = nodes as u64;
+    let mut processes: Vec<Process> = (0..nodes).map(|_| Process::start(0, true, all)).collect();
+    let (mut sent, mut now) = (Vec::new(), 0);
+    for (pause, node, event) in events {
+        now += pause;
+        let process = &mut processes[*node];
+        match event {
+            Event::Repeats(wanted) => {
+                let allowed = (0..*wanted).filter(|_| process.repeat(now, slack));
+                sent.extend(allowed.map(|_| now));
+            }
+            Event::List(named) => process.share.see(*named),
+            Event::Start => *process = Process::start(now, false, all),
+        }
+    }
+    sent
+}
+
+proptest! {
+    #[test]
+    fn the_parts_of_all_nodes_stay_within_the_slack_while_lists_shrink_and_processes_start_again(
+        (nodes, events) in (1..9_usize).prop_flat_map(|nodes| (Just(nodes), events(nodes))),
+        slack in 0..80_u64,
+    ) {
+        let sent = play(nodes, slack, &events);
+        for from in &sent {
+            let within = sent.iter().filter(|at| (*from..from + WINDOW_MS).contains(at));
+            let count = within.count() as u64;
+            prop_assert!(count <= slack, "{count} repeats, {slack} allowed");
+        }
+    }
+}
+
+#[test]
+fn a_process_that_follows_another_has_no_part_for_a_window() {
+    let mut share = SlackShare::new(Millis(5), false);
+    share.see(3);
+    assert_eq!(share.nodes(Millis(4_004), WINDOW_MS), None);
+    assert_eq!(share.nodes(Millis(4_005), WINDOW_MS), Some(3));
+}
+
+#[test]
+fn a_list_that_shrinks_makes_no_part_larger() {
+    let mut share = SlackShare::new(Millis(0), true);
+    for nodes in [3, 13, 2] {
+        share.see(nodes);
+    }
+    assert_eq!(share.nodes(Millis(0), WINDOW_MS), Some(13));
+}
+
+#[test]
+fn small_parts_are_not_rounded_away_before_the_requests_are_counted() {
+    let mut budget = FleetBudget::new(20, WINDOW_MS);
+    budget.set_slack(13, Some(20));
+    (0..8).for_each(|_| budget.deposit(Millis(0)));
+    // Four fifths of 1.6 and 0.65.
+    assert!(budget.hold(Millis(0)));
+    assert!(!budget.hold(Millis(0)));
+}
