--- a/crates/mesh/src/budgets.rs
+++ b/crates/mesh/src/budgets.rs
@@ -1,11 +1,11 @@
-//! The budgets for repeats of one node, by service.
+//! The budgets for repeats of one node, as attempts and runs hold them.
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
 
 use compact_str::CompactString;
-use oriolering::{Clock, FleetBudget, Millis, SlackShare, Spending};
+use oriolering::{Calls, Clock, Millis, RepeatBound, RepeatBudgets, Spending};
 use oriolering_platform::Bounds;
 
 use crate::trail::{Event, Trail};
@@ -34,123 +34,97 @@
     }
 }
 
-struct Entry {
-    budget: FleetBudget,
-    /// What was told last.
-    told: Spending,
-}
-
-/// The budgets of the services that requests entered for.
+/// The budgets for repeats of one node.
 pub(crate) struct Budgets {
     clock: Clock,
     trail: Rc<Trail>,
-    bounds: Cell<Bounds>,
-    /// This node's part of the slack.
-    share: Cell<SlackShare>,
-    entries: RefCell<HashMap<CompactString, Entry>>,
-    told: Cell<Millis>,
+    state: RefCell<RepeatBudgets>,
+    /// When lines were written last, and what they told.
+    told_at: Cell<Millis>,
+    told: RefCell<HashMap<CompactString, Spending>>,
 }
 
 impl Budgets {
-    /// Returns the budgets of a node that starts now.
-    ///
-    /// `first` tells whether the whole system starts for the first time.
+    /// Returns the budgets of a node that starts now; `first` tells whether the whole system
+    /// starts for the first time.
     pub(crate) fn new(clock: Clock, trail: Rc<Trail>, bounds: Bounds, first: bool) -> Self {
         let now = clock.now();
+        let bound = RepeatBound {
+            percent: (bounds.retry_budget_ratio * 100.0) as u64,
+            slack: bounds.budget_slack,
+            window_ms: bounds.budget_window_ms,
+        };
         Self {
             clock,
             trail,
-            bounds: Cell::new(bounds),
-            share: Cell::new(SlackShare::new(now, first)),
-            entries: RefCell::default(),
-            told: Cell::new(now),
+            state: RefCell::new(RepeatBudgets::new(now, bound, first)),
+            told_at: Cell::new(now),
+            told: RefCell::default(),
         }
     }
 
-    /// Puts other bounds in force.
-    pub(crate) fn set_bounds(&self, bounds: Bounds) {
-        self.bounds.set(bounds);
+    /// Puts another slack in force.
+    pub(crate) fn set_slack(&self, slack: u64) {
+        self.state.borrow_mut().set_slack(slack);
     }
 
     /// Takes in how many nodes the list names, this one included.
     pub(crate) fn see_nodes(&self, nodes: u64) {
-        let mut share = self.share.get();
-        share.see(nodes);
-        self.share.set(share);
+        self.state.borrow_mut().see_nodes(nodes);
     }
 
     /// Counts a request for a service.
     pub(crate) fn deposit(&self, service: &str) {
         let now = self.clock.now();
-        self.with(service, |budget| budget.deposit(now));
+        self.state.borrow_mut().deposit(now, service);
     }
 
     /// Holds a repeat at a service, if its budget allows that.
     pub(crate) fn hold(self: &Rc<Self>, service: &str, kind: Repeat) -> Option<Hold> {
         let now = self.clock.now();
-        let allowed = self.with(service, |budget| budget.hold(now));
-        allowed.then(|| Hold {
+        let allowed = self.state.borrow_mut().hold(now, service);
+        allowed.then(|| Hold::new(self, service, kind))
+    }
+
+    /// Holds the calls of a repeated run on a route, if all their budgets allow that.
+    pub(crate) fn hold_calls(self: &Rc<Self>, route: u64) -> Option<CallHolds> {
+        let now = self.clock.now();
+        let held = self.state.borrow_mut().hold_calls(now, route)?;
+        Some(CallHolds {
             budgets: Rc::clone(self),
-            service: service.into(),
-            kind,
-            sent: false,
+            held,
         })
     }
 
-    /// Holds a repeat that cannot be refused any more, whatever the budget allows.
-    pub(crate) fn force(self: &Rc<Self>, service: &str, kind: Repeat) -> Hold {
-        self.with(service, FleetBudget::force);
-        Hold {
-            budgets: Rc::clone(self),
-            service: service.into(),
-            kind,
-            sent: false,
-        }
+    /// Takes in the calls that a run on a route made.
+    pub(crate) fn record_calls(&self, route: u64, made: &Calls) {
+        self.state.borrow_mut().record_calls(route, made);
     }
 
     /// Tells once a second what was spent, if that has changed.
     pub(crate) fn tick(&self, now: Millis) {
-        if now.since(self.told.get()) < TELL_MS {
+        if now.since(self.told_at.get()) < TELL_MS {
             return;
         }
-        self.told.set(now);
-        for (service, entry) in self.entries.borrow_mut().iter_mut() {
-            let spending = entry.budget.spending(now);
-            let told = std::mem::replace(&mut entry.told, spending);
+        self.told_at.set(now);
+        let mut state = self.state.borrow_mut();
+        let nodes = state.nodes(now);
+        for (service, spending) in state.spending(now) {
+            let told = self.told.borrow_mut().insert(service.clone(), spending);
+            let told = told.unwrap_or_default();
             if (told.repeats, told.calls) == (spending.repeats, spending.calls) {
                 continue;
             }
             self.trail.note(Event::BudgetSpent {
-                service: service.clone(),
+                service,
                 requests: spending.requests,
                 repeats: spending.repeats,
                 calls: spending.calls,
                 allowed: spending.allowed,
-                nodes: self.nodes(),
+                nodes,
             });
         }
     }
-
-    /// Returns how many nodes the slack is divided among, if this one has a part of it.
-    fn nodes(&self) -> Option<u64> {
-        let window_ms = self.bounds.get().budget_window_ms;
-        self.share.get().nodes(self.clock.now(), window_ms)
-    }
-
-    fn with<T>(&self, service: &str, change: impl FnOnce(&mut FleetBudget) -> T) -> T {
-        let bounds = self.bounds.get();
-        let nodes = self.nodes();
-        let mut entries = self.entries.borrow_mut();
-        let entry = entries.entry(service.into()).or_insert_with(|| {
-            let percent = (bounds.retry_budget_ratio * 100.0) as u64;
-            Entry {
-                budget: FleetBudget::new(percent, bounds.budget_window_ms),
-                told: Spending::default(),
-            }
-        });
-        entry.budget.set_slack(bounds.budget_slack, nodes);
-        change(&mut entry.budget)
-    }
 }
 
 /// A repeat that its budget allows.
@@ -164,9 +138,14 @@
 }
 
 impl Hold {
-    /// Returns whether the repeat goes to this service.
-    pub(crate) fn is_for(&self, service: &str) -> bool {
-        self.service == service
+    /// Returns what stands for a repeat that is held already.
+    fn new(budgets: &Rc<Budgets>, service: &str, kind: Repeat) -> Self {
+        Self {
+            budgets: Rc::clone(budgets),
+            service: service.into(),
+            kind,
+            sent: false,
+        }
     }
 
     /// Notes that the repeat is on its way, and may arrive from now on.
@@ -182,17 +161,41 @@
 
 impl Drop for Hold {
     fn drop(&mut self) {
+        let now = self.budgets.clock.now();
+        let mut state = self.budgets.state.borrow_mut();
         if !self.sent {
-            return self.budgets.with(&self.service, FleetBudget::release);
+            return state.release(now, &self.service);
         }
-        let now = self.budgets.clock.now();
-        let is_call = self.kind == Repeat::Call;
-        self.budgets.with(&self.service, |budget| {
-            budget.arrive(now);
-            if is_call {
-                budget.note_call(now);
-            }
-        });
+        state.arrive(now, &self.service, self.kind == Repeat::Call);
         self.budgets.trail.counts.repeats.add(self.kind.as_str());
     }
 }
+
+/// The calls of a repeated run that their budgets allow; those not made are given back.
+pub(crate) struct CallHolds {
+    budgets: Rc<Budgets>,
+    held: Calls,
+}
+
+impl CallHolds {
+    /// Returns what the next call to a service counts as. A call beyond those that were held can
+    /// not be refused any more, since its run has begun.
+    pub(crate) fn take(&mut self, service: &str) -> Hold {
+        let mut held = self.held.iter_mut();
+        match held.find(|(named, calls)| named == service && *calls > 0) {
+            Some((_, calls)) => *calls -= 1,
+            None => {
+                let now = self.budgets.clock.now();
+                self.budgets.state.borrow_mut().force(now, service);
+            }
+        }
+        Hold::new(&self.budgets, service, Repeat::Call)
+    }
+}
+
+impl Drop for CallHolds {
+    fn drop(&mut self) {
+        let now = self.budgets.clock.now();
+        self.budgets.state.borrow_mut().release_all(now, &self.held);
+    }
+}
--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -16,7 +16,7 @@
 use tokio::sync::{Mutex, oneshot};
 use tokio::time::{sleep, timeout};
 
-use crate::budgets::Budgets;
+use crate::budgets::{Budgets, CallHolds};
 use crate::frame::{Answered, Ending, Offer};
 use crate::headers;
 use crate::listeners::Listeners;
@@ -24,7 +24,7 @@
 use crate::outgoing;
 use crate::pool::Pool;
 use crate::pulse::Pulse;
-use crate::runs::{CallHolds, Runs};
+use crate::runs::Runs;
 use crate::suspects::Suspects;
 use crate::trail::{Known, Trail, Visit};
 
@@ -56,6 +56,7 @@
     waiters: RefCell<HashMap<JobKey, oneshot::Sender<Result<(), NoRoom>>>>,
     listeners: Listeners,
     suspects: Rc<Suspects>,
+    budgets: Rc<Budgets>,
     /// What runs at the backend server.
     pub(crate) runs: Runs,
     /// Held while somebody looks whether the backend server has crashed; when that was done.
@@ -92,7 +93,8 @@
             waiters: RefCell::default(),
             listeners: Listeners::default(),
             suspects,
-            runs: Runs::new(budgets),
+            runs: Runs::new(Rc::clone(&budgets)),
+            budgets,
             looked: Mutex::default(),
             offered: Cell::new(now),
             probing: Cell::new(false),
@@ -157,7 +159,7 @@
             return self.refuse(&mut visit, why, back_ms);
         }
         let calls = match offer.repeat {
-            true => self.runs.hold_calls(offer.route),
+            true => self.budgets.hold_calls(offer.route),
             false => None,
         };
         if offer.repeat && calls.is_none() {
--- a/crates/mesh/src/reload.rs
+++ b/crates/mesh/src/reload.rs
@@ -94,7 +94,7 @@
     bounds.grace_ms = next.grace_ms;
     bounds.budget_slack = next.budget_slack;
     node.bounds.set(bounds);
-    node.budgets.set_bounds(bounds);
+    node.budgets.set_slack(bounds.budget_slack);
 }
 
 fn join(names: &[&str]) -> CompactString {
--- a/crates/mesh/src/runs.rs
+++ b/crates/mesh/src/runs.rs
@@ -4,14 +4,11 @@
 use std::rc::Rc;
 
 use compact_str::CompactString;
-use oriolering::{CallCounts, Calls};
+use oriolering::Calls;
 
-use crate::budgets::{Budgets, Hold, Repeat};
+use crate::budgets::{Budgets, CallHolds, Hold};
 use crate::frame::Offer;
 
-/// What a repeated run may cost the services that it calls.
-pub(crate) type CallHolds = Vec<Hold>;
-
 /// The number of a run.
 #[derive(Clone, Copy, PartialEq, Eq)]
 struct RunKey(u64);
@@ -29,7 +26,6 @@
 struct State {
     runs: Vec<Run>,
     next: u64,
-    counts: CallCounts,
 }
 
 /// The requests that run at the local backend server.
@@ -42,7 +38,7 @@
 }
 
 impl Runs {
-    /// Returns no runs; their calls are held from `budgets`.
+    /// Returns no runs; what they call is told to `budgets`.
     pub(crate) fn new(budgets: Rc<Budgets>) -> Self {
         Self {
             budgets,
@@ -50,19 +46,6 @@
         }
     }
 
-    /// Holds the calls that a repeated run on a route is expected to make, if the budgets of all
-    /// services that it calls allow that.
-    pub(crate) fn hold_calls(&self, route: u64) -> Option<CallHolds> {
-        let state = self.state.borrow();
-        let mut holds = CallHolds::new();
-        for most in state.counts.most(route) {
-            for _ in 0..most.calls {
-                holds.push(self.budgets.hold(&most.service, Repeat::Call)?);
-            }
-        }
-        Some(holds)
-    }
-
     /// Notes that a request runs, until what is returned is dropped; a repeat comes with what
     /// allows its calls.
     pub(crate) fn enter(&self, offer: &Offer, holds: Option<CallHolds>) -> Running<'_> {
@@ -89,11 +72,7 @@
             Some((_, calls)) => *calls += 1,
             None => run.made.push((service.into(), 1)),
         }
-        let holds = run.holds.as_mut()?;
-        match holds.iter().position(|hold| hold.is_for(service)) {
-            Some(index) => Some(holds.swap_remove(index)),
-            None => Some(self.budgets.force(service, Repeat::Call)),
-        }
+        run.holds.as_mut().map(|holds| holds.take(service))
     }
 }
 
@@ -109,7 +88,7 @@
         let index = state.runs.iter().position(|run| run.key == self.key);
         if let Some(index) = index {
             let run = state.runs.swap_remove(index);
-            state.counts.record(run.route, &run.made);
+            self.runs.budgets.record_calls(run.route, &run.made);
         }
     }
 }
--- a/crates/oriolering/src/lib.rs
+++ b/crates/oriolering/src/lib.rs
@@ -50,6 +50,7 @@
 mod queue;
 mod reader;
 mod relay;
+mod repeat_budgets;
 mod retry;
 mod revision;
 mod room;
@@ -114,6 +115,7 @@
 pub use queue::{Push, Queue};
 pub use reader::{ReadLimit, is_reader};
 pub use relay::{Assembly, Document, Relay, RelayError};
+pub use repeat_budgets::{RepeatBound, RepeatBudgets};
 pub use retry::{AttemptState, Failure, RetryBudget, Step, next_step};
 pub use revision::{Head, Ignored, Published, Standing};
 pub use room::{Entry, Job, JobKey, NoRoom, Room, Turn};
