--- a/crates/mesh/tests/news.rs
+++ b/crates/mesh/tests/news.rs
@@ -5,6 +5,7 @@
 use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
+use rstest::rstest;
 use serde_json::{Value, json};
 use support::raw::{pass, run};
 use support::{Fleet, config, get};
@@ -94,3 +95,40 @@
         }
     });
 }
+
+#[rstest]
+#[case::early_in_a_watch(0)]
+#[case::later(400)]
+#[case::much_later(800)]
+fn a_change_is_in_force_in_time_though_the_store_is_silent_for_all_that_watch_it(
+    #[case] after_ms: u64,
+) {
+    run(async {
+        let mut fleet = Fleet::new(&["s"; 8]).await;
+        fleet.store.put("op/config", &config(1, "s"));
+        for index in 0..8 {
+            fleet.start_apart(index).await;
+        }
+        fleet.settle().await;
+        fleet.store.take_watchers();
+        pass(WATCHES_MS).await;
+        let watchers = fleet.store.take_watchers();
+        assert!(watchers.len() < 8, "{watchers:?} watch");
+        fleet.publish(0, "ready");
+        pass(after_ms).await;
+        for address in watchers {
+            fleet.store.silence(address);
+        }
+        let mut later = config(4, "s");
+        later["routes"][0]["prefix"] = "/later/".into();
+        fleet.store.put("op/config", &later);
+        let changed = Instant::now();
+        for index in 0..8 {
+            while fleet.call(index, &get("/later/echo")).await.status != 200 {
+                let waited = changed.elapsed();
+                assert!(waited < Duration::from_millis(APPLY_MS), "{waited:?}");
+                pass(10).await;
+            }
+        }
+    });
+}
--- a/crates/mesh/tests/support/store.rs
+++ b/crates/mesh/tests/support/store.rs
@@ -38,6 +38,8 @@
     old: Rc<RefCell<Option<Data>>>,
     changed: Rc<Notify>,
     watchers: Rc<RefCell<BTreeSet<SocketAddr>>>,
+    /// Where nothing is answered any more.
+    silent: Rc<RefCell<BTreeSet<SocketAddr>>>,
 }
 
 impl Store {
@@ -92,6 +94,11 @@
         self.watchers.take()
     }
 
+    /// Answers nothing at an address from now on, also what waits there.
+    pub fn silence(&self, address: SocketAddr) {
+        self.silent.borrow_mut().insert(address);
+    }
+
     /// Lets reads that may be old return from now on what holds at this moment.
     pub fn age(&self) {
         let data = self.data.borrow().clone();
@@ -99,6 +106,15 @@
     }
 
     async fn answer(self, at: SocketAddr, request: Request) -> Answer {
+        let silent = Rc::clone(&self.silent);
+        let answer = self.answer_of(at, request).await;
+        if silent.borrow().contains(&at) {
+            return std::future::pending().await;
+        }
+        answer
+    }
+
+    async fn answer_of(self, at: SocketAddr, request: Request) -> Answer {
         let query = request.uri.query().unwrap_or_default();
         let fields: BTreeMap<&str, &str> =
             query.split('&').filter_map(|f| f.split_once('=')).collect();
