Notice a store that is silent for all that watch it, and take over at once

Cause: a silent watch looks like a store with nothing new for 3 s; until then those that watch say so, and nobody else begins; those that take over wait for each other. Class: a claim of being informed that is renewed more slowly than others depend on it. Ruled out: slow news between nodes (7 ms). Change: a watch waits 1 s and 0.3 s more; a suspected peer does not count as watching; where all that watched have ceased, 48 nodes begin at once.

--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -240,6 +240,13 @@
         idle.filter(|p| Rank::of_peer(p) > own).count()
     }
 
+    /// Returns whether peers have watched the store and none does any more.
+    pub(crate) fn has_lost_readers(&self) -> bool {
+        let peers = self.peers.borrow();
+        let had_any = peers.values().any(|peer| peer.has_read());
+        had_any && !peers.values().any(|peer| peer.is_reading())
+    }
+
     fn rank(&self) -> Rank {
         Rank::of(self.settings.ip, self.rate())
     }
--- a/crates/mesh/src/peer.rs
+++ b/crates/mesh/src/peer.rs
@@ -57,6 +57,8 @@
     pub(crate) knows: Cell<(u64, u64)>,
     /// Whether it said that it watches the store.
     reading: Cell<bool>,
+    /// Whether it ever said so.
+    has_read: Cell<bool>,
     /// The rate of its instance's link that it told last, in megabytes a second.
     pub(crate) rate: Cell<u32>,
 }
@@ -76,6 +78,7 @@
             asked: Cell::new(None),
             knows: Cell::new((0, 0)),
             reading: Cell::new(false),
+            has_read: Cell::new(false),
             rate: Cell::new(0),
         }
     }
@@ -84,12 +87,18 @@
     pub(crate) fn learn(&self, routes: u64, servers: u64, reading: bool, rate: u32) {
         self.knows.set((routes, servers));
         self.reading.set(reading);
+        self.has_read.set(reading || self.has_read.get());
         self.rate.set(rate);
     }
 
-    /// Returns whether the peer can be reached and watches the store.
+    /// Returns whether the peer is heard and watches the store.
     pub(crate) fn is_reading(&self) -> bool {
-        self.up.get() && self.reading.get()
+        self.up.get() && !self.suspected.get() && self.reading.get()
+    }
+
+    /// Returns whether the peer has watched the store, now or before.
+    pub(crate) fn has_read(&self) -> bool {
+        self.has_read.get()
     }
 
     /// Returns whether a link is up.
--- a/crates/mesh/src/source.rs
+++ b/crates/mesh/src/source.rs
@@ -25,11 +25,11 @@
 const ANSWER_MS: u64 = 2_000;
 /// How long a watch waits for a change, in milliseconds.
 ///
-/// A connection that falls silent for good shows only when this time is over, and a change has
-/// to be in force within two seconds.
-const WATCH_MS: u64 = 2_500;
+/// A store that falls silent shows only when this time is over, and a change has to be in force
+/// within two seconds, by then through another node.
+const WATCH_MS: u64 = 1_000;
 /// How long the answer to a watch may take beyond its time, in milliseconds.
-const WATCH_SLACK_MS: u64 = 500;
+const WATCH_SLACK_MS: u64 = 300;
 /// The first wait after a failure, in milliseconds.
 const BACKOFF_MIN_MS: u64 = 100;
 /// The longest wait after failures, in milliseconds.
@@ -43,6 +43,9 @@
 const TURN_MS: u64 = 150;
 /// The longest such wait, in milliseconds; well below the time for a change to be in force.
 const TURN_MAX_MS: u64 = 1_200;
+/// How many nodes begin to watch at once where all that did have ceased, since the store may be
+/// silent for some of them, too.
+const CROWD: u64 = 48;
 /// The longest time that a node without peers leaves to others to begin, in milliseconds; the
 /// first of them finds all others and links to them.
 const ALONE_MAX_MS: u64 = 3_000;
@@ -121,11 +124,13 @@
             false => 0,
         };
         loop {
-            let ahead = self.node.readers_ahead() as u64 * TURN_MS;
+            let ahead = self.node.readers_ahead() as u64;
             let turn = match self.node.peers.borrow().is_empty() {
                 true => alone,
-                false => ahead.min(TURN_MAX_MS),
+                false if self.node.has_lost_readers() => ahead / CROWD * TURN_MS,
+                false => ahead * TURN_MS,
             };
+            let turn = turn.min(TURN_MAX_MS.max(alone));
             match self.node.should_read() {
                 true if waited >= turn => return,
                 true => waited += IDLE_MS,
