Let the soak's backend servers make calls, and judge those of repeated runs as repeats

Change: requests on /check/ need up to two calls on the new route /lookup/, made through the node beside the backend server with identities below their parent's; the judge takes all arrivals of a call whose run was a repeat as repeats at the service called, and a call of a run that nobody asked for as unasked. Not shown: that the soak fails on the code before the mend.

--- a/crates/bench/src/soak/app.rs
+++ b/crates/bench/src/soak/app.rs
@@ -14,6 +14,7 @@
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 use super::app_answer::{Answer, Next};
+use super::app_call;
 use super::app_settings::{AppFault, AppSettings, Flaw, WhenFull};
 use super::app_state::{Arrival, Held, State};
 use super::record::Step;
@@ -237,11 +238,27 @@
         if flaw == Some(Flaw::Crash) || self.path.contains(POISON) {
             std::process::exit(CRASH_STATUS);
         }
-        match timeout_at(self.until, sleep(work)).await {
+        let done = async {
+            sleep(work).await;
+            self.make_calls().await
+        };
+        match timeout_at(self.until, done).await {
             Err(_) => Some(504),
-            Ok(()) if flaw == Some(Flaw::Error) => Some(500),
-            Ok(()) => Some(200),
+            Ok(_) if flaw == Some(Flaw::Error) => Some(500),
+            Ok(false) => Some(500),
+            Ok(true) => Some(200),
+        }
+    }
+
+    /// Makes the calls that the request needs, and returns whether all were served.
+    async fn make_calls(&self) -> bool {
+        for number in 0..self.ask("calls=").unwrap_or(0) {
+            let (settings, until) = (&self.state.settings, self.until.into_std());
+            if !app_call::call(settings, &self.id, number, until).await {
+                return false;
+            }
         }
+        true
     }
 
     fn executed(&self, status: u16) -> Answer<'_> {
--- a/crates/bench/src/soak/journal.rs
+++ b/crates/bench/src/soak/journal.rs
@@ -4,6 +4,7 @@
 
 use compact_str::CompactString;
 
+use super::app_call::scan_call;
 use super::client::Attempt;
 use super::record::{Entry, Step};
 
@@ -234,6 +235,15 @@
         freezes.any(|f| f.from_ms <= to_ms && f.to_ms >= from_ms)
     }
 
+    /// Returns the run that made a call, and whether it was a repeat.
+    pub(crate) fn caller_of(&self, id: &str) -> Option<(&Run, bool)> {
+        let (parent, server) = scan_call(id)?;
+        let mut runs: Vec<&Run> = self.runs.get(parent)?.iter().collect();
+        runs.sort_by_key(|run| run.reached_ms);
+        let index = runs.iter().position(|run| run.server == server)?;
+        Some((runs[index], index > 0))
+    }
+
     /// Returns the arrivals of an attempt.
     pub fn runs_of(&self, attempt: &Attempt) -> &[Run] {
         self.runs.get(&attempt.id).map_or(&[], Vec::as_slice)
--- a/crates/bench/src/soak/judge.rs
+++ b/crates/bench/src/soak/judge.rs
@@ -180,7 +180,7 @@
             .journal
             .runs
             .iter()
-            .filter(|(id, _)| !asked.contains(id));
+            .filter(|(id, _)| !asked.contains(id) && self.journal.caller_of(id).is_none());
         let breach = |(id, runs): (&CompactString, &Vec<Run>)| Breach {
             seed: self.journal.seed,
             rule: Rule::Unasked,
--- a/crates/bench/src/soak/judge_load.rs
+++ b/crates/bench/src/soak/judge_load.rs
@@ -91,6 +91,7 @@
                 of_service.repeats.push((run.reached_ms, &attempt.id));
             }
         }
+        self.add_calls(&mut traffic);
         for of_service in traffic.values_mut() {
             of_service.requests.sort_unstable();
             of_service.repeats.sort_unstable();
@@ -98,6 +99,24 @@
         traffic
     }
 
+    /// Adds the calls of backend servers; all arrivals of those of a repeated run are repeats.
+    fn add_calls(&self, traffic: &mut HashMap<&'a str, Traffic<'a>>) {
+        for (id, runs) in &self.journal.runs {
+            let Some((_, is_repeat)) = self.journal.caller_of(id) else {
+                continue;
+            };
+            let mut runs: Vec<&Run> = runs.iter().collect();
+            runs.sort_by_key(|run| run.reached_ms);
+            for (i, run) in runs.into_iter().enumerate() {
+                let of_service = traffic.entry(&run.service).or_default();
+                match i == 0 && !is_repeat {
+                    true => of_service.requests.push(run.reached_ms),
+                    false => of_service.repeats.push((run.reached_ms, id)),
+                }
+            }
+        }
+    }
+
     /// Returns the services that a request which arrived nowhere may have been for.
     fn services_of(&self, attempt: &Attempt) -> HashSet<&'a str> {
         if attempt.told == Told::Unsent {
--- a/crates/bench/src/soak/mod.rs
+++ b/crates/bench/src/soak/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod app;
 mod app_answer;
+mod app_call;
 mod app_settings;
 mod app_state;
 mod bounds;
--- a/crates/bench/src/soak/session.rs
+++ b/crates/bench/src/soak/session.rs
@@ -22,6 +22,8 @@
 const PROBE_MS: u64 = 800;
 /// The most requests that are sent behind one another.
 const BEHIND: usize = 3;
+/// The most calls that a request needs.
+const CALLS: u64 = 2;
 /// The largest body of an upload.
 const UPLOAD_BYTES: usize = 150_000;
 /// The share of clients that leave early.
@@ -186,7 +188,16 @@
         7 => (DAMAGE, 1, rng.random_range(1..UPLOAD_BYTES)),
         _ => (CHARGE, 1, rng.random_range(1..2_000)),
     };
-    let path = format!("{}{}?work={work}&bytes={bytes}", steady.0, work % 7);
+    let calls = if steady == CHECK && !leaves {
+        rng.random_range(0..=CALLS)
+    } else {
+        0
+    };
+    let path = format!(
+        "{}{}?work={work}&bytes={bytes}&calls={calls}",
+        steady.0,
+        work % 7
+    );
     let chunked = body_bytes > 0 && rng.random_bool(0.5);
     let attempt = |_| {
         let attempt = new_attempt(world, machine, steady, &path);
--- a/crates/bench/src/soak/site_text.rs
+++ b/crates/bench/src/soak/site_text.rs
@@ -40,6 +40,7 @@
 pub(crate) const CHARGE: Steady = ("/charge/", "non_idempotent", 1_000);
 pub(crate) const DAMAGE: Steady = ("/damage/", "upload", 1_200);
 pub(crate) const SPLIT: Steady = ("/split/", "idempotent", 800);
+pub(crate) const LOOKUP: Steady = ("/lookup/", "idempotent", 600);
 pub(crate) const MOVE: Steady = ("/move/", "idempotent", 800);
 
 /// Returns the path's prefix that only one configuration has.
@@ -61,6 +62,7 @@
         one(CHARGE, SERVICES[1]),
         one(DAMAGE, SERVICES[0]),
         (SPLIT.0, SPLIT.1, SPLIT.2, SERVICES.to_vec()),
+        one(LOOKUP, SERVICES[1]),
         one(MOVE, moved),
         (own.as_str(), "idempotent", 800, vec![SERVICES[0]]),
     ];
--- a/crates/bench/tests/judge/load.rs
+++ b/crates/bench/tests/judge/load.rs
@@ -136,6 +136,39 @@
     assert_eq!(rules(&other), []);
 }
 
+/// Adds the calls that one run makes.
+fn add_calls(journal: &mut Journal, parent: &str, server: &str, calls: usize) {
+    for number in 0..calls {
+        let id = format!("{parent}.{server}_{number}");
+        let called = attempt(&id, true, answer(200, Some(true)));
+        let run = Run {
+            server: "i-9".into(),
+            service: "caja".into(),
+            ..run(&called)
+        };
+        journal.runs.insert(id.into(), vec![run]);
+    }
+}
+
+#[rstest]
+#[case::of_first_runs("i-1", vec![])]
+#[case::of_repeated_runs("i-2", vec![Rule::Budget])]
+fn calls_of_repeated_runs_count_as_repeats(#[case] server: &str, #[case] broken: Vec<Rule>) {
+    // The repeats themselves are allowed; each makes two calls.
+    let mut journal = repeated(100, 40);
+    for number in 0..40 {
+        add_calls(&mut journal, &format!("r{number}"), server, 2);
+    }
+    assert_eq!(rules(&journal), broken);
+}
+
+#[test]
+fn a_call_of_a_run_that_nobody_asked_for_is_found() {
+    let mut journal = repeated(1, 0);
+    add_calls(&mut journal, "r0", "i-2", 1);
+    assert_eq!(rules(&journal), [Rule::Unasked]);
+}
+
 #[rstest]
 #[case::as_many_as_allowed(&["i-1", "i-2"], vec![])]
 #[case::twice_at_the_same(&["i-1", "i-2", "i-2"], vec![])]
