--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -158,13 +158,13 @@
         if let Some((why, back_ms)) = self.rules_out(&offer) {
             return self.refuse(&mut visit, why, back_ms);
         }
-        let calls = match offer.repeat {
-            true => self.budgets.hold_calls(offer.route),
-            false => None,
+        let calls = match self.hold_calls(&offer) {
+            Ok(calls) => calls,
+            Err(why) => {
+                let back_ms = self.room.borrow().back_ms(work_ms);
+                return self.refuse(&mut visit, why, back_ms);
+            }
         };
-        if offer.repeat && calls.is_none() {
-            return self.refuse(&mut visit, NoRoom::Budget, 0);
-        }
         let turn = self.suspects.turn(offer.fingerprint, offer.left_ms.into());
         let Ok(_turn) = turn.await else {
             return self.refuse(&mut visit, NoRoom::Late, 0);
@@ -191,6 +191,15 @@
         (ending, body)
     }
 
+    /// Holds the calls that a request will make, if it is a repeat.
+    fn hold_calls(&self, offer: &Offer) -> Result<Option<CallHolds>, NoRoom> {
+        if !offer.repeat {
+            return Ok(None);
+        }
+        let calls = self.budgets.hold_calls(offer.route);
+        calls.map(Some).ok_or(NoRoom::Budget)
+    }
+
     /// Refuses a request, which has not run and never will.
     fn refuse(&self, visit: &mut Visit, why: NoRoom, back_ms: u64) -> (Ending, Bytes) {
         visit.refused(why, back_ms, self.known(self.clock.now()));
--- a/crates/oriolering/src/call_counts.rs
+++ b/crates/oriolering/src/call_counts.rs
@@ -7,6 +7,8 @@
 
 /// The runs in a row below the most calls after which fewer are expected.
 const RUNS_BELOW: u32 = 64;
+/// The most routes that are kept; routes that were dropped make room when it is reached.
+const ROUTES_MAX: usize = 1_024;
 
 /// The most calls that a run makes to one service.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -33,9 +35,13 @@
 impl CallCounts {
     /// Takes in the calls that a run made before it ended.
     pub fn record(&mut self, route: u64, made: &Calls) {
-        if made.is_empty() && !self.routes.contains_key(&route) {
+        let is_new = !self.routes.contains_key(&route);
+        if made.is_empty() && is_new {
             return;
         }
+        if is_new && self.routes.len() >= ROUTES_MAX {
+            self.routes.clear();
+        }
         let known = self.routes.entry(route).or_default();
         for (service, calls) in made {
             if !known.iter().any(|most| most.service == *service) {
--- a/crates/oriolering/tests/call_counts.rs
+++ b/crates/oriolering/tests/call_counts.rs
@@ -49,3 +49,13 @@
     }
     assert!(counts.most(ROUTE).is_empty());
 }
+
+#[test]
+fn routes_that_come_and_go_do_not_pile_up() {
+    let mut counts = CallCounts::default();
+    for route in 0..10_000 {
+        counts.record(route, &calls(&[("t", 1)]));
+    }
+    let kept = (0..10_000).filter(|route| !counts.most(*route).is_empty());
+    assert!((1..=1_024).contains(&kept.count()));
+}
