--- a/crates/mesh/tests/data_path/changes.rs
+++ b/crates/mesh/tests/data_path/changes.rs
@@ -108,10 +108,7 @@
         later["routes"][0]["prefix"] = "/later/".into();
         fleet.store.put("op/config", &later);
         let changed = Instant::now();
-        while fleet.call(0, &get("/later/echo")).await.status != 200 {
-            assert!(changed.elapsed() < Duration::from_millis(APPLY_MS));
-            pass(10).await;
-        }
+        fleet.wait_serves(0, "/later/echo", changed, APPLY_MS).await;
     });
 }
 
--- a/crates/mesh/tests/failures.rs
+++ b/crates/mesh/tests/failures.rs
@@ -80,10 +80,7 @@
         assert_eq!(fleet.call(0, &get("/get/echo")).await.status, 503);
         fleet.start_one(1);
         let back = Instant::now();
-        while fleet.call(0, &get("/get/echo")).await.status != 200 {
-            assert!(back.elapsed() < Duration::from_millis(BACK_MS));
-            pass(10).await;
-        }
+        fleet.wait_serves(0, "/get/echo", back, BACK_MS).await;
     });
 }
 
@@ -95,10 +92,7 @@
         fleet.ended(1).await;
         fleet.start_one(1);
         let back = Instant::now();
-        while fleet.call(0, &get("/get/echo")).await.status != 200 {
-            assert!(back.elapsed() < Duration::from_millis(BACK_MS));
-            pass(10).await;
-        }
+        fleet.wait_serves(0, "/get/echo", back, BACK_MS).await;
     });
 }
 
--- a/crates/mesh/tests/news.rs
+++ b/crates/mesh/tests/news.rs
@@ -37,14 +37,6 @@
     config
 }
 
-async fn wait_served(fleet: &Fleet, index: usize, target: &str) {
-    let since = Instant::now();
-    while fleet.call(index, &get(target)).await.status != 200 {
-        assert!(since.elapsed() < Duration::from_millis(APPLY_MS));
-        pass(10).await;
-    }
-}
-
 #[test]
 fn many_routes_and_their_changes_come_to_nodes_without_the_store() {
     run(async {
@@ -57,11 +49,15 @@
         fleet.settle().await;
         fleet.store.put("op/config", &many_routes(5, 1_400, "one"));
         for index in 0..6 {
-            wait_served(&fleet, index, "/one/echo").await;
+            fleet
+                .wait_serves(index, "/one/echo", Instant::now(), APPLY_MS)
+                .await;
         }
         fleet.store.put("op/config", &many_routes(9, 1_400, "two"));
         for index in 0..6 {
-            wait_served(&fleet, index, "/two/echo").await;
+            fleet
+                .wait_serves(index, "/two/echo", Instant::now(), APPLY_MS)
+                .await;
             assert_eq!(fleet.call(index, &get("/one/echo")).await.status, 404);
         }
     });
@@ -124,11 +120,9 @@
         fleet.store.put("op/config", &later);
         let changed = Instant::now();
         for index in 0..8 {
-            while fleet.call(index, &get("/later/echo")).await.status != 200 {
-                let waited = changed.elapsed();
-                assert!(waited < Duration::from_millis(APPLY_MS), "{waited:?}");
-                pass(10).await;
-            }
+            fleet
+                .wait_serves(index, "/later/echo", changed, APPLY_MS)
+                .await;
         }
     });
 }
--- a/crates/mesh/tests/support/mod.rs
+++ b/crates/mesh/tests/support/mod.rs
@@ -324,6 +324,19 @@
         .await;
     }
 
+    /// Waits until a node serves a target, for at most so long after `since`.
+    pub async fn wait_serves(&self, index: usize, target: &str, since: Instant, within_ms: u64) {
+        while self.call(index, &get(target)).await.status != 200 {
+            let waited = since.elapsed();
+            let late = waited >= Duration::from_millis(within_ms);
+            assert!(
+                !late,
+                "node {index} does not serve {target} after {waited:?}"
+            );
+            pass(10).await;
+        }
+    }
+
     /// Returns what a node says to the platform's poll.
     pub async fn ready(&self, index: usize) -> u16 {
         let address = SocketAddr::new(self.instances[index].ip, READY_PORT);
