--- /dev/null
+++ b/crates/mesh/src/attempt.rs
@@ -0,0 +1,126 @@
+//! One attempt of a request: the offer to a gate, and what became of it.
+
+use std::rc::Rc;
+
+use compact_str::CompactString;
+use oriolering::{Load, Millis, Route};
+use oriolering_http::Bytes;
+
+use crate::budgets::{Hold, Repeat};
+use crate::frame::{Headers, Offer};
+use crate::node::Node;
+use crate::progress::Progress;
+use crate::reply::Reply;
+use crate::spots::{Chosen, Way};
+use crate::trail::Story;
+
+/// A request on its way to a backend server.
+pub(crate) struct Job {
+    pub(crate) request: CompactString,
+    /// What it is known by if backend servers crash while they run it.
+    pub(crate) fingerprint: u64,
+    pub(crate) service: CompactString,
+    pub(crate) route: Rc<Route>,
+    pub(crate) route_hash: u64,
+    pub(crate) arrived: Millis,
+    /// When the answer is of no use any more.
+    pub(crate) deadline: Millis,
+    pub(crate) method: CompactString,
+    pub(crate) target: String,
+    pub(crate) headers: Headers,
+    pub(crate) body: Bytes,
+    /// What its first attempt counts as, if a repeated run of another request made it.
+    pub(crate) hold: Option<Hold>,
+    /// What is written down of it.
+    pub(crate) story: Story,
+}
+
+/// Returns what a request asks of a backend server, as far as is known of its route.
+pub(crate) fn load_of(node: &Node, job: &Job) -> Load {
+    let work = node.work.borrow();
+    Load {
+        work_ms: work.estimate(job.route_hash, job.route.aim_ms),
+        bytes: job.body.len() as u64 + work.answer_bytes(job.route_hash),
+    }
+}
+
+/// What an attempt came to at the chosen backend server.
+pub(crate) struct Tried {
+    pub(crate) server: CompactString,
+    pub(crate) reply: Reply,
+    /// What allowed it, if it was a repeat that did not arrive.
+    pub(crate) hold: Option<Hold>,
+}
+
+/// Sends a request to the chosen gate; `hold` is there if that is a repeat.
+pub(crate) async fn send(
+    node: &Rc<Node>,
+    job: &Job,
+    chosen: Chosen,
+    work_ms: u64,
+    mut hold: Option<Hold>,
+) -> Tried {
+    let now = node.now();
+    let offer = Offer {
+        server: chosen.server.clone(),
+        request: job.request.clone(),
+        route: job.route_hash,
+        fingerprint: job.fingerprint,
+        idempotent: job.route.kind.is_idempotent(),
+        repeat: hold.is_some(),
+        priority: job.route.priority,
+        aim_ms: (job.arrived + job.route.aim_ms).since(now) as u32,
+        left_ms: job.deadline.since(now) as u32,
+        work_ms: work_ms as u32,
+        elsewhere_ms: chosen.place.next_ms.map(|ms| ms as u32),
+        caller: node.settings.backend.service.clone(),
+        method: job.method.clone(),
+        target: job.target.clone(),
+        headers: job.headers.clone(),
+    };
+    let server = chosen.server;
+    node.spots
+        .borrow_mut()
+        .with_site(&server, |site| site.sent += 1);
+    if let Some(hold) = &mut hold {
+        hold.send();
+    }
+    let reply = match chosen.way {
+        Way::Local => send_here(node, offer, job.body.clone()).await,
+        Way::Remote(peer) => peer.call(offer, &job.body).await,
+    };
+    let hold = hold.filter(|_| !reply.may_have_arrived()).map(|mut hold| {
+        hold.take_back();
+        hold
+    });
+    Tried {
+        server,
+        reply,
+        hold,
+    }
+}
+
+/// Sends a request to the gate of this node.
+async fn send_here(node: &Rc<Node>, offer: Offer, body: Bytes) -> Reply {
+    let gate = Rc::clone(&node.gate);
+    let (ending, body) = gate.run(offer, body).await;
+    node.spots
+        .borrow_mut()
+        .tell_local(node.now(), node.gate.load());
+    Reply::Ended {
+        ending,
+        body: body.to_vec(),
+    }
+}
+
+/// Returns what allows a second run beside one that is under way, if it may begin.
+pub(crate) fn hold_second(node: &Rc<Node>, job: &Job, progress: &Progress) -> Option<Hold> {
+    if progress.sends + 1 >= job.route.attempts {
+        return None;
+    }
+    // A second run of what may have crashed a backend server would put another one at risk.
+    if node.suspects.is_suspect(job.fingerprint) {
+        return None;
+    }
+    node.budgets.hold(&job.service, Repeat::Run)
+}
--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -1,5 +1,8 @@
 //! The gate: the only way to the backend server on the same instance.
 
+mod permit;
+mod waiting;
+
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -28,6 +31,9 @@
 use crate::suspects::Suspects;
 use crate::trail::{Known, Trail, Visit};
 
+use permit::Permit;
+use waiting::Waiting;
+
 /// The age of the last word of the backend server from which it is asked, in milliseconds; a
 /// sixth of the time for which a noisy neighbour slows it down.
 const PROBE_AGE_MS: u64 = 50;
@@ -489,37 +495,3 @@
         self.listeners.tell(self.load());
     }
 }
-
-/// A slot at the backend server, freed when it is dropped.
-struct Permit(Rc<Gate>);
-
-impl Drop for Permit {
-    fn drop(&mut self) {
-        self.0.room.borrow_mut().finish();
-        self.0.pump();
-    }
-}
-
-/// A place among the waiting, given up when it is dropped.
-struct Waiting<'a> {
-    gate: &'a Gate,
-    key: JobKey,
-    receiver: oneshot::Receiver<Result<(), NoRoom>>,
-    ended: bool,
-}
-
-impl Drop for Waiting<'_> {
-    fn drop(&mut self) {
-        if self.ended {
-            return;
-        }
-        let waits = self.gate.waiters.borrow_mut().remove(&self.key).is_some();
-        if waits {
-            self.gate.room.borrow_mut().leave(self.key);
-        } else if let Ok(Ok(())) = self.receiver.try_recv() {
-            // It was given a slot that nobody will use.
-            self.gate.room.borrow_mut().finish();
-            self.gate.pump();
-        }
-    }
-}
--- a/crates/mesh/src/ingress.rs
+++ b/crates/mesh/src/ingress.rs
@@ -9,7 +9,8 @@
 use tokio::net::TcpListener;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::dispatch::{self, Job};
+use crate::attempt::Job;
+use crate::dispatch;
 use crate::fingerprint;
 use crate::headers;
 use crate::node::Node;
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -8,6 +8,7 @@
 //! Decisions are in [`oriolering`], connections in [`oriolering_http`], and the platform's
 //! names and formats in [`oriolering_platform`].
 
+mod attempt;
 mod budgets;
 mod counts;
 mod dispatch;
@@ -23,11 +24,13 @@
 mod metrics;
 mod news;
 mod node;
+mod noted;
 mod outbound;
 mod outbox;
 mod outgoing;
 mod peer;
 mod pool;
+mod progress;
 mod pulse;
 mod race;
 mod reload;
--- /dev/null
+++ b/crates/mesh/src/noted.rs
@@ -0,0 +1,151 @@
+//! What an ingress learns from the end of an attempt.
+
+use std::rc::Rc;
+
+use compact_str::CompactString;
+use oriolering::NoRoom;
+use oriolering_http::{Answer, Bytes, HeaderMap, StatusCode};
+
+use crate::attempt::{Job, Tried};
+use crate::frame::{Answered, Ending};
+use crate::headers;
+use crate::node::Node;
+use crate::progress::Progress;
+use crate::reply::Reply;
+
+/// How long a backend server is avoided whose address answered for another one, in
+/// milliseconds; the list has changed by then.
+const MOVED_MS: u64 = 2_000;
+
+/// What an attempt came to.
+pub(crate) enum Noted {
+    /// The caller gets this answer.
+    Answer(Answer),
+    /// No byte of the request reached a backend server.
+    Unsent,
+    /// A backend server had the request, and another one may try it.
+    Sent,
+    /// A backend server had the request until its deadline.
+    Ended,
+}
+
+/// Takes in how an attempt ended, whether it was the only one under way or not.
+pub(crate) fn note(
+    node: &Rc<Node>,
+    job: &Job,
+    progress: &mut Progress,
+    server: CompactString,
+    reply: Reply,
+) -> Noted {
+    let (ending, body) = match reply {
+        Reply::Ended { ending, body } => (ending, body),
+        Reply::Lost => {
+            progress.add_send(server);
+            return Noted::Sent;
+        }
+        Reply::Unlinked => {
+            progress.tried.push(server);
+            return Noted::Unsent;
+        }
+    };
+    match ending {
+        Ending::Answered(answered) => note_answer(node, job, progress, server, answered, body),
+        Ending::Refused { why, back_ms } => {
+            let back_ms = Some(u64::from(back_ms));
+            progress.refusals += 1;
+            progress.away += u32::from(why == NoRoom::Elsewhere);
+            progress.tried.push(server);
+            match why {
+                NoRoom::Quarantined => progress.quarantined_ms = back_ms,
+                NoRoom::Elsewhere
+                | NoRoom::Late
+                | NoRoom::Full
+                | NoRoom::Leaving
+                | NoRoom::Down
+                | NoRoom::Budget => progress.back_ms = back_ms,
+            }
+            Noted::Unsent
+        }
+        Ending::Unexecuted { status } => {
+            note_unexecuted(node, &server, status);
+            progress.sends += 1;
+            progress.tried.push(server);
+            Noted::Sent
+        }
+        Ending::Unsent => {
+            progress.tried.push(server);
+            Noted::Unsent
+        }
+        Ending::Failed => {
+            let now = node.now();
+            node.spots
+                .borrow_mut()
+                .with_site(&server, |s| s.record(now, true));
+            progress.add_send(server);
+            Noted::Sent
+        }
+    }
+}
+
+/// Takes in the reply to one of two attempts, while the other one is still under way.
+pub(crate) fn note_first(node: &Rc<Node>, job: &Job, progress: &mut Progress, tried: Tried) {
+    match note(node, job, progress, tried.server, tried.reply) {
+        // A good answer is not noted but used; what follows the others is decided at the end.
+        Noted::Answer(_) | Noted::Unsent | Noted::Sent | Noted::Ended => {}
+    }
+}
+
+fn note_unexecuted(node: &Rc<Node>, server: &str, status: u16) {
+    let now = node.now();
+    let moved = status == StatusCode::MISDIRECTED_REQUEST.as_u16();
+    node.spots
+        .borrow_mut()
+        .with_site(server, |site| match moved {
+            true => site.suspect = now + MOVED_MS,
+            false => site.record(now, true),
+        });
+}
+
+fn note_answer(
+    node: &Rc<Node>,
+    job: &Job,
+    progress: &mut Progress,
+    server: CompactString,
+    answered: Answered,
+    body: Vec<u8>,
+) -> Noted {
+    let now = node.now();
+    let failed = answered.status >= 500;
+    node.spots
+        .borrow_mut()
+        .with_site(&server, |s| s.record(now, failed));
+    if !failed {
+        let ran_ms = u64::from(answered.ran_ms);
+        node.work
+            .borrow_mut()
+            .record(job.route_hash, ran_ms, answered.work_percent);
+        let bytes = body.len() as u64;
+        node.work.borrow_mut().record_bytes(job.route_hash, bytes);
+        return Noted::Answer(answer(answered, body));
+    }
+    // A backend server says 504 at the deadline that it was given.
+    let ended = answered.status == StatusCode::GATEWAY_TIMEOUT.as_u16();
+    progress.add_send(server);
+    progress.failure = Some((answered, body));
+    match ended {
+        true => Noted::Ended,
+        false => Noted::Sent,
+    }
+}
+
+/// Returns the answer of a backend server as the caller gets it.
+pub(crate) fn answer(answered: Answered, body: Vec<u8>) -> Answer {
+    let status = StatusCode::from_u16(answered.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let headers: HeaderMap = headers::to_map(&answered.headers);
+    Answer {
+        status,
+        headers,
+        body: Bytes::from(body),
+        close: false,
+    }
+}
--- /dev/null
+++ b/crates/mesh/src/progress.rs
@@ -0,0 +1,45 @@
+//! What is known of a request after some attempts.
+
+use compact_str::CompactString;
+use smallvec::SmallVec;
+
+use crate::budgets::Hold;
+use crate::frame::Answered;
+use crate::trail::Standing;
+
+/// What is known of a request after some attempts.
+#[derive(Default)]
+pub(crate) struct Progress {
+    pub(crate) tried: SmallVec<[CompactString; 4]>,
+    /// The backend servers that it was sent to.
+    pub(crate) sends: u32,
+    pub(crate) refusals: u32,
+    /// How many of the refusals were for a better backend server.
+    pub(crate) away: u32,
+    /// Whether an attempt may have run.
+    pub(crate) uncertain: bool,
+    pub(crate) back_ms: Option<u64>,
+    /// For how long a gate quarantines it, in milliseconds.
+    pub(crate) quarantined_ms: Option<u64>,
+    /// What allows the next attempt, if that is a repeat.
+    pub(crate) hold: Option<Hold>,
+    /// The last failure that a backend server answered itself.
+    pub(crate) failure: Option<(Answered, Vec<u8>)>,
+}
+
+impl Progress {
+    /// Notes a backend server that a request was sent to and may have run at.
+    pub(crate) fn add_send(&mut self, server: CompactString) {
+        self.sends += 1;
+        self.uncertain = true;
+        self.tried.push(server);
+    }
+
+    pub(crate) fn standing(&self) -> Standing {
+        Standing {
+            sends: self.sends,
+            refusals: self.refusals,
+            uncertain: self.uncertain,
+        }
+    }
+}
--- a/crates/mesh/src/race.rs
+++ b/crates/mesh/src/race.rs
@@ -8,10 +8,12 @@
 use oriolering::{Run, wants_second_run};
 use tokio::time::sleep;
 
+use crate::attempt::{self, Job, Tried};
 use crate::budgets::Hold;
-use crate::dispatch::{self, Job, Progress, Tried};
 use crate::frame::Ending;
 use crate::node::Node;
+use crate::noted;
+use crate::progress::Progress;
 use crate::reply::Reply;
 use crate::spots::Chosen;
 
@@ -31,7 +33,7 @@
 ) -> Tried {
     let server = chosen.server.clone();
     let hold = progress.hold.take();
-    let mut first = pin!(dispatch::send(node, job, chosen, work_ms, hold));
+    let mut first = pin!(attempt::send(node, job, chosen, work_ms, hold));
     if !job.route.kind.is_idempotent() {
         return first.await;
     }
@@ -40,20 +42,20 @@
         result = &mut first => return result,
         second = wait_for_second(node, job, progress, &server, work_ms) => second,
     };
-    let mut second = pin!(dispatch::send(node, job, second, work_ms, Some(hold)));
+    let mut second = pin!(attempt::send(node, job, second, work_ms, Some(hold)));
     tokio::select! {
         biased;
         result = &mut first => match is_good(&result.reply) {
             true => result,
             false => {
-                dispatch::note_first(node, job, progress, result);
+                noted::note_first(node, job, progress, result);
                 second.await
             }
         },
         result = &mut second => match is_good(&result.reply) {
             true => result,
             false => {
-                dispatch::note_first(node, job, progress, result);
+                noted::note_first(node, job, progress, result);
                 first.await
             }
         },
@@ -80,8 +82,8 @@
             .unwrap_or(USUAL_PERCENT);
         done_us += now.since(looked) * 1_000 * USUAL_PERCENT / pace.max(USUAL_PERCENT);
         looked = now;
-        let load = dispatch::load_of(node, job);
-        let mut tried = progress.tried().to_vec();
+        let load = attempt::load_of(node, job);
+        let mut tried = progress.tried.to_vec();
         tried.push(server.clone());
         let spots = node.spots.borrow();
         let chosen = spots.choose(now, &job.service, load, &tried, &mut rand::rng());
@@ -101,7 +103,7 @@
         if !wants_second_run(run) {
             continue;
         }
-        if let Some(hold) = dispatch::hold_second(node, job, progress) {
+        if let Some(hold) = attempt::hold_second(node, job, progress) {
             let revision = node.list.borrow().revision();
             job.story.chosen(now, &chosen, work_ms, revision);
             return (chosen, hold);
