Tell how often the soak stood still while its processes started or ended

Suspected: starting a process waits until it has begun to run its program, and killing one until it has ended. Change: both are timed, and the summary tells how many of the stand-stills they explain for most of their length. The judge decides as before. Test: four cases of explained_stalls.

--- a/crates/bench/src/soak/journal.rs
+++ b/crates/bench/src/soak/journal.rs
@@ -131,6 +131,8 @@
     pub starts: Vec<(usize, u64)>,
     /// When the soak itself was last seen to run.
     pub ticked_ms: Option<u64>,
+    /// When the start or end of a process held up the soak's only thread, in Unix milliseconds.
+    pub held: Vec<(u64, u64)>,
     /// When all nodes were killed at the end, and when they ran again.
     pub closing: Option<(u64, u64)>,
 }
@@ -192,6 +194,21 @@
         self.disruptions.iter().filter(|d| d.what == STALL).count()
     }
 
+    /// Returns how often the soak stood still while processes started or ended for most of it.
+    pub fn explained_stalls(&self) -> usize {
+        let stalls = self.disruptions.iter().filter(|d| d.what == STALL);
+        let held_ms = |stall: &Disruption| -> u64 {
+            let (from_ms, to_ms) = (stall.from_ms, stall.to_ms);
+            let parts = self.held.iter().map(|(from, to)| {
+                let begin = (*from).max(from_ms);
+                (*to).min(to_ms).saturating_sub(begin)
+            });
+            parts.sum()
+        };
+        let is_held = |stall: &&Disruption| held_ms(stall) * 2 > stall.to_ms - stall.from_ms;
+        stalls.filter(is_held).count()
+    }
+
     /// Returns whether a machine was in touch through a whole span.
     pub fn in_touch(&self, machine: usize, from_ms: u64, to_ms: u64, window_ms: u64) -> bool {
         let mut disruptions = self.disruptions_of(machine, from_ms, to_ms, window_ms);
--- a/crates/bench/src/soak/machine.rs
+++ b/crates/bench/src/soak/machine.rs
@@ -69,6 +69,8 @@
     sequence: Cell<u64>,
     node: RefCell<Option<Process>>,
     app: RefCell<Option<Process>>,
+    /// When the start or end of a process held up the soak's only thread, in Unix milliseconds.
+    pub(crate) held: RefCell<Vec<(u64, u64)>>,
 }
 
 impl Machine {
@@ -111,7 +113,8 @@
         let variables = [("ORIOLERING_NODE_FILE", path.as_path())];
         let args = ["platform".to_owned()];
         let log = self.file("node-log");
-        let node = Process::start_with(&program("oriolering-node"), &args, &variables, &log)?;
+        let program = program("oriolering-node");
+        let node = self.note_held(|| Process::start_with(&program, &args, &variables, &log))?;
         self.now.node.replace(Some(node));
         self.now.node_wanted.set(true);
         Ok(())
@@ -146,7 +149,8 @@
             seed: born_ms,
         };
         let args = [serde_json::to_string(&settings)?];
-        let app = Process::start(&program("app"), &args, &self.file("app-log"))?;
+        let log = self.file("app-log");
+        let app = self.note_held(|| Process::start(&program("app"), &args, &log))?;
         self.now.app.replace(Some(app));
         self.now.app_wanted.set(true);
         Ok(())
@@ -194,7 +198,15 @@
     pub(crate) fn kill_node(&self) {
         self.now.node_wanted.set(false);
         // Dropping a process kills it and waits for it.
-        self.now.node.take();
+        self.note_held(|| drop(self.now.node.take()));
+    }
+
+    /// Notes how long an act on a process, which waits for the system, takes.
+    fn note_held<T>(&self, act: impl FnOnce() -> T) -> T {
+        let from_ms = now_ms();
+        let result = act();
+        self.now.held.borrow_mut().push((from_ms, now_ms()));
+        result
     }
 
     /// Stops the backend server, or continues it with the fault that it is to have.
@@ -214,12 +226,12 @@
 
     /// Kills the backend server as a crash would.
     pub(crate) fn crash_app(&self) {
-        self.now.app.take();
+        self.note_held(|| drop(self.now.app.take()));
     }
 
     pub(crate) fn kill_app(&self) {
         self.now.app_wanted.set(false);
-        self.now.app.take();
+        self.crash_app();
     }
 
     /// Returns whether nothing else starts or ends the node.
--- a/crates/bench/src/soak/run.rs
+++ b/crates/bench/src/soak/run.rs
@@ -192,6 +192,7 @@
     let mut journal = world.journal.borrow_mut();
     for machine in &world.machines {
         journal.add_record(&read_record(&machine.record())?);
+        journal.held.extend(machine.now.held.borrow().iter());
     }
     let mut breaches = judge(&journal, &world.bounds);
     breaches.extend(world.ends.borrow().iter().cloned());
@@ -229,6 +230,10 @@
         ("backend servers left", journal.leavings.len()),
         ("configurations", journal.configurations.len()),
         ("times it stood still", journal.stalls()),
+        (
+            "of them at the start or end of a process",
+            journal.explained_stalls(),
+        ),
         ("broken promises", breaches),
     ];
     figures
--- a/crates/bench/tests/judge/load.rs
+++ b/crates/bench/tests/judge/load.rs
@@ -290,3 +290,19 @@
     journal.tick(SENT_MS + 1_000);
     assert_eq!(rules(&journal), [Rule::Twice]);
 }
+
+#[rstest]
+#[case::by_one_start(&[(1_000, 1_400)], 1)]
+#[case::by_several(&[(1_000, 1_150), (1_200, 1_350)], 1)]
+#[case::by_less_than_half(&[(1_000, 1_190)], 0)]
+#[case::by_one_at_another_time(&[(2_000, 2_400)], 0)]
+fn a_stand_still_is_explained_by_processes_that_start_or_end(
+    #[case] held: &[(u64, u64)],
+    #[case] explained: usize,
+) {
+    let mut journal = Journal::default();
+    journal.tick(1_000);
+    journal.tick(1_400);
+    journal.held = held.to_vec();
+    assert_eq!(journal.explained_stalls(), explained);
+}
