Let the test of the bounded memory for lines write lines

Cause: the test is wrong: what it pushes has no line feed, and the writing thread hands whole lines to the output, so it handed over nothing and was never held up by the output that nobody reads. Each time it ran within the loop it took, and dropped, another batch; under load it runs more often. Lines of a node end with a line feed. Change: the lines of the test end with one, so the thread is held by its first batch. The bounds stay, and are now tested as they were meant.

--- a/crates/mesh/tests/lines.rs
+++ b/crates/mesh/tests/lines.rs
@@ -117,7 +117,8 @@
 fn the_memory_for_lines_is_bounded() {
     let (out, reader) = Stuck::new();
     let lines = Lines::start(out).unwrap();
-    let long = [b'x'; 10_000];
+    let mut long = [b'x'; 10_000];
+    long[9_999] = b'\n';
     let mut full = 0;
     for _ in 0..100 {
         for _ in 0..13 {
