Count what a part of a split refuses when its share is judged

The judge counted arrivals only. The users' rule says that what does not fit at a part may be rejected, not moved to another, so the judge was wrong.

Ruled out: a node that closes its gate (no server_down but one, at a backend server of caja, for 0.8 s), an entry that is missing (none after the replacement), a turn that is not by weight (each node deals by weights before it looks for room).

Change: nobody outside sees for which part a refused request was meant. So the share of a part lies between what arrived there and that with all refused requests, and breaks the rule if the whole span lies off by more than 0.1. Requests that are moved to another part exceed that one's share, as before. As strict as before while nothing is refused; four new cases, two of which are still breaches.

--- a/crates/bench/tests/judge/load.rs
+++ b/crates/bench/tests/judge/load.rs
@@ -69,6 +69,27 @@
     assert_eq!(rules(&split(count, second)), vec![Rule::Split; broken]);
 }
 
+/// A part that is short of room refuses; the weights of the two parts are 70 and 30.
+#[rstest]
+#[case::what_arrived_and_was_refused_fits(200, 84, 80, 0)]
+#[case::all_that_the_first_lacks_was_refused(200, 200, 470, 0)]
+#[case::what_was_refused_is_too_little(200, 120, 60, 2)]
+#[case::what_the_first_had_no_room_for_was_moved(400, 200, 20, 2)]
+fn a_part_may_refuse_its_share_but_not_move_it(
+    #[case] arrived: usize,
+    #[case] second: usize,
+    #[case] refused: usize,
+    #[case] broken: usize,
+) {
+    let mut journal = split(arrived, second);
+    for number in 0..refused {
+        let mut refusal = attempt(&format!("r{number}"), true, answer(503, None));
+        refusal.path = "/split/1".into();
+        journal.attempts.push(refusal);
+    }
+    assert_eq!(rules(&journal), vec![Rule::Split; broken]);
+}
+
 #[rstest]
 #[case::long_ago(SENT_MS - 3_200, 2)]
 #[case::lately(SENT_MS - 3_000, 0)]
