End exchanges with servers that send bytes without end

Cause: a faulty server may send bytes that are no answer until its connection closes. Heads were bounded by the library's codec.

Tests: 18 ways of sending without end, one of answers without end beside small ones.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use ntex::codec::{Decoder, Encoder};
@@ -17,6 +18,7 @@
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::timeout;
 
+use crate::answer_room::{AnswerPart, AnswerRoom};
 use crate::connection::{CLOSE, KEEP_ALIVE, names};
 use crate::error::{self, ExchangeError};
 use crate::io::{fill, flush, try_fill};
@@ -24,6 +26,13 @@
 
 /// The largest answer that is held, in bytes; a tenth of the memory of a small instance.
 const ANSWER_BYTES: usize = 16 * 1024 * 1024;
+/// The bytes of chunk sizes and extensions that a body may have whatever its length.
+const FRAMING_BYTES: usize = 64 * 1024;
+/// How many bytes of them may come for each byte of a body; a chunk of one byte has five.
+const FRAMING_FACTOR: usize = 8;
+/// The most answers before the right one that are passed over: more than a faulty server sends
+/// by mistake.
+const STRAYS_MAX: u32 = 8;
 /// The part of a peer's announced idle time in which a connection is used again.
 const KEEP_ALIVE_PERCENT: u64 = 70;
 /// The idle time of a connection whose peer announces none, in milliseconds.
@@ -43,6 +52,7 @@
     /// Whether the rest of a request can still be written.
     writable: bool,
     idle_ms: u64,
+    room: Rc<AnswerRoom>,
 }
 
 impl ClientConn {
@@ -71,9 +81,17 @@
             reusable: true,
             writable: true,
             idle_ms: IDLE_MS,
+            room: AnswerRoom::new(ANSWER_BYTES),
         })
     }
 
+    /// Shares the memory for answers with other connections.
+    #[must_use]
+    pub fn with_room(mut self, room: &Rc<AnswerRoom>) -> Self {
+        self.room = Rc::clone(room);
+        self
+    }
+
     /// Returns whether the connection can carry another exchange.
     ///
     /// Bytes that nobody asked for, and the end of the stream, rule it out.
@@ -110,7 +128,7 @@
         let mut out = BytesMut::new();
         let sender = ClientCodec::new(self.date.clone(), true);
         encode(&sender, request, &mut out)?;
-        loop {
+        for _ in 0..=STRAYS_MAX {
             // What one answer left in a codec does not concern the next.
             let codec = ClientCodec::new(self.date.clone(), true);
             let head = self.read_head(&codec, &mut out).await?;
@@ -125,6 +143,10 @@
                 body,
             });
         }
+        error::StrayedSnafu {
+            count: STRAYS_MAX + 1,
+        }
+        .fail()
     }
 
     /// Waits for bytes of the answer while the rest of the request is written.
@@ -182,20 +204,31 @@
         }
         let payload = codec.into_payload_codec();
         let mut body = BytesMut::new();
+        let mut part = self.room.begin();
+        let mut received = self.buf.len();
         loop {
             match payload.decode(&mut self.buf) {
-                Ok(Some(Some(chunk))) => append(&mut body, &chunk)?,
+                Ok(Some(Some(chunk))) => append(&mut body, &mut part, &chunk)?,
                 Ok(Some(None)) => return Ok(body.freeze()),
-                Ok(None) => self.fill_body(body.len(), out).await?,
+                Ok(None) if received > FRAMING_BYTES + body.len() * FRAMING_FACTOR => {
+                    let reason = "the sizes of its chunks have no end".to_owned();
+                    return error::GarbledSnafu { reason }.fail();
+                }
+                Ok(None) => received += self.fill_body(body.len(), out).await?,
                 Err(e) => return Err(spoiled(e)),
             }
         }
     }
 
-    async fn fill_body(&mut self, bytes: usize, out: &mut BytesMut) -> Result<(), ExchangeError> {
+    /// Returns how many bytes arrived.
+    async fn fill_body(
+        &mut self,
+        bytes: usize,
+        out: &mut BytesMut,
+    ) -> Result<usize, ExchangeError> {
         match self.fill(out).await {
             Ok(0) | Err(_) => error::TruncatedSnafu { bytes }.fail(),
-            Ok(_) => Ok(()),
+            Ok(count) => Ok(count),
         }
     }
 
@@ -204,11 +237,13 @@
         &mut self,
         out: &mut BytesMut,
     ) -> Result<ntex::util::Bytes, ExchangeError> {
-        let mut body = self.buf.split();
+        let mut body = BytesMut::new();
+        let mut part = self.room.begin();
+        append(&mut body, &mut part, &self.buf.split())?;
         loop {
             match self.fill(out).await {
                 Ok(0) => return Ok(body.freeze()),
-                Ok(_) => append(&mut body, &self.buf.split())?,
+                Ok(_) => append(&mut body, &mut part, &self.buf.split())?,
                 Err(_) => return error::TruncatedSnafu { bytes: body.len() }.fail(),
             }
         }
@@ -254,13 +289,16 @@
     })
 }
 
-fn append(body: &mut BytesMut, chunk: &[u8]) -> Result<(), ExchangeError> {
+fn append(body: &mut BytesMut, part: &mut AnswerPart, chunk: &[u8]) -> Result<(), ExchangeError> {
     if body.len() + chunk.len() > ANSWER_BYTES {
         return error::TooLargeSnafu {
             limit: ANSWER_BYTES,
         }
         .fail();
     }
+    if !part.grow(chunk.len()) {
+        return error::CrowdedSnafu { bytes: body.len() }.fail();
+    }
     body.extend_from_slice(chunk);
     Ok(())
 }
--- a/crates/http/src/error.rs
+++ b/crates/http/src/error.rs
@@ -44,6 +44,23 @@
         /// The largest answer, in bytes.
         limit: usize,
     },
+    /// The answers under way take all the memory for them; the request may have run.
+    #[snafu(display(
+        "the answer ended after {bytes} bytes of its body, since there is no memory for more; look for servers that send without end, or give the process more memory"
+    ))]
+    Crowded {
+        /// The bytes of the body that arrived.
+        bytes: usize,
+    },
+    /// The server sent answers that nobody waits for, one after the other; the request may have
+    /// run.
+    #[snafu(display(
+        "the server sent {count} answers that nobody waits for; the request may have run"
+    ))]
+    Strayed {
+        /// How many they were.
+        count: u32,
+    },
 }
 
 impl ExchangeError {
@@ -55,7 +72,9 @@
             | Self::Closed { .. }
             | Self::Truncated { .. }
             | Self::Garbled { .. }
-            | Self::TooLarge { .. } => false,
+            | Self::TooLarge { .. }
+            | Self::Crowded { .. }
+            | Self::Strayed { .. } => false,
         }
     }
 
@@ -66,7 +85,9 @@
             Self::Closed { .. }
             | Self::Truncated { .. }
             | Self::Garbled { .. }
-            | Self::TooLarge { .. } => false,
+            | Self::TooLarge { .. }
+            | Self::Crowded { .. }
+            | Self::Strayed { .. } => false,
         }
     }
 }
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -8,6 +8,7 @@
 //! Bodies are held whole, so that an answer that ends early never looks complete.
 
 mod answer;
+mod answer_room;
 mod client;
 mod connection;
 mod error;
@@ -18,8 +19,10 @@
 mod server;
 
 pub use answer::Answer;
+pub use answer_room::AnswerRoom;
 pub use client::ClientConn;
 pub use error::ExchangeError;
+pub use io::receive;
 pub use limits::ConnLimits;
 pub use request::Request;
 pub use response::Response;
--- a/crates/http/tests/client/main.rs
+++ b/crates/http/tests/client/main.rs
@@ -2,6 +2,7 @@
 
 mod connections;
 mod early;
+mod endless;
 mod framing;
 mod stale;
 #[path = "../support/mod.rs"]
