Let requests stay in their availability zone while that serves them in time

Change: Crossing, a decision of its own. A backend server of another zone has to be better by what the bytes both ways are worth, and by half of what is left of the objective at most, so the margin falls to nothing as the own zone gets slow or short of room. The gate is told the next best with it.

Tests: a model of five loads in four zones (even, half of one gone, one slow, callers shifted into one, two zones without backend servers) against placing that ignores zones: share that stays, p50, p99, within the aim, refusals at the own zone's gates.

--- a/crates/oriolering/src/placement.rs
+++ b/crates/oriolering/src/placement.rs
@@ -7,7 +7,7 @@
 
 use rand::Rng;
 
-use crate::{GateLoad, Millis};
+use crate::{Crossing, GateLoad, Millis};
 
 /// The age up to which a pace is taken as it was told, in milliseconds.
 const FRESH_MS: u64 = 150;
@@ -17,10 +17,6 @@
 const UNKNOWN_PERCENT: u64 = 160;
 /// The time that a hop to another availability zone adds, in milliseconds.
 const FAR_MS: u64 = 2;
-/// The bytes between availability zones that are worth a millisecond of a caller's time.
-const FAR_BYTES_PER_MS: u64 = 1_000;
-/// The most milliseconds that bytes between availability zones are worth.
-const FAR_BYTES_MAX_MS: u64 = 80;
 /// The part of an estimate by which two choices count as equal, in percent.
 const SPREAD_PERCENT: u64 = 12;
 /// How often gates may send one request away for a better one; one less than the refusals after
@@ -118,7 +114,7 @@
         let wait = ahead * run / capacity;
         // A part of what runs shares the instance's processor with the rest.
         let crowd = run * busy.min(capacity) / capacity / 8;
-        let hop = if self.far { load.far_ms() } else { 0 };
+        let hop = if self.far { FAR_MS } else { 0 };
         let alive = u64::from(FAILURE_ONE - self.failure_rate(now).min(FAILURE_ONE - 50));
         (run + wait + crowd + hop) * u64::from(FAILURE_ONE) / alive
     }
@@ -136,13 +132,8 @@
     pub work_ms: u64,
     /// The bytes of the request and of its answer.
     pub bytes: u64,
-}
-
-impl Load {
-    /// Returns what the way to another availability zone is worth, in milliseconds.
-    fn far_ms(self) -> u64 {
-        FAR_MS + (self.bytes / FAR_BYTES_PER_MS).min(FAR_BYTES_MAX_MS)
-    }
+    /// What is left until its answer is worth less, in milliseconds.
+    pub aim_ms: u64,
 }
 
 /// The choice for a request.
@@ -152,7 +143,8 @@
     pub index: usize,
     /// How long the request is expected to take there, in milliseconds.
     pub expected_ms: u64,
-    /// How long it is expected to take at the next best, in milliseconds.
+    /// How long it is expected to take at the next best, in milliseconds, with what leaving the
+    /// availability zone for it, or returning from here, is worth.
     pub next_ms: Option<u64>,
 }
 
@@ -168,39 +160,63 @@
     }
 }
 
-/// Chooses among the sites where a request is expected to end first.
+/// Chooses among the sites where a request is expected to end first; those of other availability
+/// zones have to be better by what `crossing` says.
 ///
 /// Sites that are about as good are chosen at random, so that many ingresses with the same
 /// hints do not all choose the same one.
 pub fn choose_place<'a>(
     now: Millis,
     load: Load,
-    sites: impl Iterator<Item = (usize, &'a Site)>,
+    crossing: Crossing,
+    sites: impl Iterator<Item = (usize, &'a Site)> + Clone,
     rng: &mut impl Rng,
 ) -> Option<Place> {
-    let mut best: Option<(usize, u64, u64)> = None;
-    let mut next: Option<u64> = None;
-    for (index, site) in sites {
-        if !site.is_open(now) {
-            continue;
-        }
-        let expected = site.expected_ms(now, load);
-        let jitter = rng.random_range(0..=SPREAD_PERCENT);
-        let score = expected * (100 + jitter);
-        match best {
-            Some((_, _, least)) if least <= score => {
-                next = Some(next.map_or(expected, |n| n.min(expected)));
-            }
-            Some((_, before, _)) => {
-                next = Some(next.map_or(before, |n| n.min(before)));
-                best = Some((index, expected, score));
-            }
-            None => best = Some((index, expected, score)),
+    let open = sites.filter(|(_, site)| site.is_open(now));
+    let near = open.clone().filter(|(_, site)| !site.far);
+    let near_ms = near.map(|(_, site)| site.expected_ms(now, load)).min();
+    let margin_ms = near_ms.map_or(0, |ms| crossing.margin_ms(load, ms));
+    let mut best: Option<Candidate> = None;
+    let mut next_ms: Option<u64> = None;
+    for (index, site) in open {
+        let candidate = Candidate {
+            index,
+            expected_ms: site.expected_ms(now, load),
+            margin_ms: if site.far { margin_ms } else { 0 },
+            jitter: rng.random_range(0..=SPREAD_PERCENT),
+        };
+        let other = match best {
+            Some(kept) if kept.score() <= candidate.score() => Some(candidate),
+            Some(_) | None => best.replace(candidate),
+        };
+        if let Some(other) = other {
+            let cost_ms = other.cost_ms();
+            next_ms = Some(next_ms.map_or(cost_ms, |ms| ms.min(cost_ms)));
         }
     }
-    best.map(|(index, expected_ms, _)| Place {
-        index,
-        expected_ms,
-        next_ms: next,
+    best.map(|best| Place {
+        index: best.index,
+        expected_ms: best.expected_ms,
+        next_ms: next_ms.map(|ms| ms.saturating_sub(best.margin_ms)),
     })
 }
+
+/// A site that may be chosen.
+#[derive(Clone, Copy)]
+struct Candidate {
+    index: usize,
+    expected_ms: u64,
+    /// What the way there is worth beside its time, in milliseconds.
+    margin_ms: u64,
+    jitter: u64,
+}
+
+impl Candidate {
+    fn cost_ms(self) -> u64 {
+        self.expected_ms + self.margin_ms
+    }
+
+    fn score(self) -> u64 {
+        self.cost_ms() * (100 + self.jitter)
+    }
+}
--- a/crates/oriolering/tests/load/main.rs
+++ b/crates/oriolering/tests/load/main.rs
@@ -15,6 +15,7 @@
 mod second_run;
 mod server;
 mod settings;
+mod zones;
 
 use figures::Figures;
 use rstest::rstest;
--- a/crates/oriolering/tests/load/settings.rs
+++ b/crates/oriolering/tests/load/settings.rs
@@ -1,5 +1,7 @@
 //! What is played: how many nodes, which work, and how the backend servers slow down.
 
+use oriolering::Crossing;
+
 /// The parameters of one play.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Load {
@@ -46,6 +48,22 @@
     pub(crate) budget_slack: u64,
     /// The window, in milliseconds.
     pub(crate) budget_window_ms: u64,
+    /// The availability zones; nodes are spread evenly over them.
+    pub(crate) zones: usize,
+    /// The first zones that have backend servers.
+    pub(crate) served_zones: usize,
+    /// The bytes of a request and its answer.
+    pub(crate) bytes: u64,
+    /// How much longer the way to another zone is, in milliseconds.
+    pub(crate) far_ms: u64,
+    /// What the way to another zone is worth.
+    pub(crate) crossing: Crossing,
+    /// How many backend servers of the first zone are down.
+    pub(crate) gone: usize,
+    /// How long work takes in the first zone, as a percentage of what it takes elsewhere.
+    pub(crate) first_zone_percent: u32,
+    /// How many of a hundred callers of other zones have moved to the first one.
+    pub(crate) shifted_percent: u32,
     /// The offered work, as a percentage of what the usable slots can do.
     pub(crate) offered_percent: u64,
     /// For how long requests arrive, in milliseconds.
@@ -79,12 +97,40 @@
             budget_percent: 20,
             budget_slack: 60,
             budget_window_ms: 10_000,
+            zones: 1,
+            served_zones: 1,
+            bytes: 0,
+            far_ms: 0,
+            crossing: Crossing::DEFAULT,
+            gone: 0,
+            first_zone_percent: 100,
+            shifted_percent: 0,
             offered_percent,
             duration_ms: 4_000,
             seed: 1,
         }
     }
 
+    /// Returns the zone of a node.
+    pub(crate) fn zone_of(&self, ingress: usize) -> usize {
+        ingress % self.zones
+    }
+
+    /// Returns the zone of a backend server.
+    pub(crate) fn zone_of_server(&self, server: usize) -> usize {
+        server % self.served_zones
+    }
+
+    /// Returns whether a backend server is in another zone than a node.
+    pub(crate) fn is_far(&self, ingress: usize, server: usize) -> bool {
+        self.zone_of(ingress) != self.zone_of_server(server)
+    }
+
+    /// Returns whether a backend server is down from the beginning.
+    pub(crate) fn is_gone(&self, server: usize) -> bool {
+        server.is_multiple_of(self.served_zones) && server / self.served_zones < self.gone
+    }
+
     /// Returns the mean time between two arrivals, in milliseconds.
     pub(crate) fn gap_ms(&self) -> f64 {
         let slow = self.slow_share as f64 / 100.0;
