Tell what backend servers say of themselves, and count the questions to them

Read, in both spellings, from each answer that is the backend server's own (not 421, which another one gives): lines server_limited, server_unlimited, server_leaves, and limit_rejected once for each backend server whose limit cannot be read; changes_total counts the first three, gate_probes_total the questions.

Nothing is decided by any of this yet.

--- a/crates/mesh/src/counts.rs
+++ b/crates/mesh/src/counts.rs
@@ -52,7 +52,7 @@
 /// Why the store is called.
 pub(crate) const CALLS: [&str; 4] = ["start", "list", "routes", "watch"];
 /// What a node loses and regains.
-pub(crate) const CHANGES: [&str; 14] = [
+pub(crate) const CHANGES: [&str; 17] = [
     "store_lost",
     "store_back",
     "peer_up",
@@ -62,6 +62,9 @@
     "peer_given_up",
     "server_down",
     "server_up",
+    "server_limited",
+    "server_unlimited",
+    "server_leaves",
     "routes_taken",
     "routes_rejected",
     "settings_reloaded",
@@ -177,6 +180,7 @@
     pub(crate) refusals: Words<{ REFUSALS.len() }>,
     pub(crate) runs: Words<{ RUNS.len() }>,
     pub(crate) dropped: Count,
+    pub(crate) probes: Count,
     pub(crate) wait_ms: Durations,
     pub(crate) run_ms: Durations,
     pub(crate) zone_bytes: Words<{ KINDS.len() }>,
@@ -212,6 +216,7 @@
             refusals: Words::new(REFUSALS),
             runs: Words::new(RUNS),
             dropped: Count::default(),
+            probes: Count::default(),
             wait_ms: Durations::default(),
             run_ms: Durations::default(),
             zone_bytes: Words::new(KINDS),
--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -1,5 +1,6 @@
 //! The gate: the only way to the backend server on the same instance.
 
+mod notices;
 mod permit;
 mod waiting;
 
@@ -31,6 +32,7 @@
 use crate::suspects::Suspects;
 use crate::trail::{Known, Trail, Visit};
 
+use notices::Notices;
 use permit::Permit;
 use waiting::Waiting;
 
@@ -71,6 +73,7 @@
     offered: Cell<Millis>,
     probing: Cell<bool>,
     leaving: Cell<bool>,
+    notices: Notices,
     /// The identity with which the backend server answered last.
     answers_as: RefCell<Option<CompactString>>,
     /// Whether the list says that the backend server leaves.
@@ -93,6 +96,7 @@
         let now = clock.now();
         Self {
             pulse: Pulse::new(clock.clone(), Rc::clone(&trail)),
+            notices: Notices::new(clock.clone(), Rc::clone(&trail)),
             clock,
             trail,
             pool: Pool::new(address, date, answer_bytes),
@@ -154,6 +158,7 @@
         self.pool.clear();
         self.room.borrow_mut().resize(slots);
         self.pulse.renew();
+        self.notices.renew(server);
         self.reopen();
     }
 
@@ -353,6 +358,9 @@
         let after = self.room.borrow().load().work_percent;
         let unexecuted = response.headers.contains_key(HEADERS.unexecuted);
         let misdirected = response.status.as_u16() == 421;
+        if !misdirected {
+            self.notices.hear(&response.headers);
+        }
         if unexecuted || misdirected {
             let status = response.status.as_u16();
             return (Ending::Unexecuted { status }, Bytes::new());
@@ -451,6 +459,7 @@
             return;
         }
         self.probing.set(true);
+        self.trail.counts.probes.add(1);
         let gate = Rc::clone(self);
         tokio::task::spawn_local(async move {
             gate.ask().await;
--- /dev/null
+++ b/crates/mesh/src/gate/notices.rs
@@ -0,0 +1,115 @@
+//! What the local backend server says of itself in its answers, and the lines about it.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+
+use compact_str::CompactString;
+use oriolering::{Clock, Millis, Rate};
+use oriolering_http::HeaderMap;
+
+use crate::notice::{self, Notice};
+use crate::trail::{Event, Trail, clip};
+
+/// How often a limit that changes is written down, in milliseconds: it may change in each answer.
+const LINE_MS: u64 = 1_000;
+
+/// What the answers of one run of the local backend server have said.
+pub(super) struct Notices {
+    clock: Clock,
+    trail: Rc<Trail>,
+    server: RefCell<CompactString>,
+    limit: Cell<Option<Rate>>,
+    /// The limit that was written down last, and when.
+    written: Cell<Option<(Rate, Millis)>>,
+    /// When the backend server named a limit that it has named ever since.
+    since: Cell<Millis>,
+    leaving: Cell<bool>,
+    /// Whether a limit that cannot be read was written down.
+    rejected: Cell<bool>,
+}
+
+impl Notices {
+    /// Returns what is known before any answer.
+    pub(super) fn new(clock: Clock, trail: Rc<Trail>) -> Self {
+        let now = clock.now();
+        Self {
+            clock,
+            trail,
+            server: RefCell::default(),
+            limit: Cell::new(None),
+            written: Cell::new(None),
+            since: Cell::new(now),
+            leaving: Cell::new(false),
+            rejected: Cell::new(false),
+        }
+    }
+
+    /// Forgets all, since another run of a backend server begins at the address.
+    pub(super) fn renew(&self, server: &str) {
+        *self.server.borrow_mut() = server.into();
+        self.limit.set(None);
+        self.written.set(None);
+        self.leaving.set(false);
+        self.rejected.set(false);
+    }
+
+    /// Takes in the headers of an answer, and returns what they say.
+    pub(super) fn hear(&self, map: &HeaderMap) -> Notice {
+        let notice = Notice::of(map);
+        if let Some(value) = notice::unreadable_limit(map) {
+            self.reject(value);
+        }
+        self.hear_limit(notice.limit);
+        if notice.leaving && !self.leaving.replace(true) {
+            let server = self.server.borrow().clone();
+            self.trail.note(Event::ServerLeaves { server });
+        }
+        notice
+    }
+
+    fn hear_limit(&self, limit: Option<Rate>) {
+        let now = self.clock.now();
+        let before = self.limit.replace(limit);
+        match (before, limit) {
+            (None, Some(rate)) => {
+                self.since.set(now);
+                self.write(now, rate);
+            }
+            (Some(_), Some(rate)) => self.write_change(now, rate),
+            (Some(_), None) => {
+                self.written.set(None);
+                self.trail.note(Event::ServerUnlimited {
+                    server: self.server.borrow().clone(),
+                    limited_ms: now.since(self.since.get()),
+                });
+            }
+            (None, None) => {}
+        }
+    }
+
+    /// Writes a limit down that differs from the one before, once in a while.
+    fn write_change(&self, now: Millis, rate: Rate) {
+        let due = |(known, at): (Rate, Millis)| known != rate && now.since(at) >= LINE_MS;
+        if self.written.get().is_none_or(due) {
+            self.write(now, rate);
+        }
+    }
+
+    fn write(&self, now: Millis, rate: Rate) {
+        self.written.set(Some((rate, now)));
+        self.trail.note(Event::ServerLimited {
+            server: self.server.borrow().clone(),
+            per_s: rate.per_s(),
+        });
+    }
+
+    /// Writes down, once for each backend server, that a limit cannot be read.
+    fn reject(&self, value: &str) {
+        if !self.rejected.replace(true) {
+            self.trail.note(Event::LimitRejected {
+                server: self.server.borrow().clone(),
+                value: clip(value),
+            });
+        }
+    }
+}
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -27,6 +27,7 @@
 mod news;
 mod node;
 mod noted;
+mod notice;
 mod options;
 mod outbound;
 mod outbox;
--- a/crates/mesh/src/metrics.rs
+++ b/crates/mesh/src/metrics.rs
@@ -165,6 +165,7 @@
     words(meter, counts, "gate_refusals_total", "why", |c| &c.refusals);
     words(meter, counts, "gate_runs_total", "outcome", |c| &c.runs);
     counter(meter, counts, "gate_dropped_total", |c| &c.dropped);
+    counter(meter, counts, "gate_probes_total", |c| &c.probes);
     durations(meter, counts, "gate_wait_ms", |c| &c.wait_ms);
     durations(meter, counts, "gate_run_ms", |c| &c.run_ms);
     gauge(meter, counts, "gate_running", |c| &c.running);
--- a/crates/mesh/src/trail/event.rs
+++ b/crates/mesh/src/trail/event.rs
@@ -311,6 +311,20 @@
     },
     /// The local backend server answers again.
     ServerUp { server: CompactString, down_ms: u64 },
+    /// The local backend server names, or changes, how many requests it takes.
+    ServerLimited { server: CompactString, per_s: f64 },
+    /// The local backend server names no limit any more.
+    ServerUnlimited {
+        server: CompactString,
+        limited_ms: u64,
+    },
+    /// The local backend server names a limit that cannot be read, which counts as none.
+    LimitRejected {
+        server: CompactString,
+        value: CompactString,
+    },
+    /// The local backend server says in an answer that it leaves.
+    ServerLeaves { server: CompactString },
     /// A request was in flight when the local backend server crashed.
     Suspected {
         request: CompactString,
@@ -380,6 +394,9 @@
             | Self::ServerListed { .. }
             | Self::ServerGone { .. }
             | Self::ServerUp { .. }
+            | Self::ServerLimited { .. }
+            | Self::ServerUnlimited { .. }
+            | Self::ServerLeaves { .. }
             | Self::RequestCleared { .. } => Rank::Change,
             Self::SettingsRejected { .. }
             | Self::StoreLost { .. }
@@ -389,6 +406,7 @@
             | Self::PeerSuspected { .. }
             | Self::PeerGivenUp { .. }
             | Self::ServerDown { .. }
+            | Self::LimitRejected { .. }
             | Self::Suspected { .. }
             | Self::RequestQuarantined { .. }
             | Self::AcceptFailed { .. }
--- a/crates/mesh/src/trail/tally.rs
+++ b/crates/mesh/src/trail/tally.rs
@@ -29,6 +29,9 @@
             Event::RequestQuarantined { .. } => self.changes.add("request_quarantined"),
             Event::RequestCleared { .. } => self.changes.add("request_cleared"),
             Event::SettingsReloaded { .. } => self.changes.add("settings_reloaded"),
+            Event::ServerLimited { .. } => self.changes.add("server_limited"),
+            Event::ServerUnlimited { .. } => self.changes.add("server_unlimited"),
+            Event::ServerLeaves { .. } => self.changes.add("server_leaves"),
             // Those of usual requests are counted where they are decided, and made only to be
             // written.
             Event::Routed { .. }
@@ -56,6 +59,7 @@
             | Event::WatchChanged { .. }
             | Event::ServerListed { .. }
             | Event::ServerGone { .. }
+            | Event::LimitRejected { .. }
             | Event::AcceptFailed { .. }
             | Event::LinesDropped { .. } => {}
         }
--- a/crates/oriolering/src/header_names.rs
+++ b/crates/oriolering/src/header_names.rs
@@ -19,4 +19,9 @@
     pub load: &'static str,
     /// The identity of the backend server that answers.
     pub server: &'static str,
+    /// The requests a second that the backend server takes from all nodes together, in each of
+    /// its spellings.
+    pub limit: [&'static str; 2],
+    /// The mark of a backend server that leaves, in each of its spellings.
+    pub leaving: [&'static str; 2],
 }
