Add failing tests: a limit that a backend server names, and its word that it leaves, are not kept

Each has a case in which the node beside the backend server starts again meanwhile, since what that node has heard ends with its process.

--- /dev/null
+++ b/crates/mesh/tests/notices.rs
@@ -0,0 +1,131 @@
+//! What backend servers say of themselves in their answers: a limit, and that they leave.
+
+mod support;
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use rstest::rstest;
+
+use support::raw::{pass, run};
+use support::{Fleet, get};
+
+/// The span in which the platform counts what a limited backend server gets.
+const SPAN: Duration = Duration::from_secs(4);
+/// How long after it named its limit that counts.
+const STABLE: Duration = Duration::from_secs(3);
+
+/// Returns what a backend server that takes so many requests a second may get in a span.
+fn allowed(per_s: f64) -> usize {
+    (1.5 * SPAN.as_secs_f64() * per_s) as usize + 5
+}
+
+/// What became of requests that were sent at a steady pace.
+#[derive(Default)]
+struct Flow {
+    sent: Cell<usize>,
+    served: Cell<usize>,
+    ended: Cell<usize>,
+}
+
+impl Flow {
+    /// Sends requests for `target` through a node, one each `gap_ms`, for so long.
+    async fn send(
+        self: &Rc<Self>,
+        fleet: &Fleet,
+        index: usize,
+        target: &str,
+        gap_ms: u64,
+        ms: u64,
+    ) {
+        let begun = Instant::now();
+        while begun.elapsed() < Duration::from_millis(ms) {
+            let mut caller = fleet.caller(index).await;
+            let (flow, number) = (Rc::clone(self), self.sent.get());
+            self.sent.set(number + 1);
+            let text = get(&format!("{target}?{index}-{number}"));
+            tokio::task::spawn_local(async move {
+                caller.send(text).await;
+                let served = caller.reply().await.status == 200;
+                flow.served.set(flow.served.get() + usize::from(served));
+                flow.ended.set(flow.ended.get() + 1);
+            });
+            pass(gap_ms).await;
+        }
+        support::until(|| self.ended.get() == self.sent.get()).await;
+    }
+}
+
+#[rstest]
+#[case::as_the_incident_spells_it("server-limit")]
+#[case::as_other_headers_are_spelled("oriolering-server-limit")]
+fn a_backend_server_gets_no_more_than_the_limit_that_it_names(#[case] name: &'static str) {
+    run(async {
+        let fleet = Fleet::serving(&["front", "front", "s", "s"]).await;
+        let limited = &fleet.instances[2].backend;
+        limited.say(&[(name, "10.0")]);
+        let named = Instant::now();
+        let flow = Rc::new(Flow::default());
+        tokio::join!(
+            flow.send(&fleet, 0, "/get/slow/20", 20, 5_000),
+            flow.send(&fleet, 1, "/get/slow/20", 20, 5_000),
+        );
+        let most = limited.most_in(SPAN, named + STABLE);
+        assert!(most <= allowed(10.0), "{most} in {SPAN:?}");
+        assert!(most >= 20, "{most} in {SPAN:?}: it is hardly used");
+        assert_eq!(flow.served.get(), flow.sent.get());
+    });
+}
+
+#[test]
+fn a_limit_holds_though_the_node_beside_the_backend_server_starts_again() {
+    run(async {
+        let mut fleet = Fleet::serving(&["front", "front", "s", "s"]).await;
+        let limited = fleet.instances[2].backend.clone();
+        limited.say(&[("server-limit", "0.5")]);
+        let named = Instant::now();
+        let flow = Rc::new(Flow::default());
+        flow.send(&fleet, 0, "/get/slow/250", 50, 2_500).await;
+        fleet.kill(2).await;
+        fleet.start_one(2);
+        flow.send(&fleet, 0, "/get/slow/250", 50, 3_500).await;
+        let most = limited.most_in(SPAN, named + STABLE);
+        assert!(most <= allowed(0.5), "{most} in {SPAN:?}");
+    });
+}
+
+#[rstest]
+#[case::as_the_incident_spells_it("server-leaving")]
+#[case::as_other_headers_are_spelled("oriolering-server-leaving")]
+fn a_backend_server_that_says_that_it_leaves_gets_nothing_new(#[case] name: &'static str) {
+    run(async {
+        let fleet = Fleet::serving(&["front", "s", "s"]).await;
+        let leaving = &fleet.instances[1].backend;
+        leaving.say(&[(name, "1")]);
+        let flow = Rc::new(Flow::default());
+        flow.send(&fleet, 0, "/get/slow/20", 10, 500).await;
+        assert!(leaving.total() > 0, "it never answered");
+        leaving.forget();
+        flow.send(&fleet, 0, "/get/slow/20", 10, 500).await;
+        assert_eq!(leaving.total(), 0);
+        assert_eq!(flow.served.get(), flow.sent.get());
+    });
+}
+
+#[test]
+fn a_node_that_was_told_sends_nothing_to_what_leaves_though_the_node_beside_it_starts_again() {
+    run(async {
+        let mut fleet = Fleet::serving(&["front", "s", "s"]).await;
+        let leaving = fleet.instances[1].backend.clone();
+        leaving.say(&[("server-leaving", "1")]);
+        let flow = Rc::new(Flow::default());
+        flow.send(&fleet, 0, "/get/slow/20", 10, 500).await;
+        assert!(leaving.total() > 0, "it never answered");
+        fleet.kill(1).await;
+        fleet.start_one(1);
+        leaving.forget();
+        flow.send(&fleet, 0, "/get/slow/20", 10, 2_000).await;
+        assert_eq!(leaving.total(), 0);
+    });
+}
--- a/crates/mesh/tests/support/backend.rs
+++ b/crates/mesh/tests/support/backend.rs
@@ -11,6 +11,7 @@
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::{Duration, Instant};
 
 use ntex::http::DateService;
 use oriolering_http::{
@@ -40,6 +41,7 @@
 /// A request as it reached the backend server.
 #[derive(Clone, Debug)]
 pub struct Seen {
+    pub at: Instant,
     pub method: String,
     pub target: String,
     pub headers: HeaderMap,
@@ -70,6 +72,10 @@
     /// Tells all connections that the backend server has crashed.
     crashed: Rc<Notify>,
     listening: Rc<RefCell<Option<AbortHandle>>>,
+    /// What all its answers say besides.
+    says: Rc<RefCell<Vec<(&'static str, String)>>>,
+    /// When its health was asked for.
+    probed: Rc<RefCell<Vec<Instant>>>,
 }
 
 /// Writes down that work was dropped before its end.
@@ -100,6 +106,8 @@
             up: Rc::new(Cell::new(true)),
             crashed: Rc::default(),
             listening: Rc::default(),
+            says: Rc::default(),
+            probed: Rc::default(),
         };
         backend.listen().await;
         backend
@@ -173,6 +181,28 @@
         *self.answers_as.borrow_mut() = id.to_owned();
     }
 
+    /// Says this in all answers from now on, and nothing that it said before.
+    pub fn say(&self, says: &[(&'static str, &str)]) {
+        let says = says
+            .iter()
+            .map(|(name, value)| (*name, (*value).to_owned()));
+        *self.says.borrow_mut() = says.collect();
+    }
+
+    /// Returns the most requests and probes that reached it in any span of this length whose end
+    /// is not before `from`.
+    pub fn most_in(&self, span: Duration, from: Instant) -> usize {
+        let mut times: Vec<Instant> = self.seen.borrow().iter().map(|s| s.at).collect();
+        times.extend(self.probed.borrow().iter());
+        times.sort_unstable();
+        let ends = times.iter().filter(|at| **at >= from);
+        let within = |end: &Instant| {
+            let of_span = times.iter().filter(|at| **at <= *end && **at + span > *end);
+            of_span.count()
+        };
+        ends.map(within).max().unwrap_or(0)
+    }
+
     pub fn forget(&self) {
         self.seen.borrow_mut().clear();
     }
@@ -204,9 +234,11 @@
         let path = request.uri.path().to_owned();
         let target = request.uri.to_string();
         if path == "/health" {
+            self.probed.borrow_mut().push(Instant::now());
             return self.signed(StatusCode::OK, &request, None);
         }
         self.seen.borrow_mut().push(Seen {
+            at: Instant::now(),
             method: request.method.to_string(),
             target: target.clone(),
             headers: request.headers.clone(),
@@ -311,6 +343,9 @@
             "oriolering-instance-id",
             &self.answers_as.borrow(),
         );
+        for (name, value) in self.says.borrow().iter() {
+            set(&mut answer, name, value);
+        }
         answer
     }
 }
