Keep the limit that a backend server names

Cause: no part of a node knew the header. A gate lets run what the slots and the pace allow; both were good, so nothing was kept back. Probes were a part of the fault that waited: a gate asks twenty times a second, also before anything is offered after its start.

The gate keeps the limit, since every request to a backend server passes it: what enters at any node, calls, second runs and probes. An allowance (library, own code, clock passed in) starts empty when a limit is named, earns what is named, and keeps a quarter of a second and one request. The room starts, lets wait and refuses by it as it does by slots: what has no turn before its deadline is refused at once (why: limit), what others run sooner is sent on, the more urgent goes first. Gates tell what the limit leaves, so ingresses choose others before they send. Probes take only what no request is likely to miss, and begin with the first offer after a start. A limit ends with an answer to a run that names none; a refusal ends none, nor do probes unless they name limits, too. Another run begins without. Weighed: shares of the limit for each node, which are wrong whenever views of the fleet or the places where requests enter differ.

A gate that starts again knows nothing: each offer carries the limit in the last answer that passed its ingress, which counts until the gate has heard an answer to a run itself.

--- a/crates/mesh/src/attempt.rs
+++ b/crates/mesh/src/attempt.rs
@@ -82,6 +82,7 @@
         fingerprint: job.fingerprint,
         idempotent: job.route.kind.is_idempotent(),
         repeat: hold.is_some(),
+        limit: chosen.site.limit,
         priority: job.route.priority,
         aim_ms: (job.arrived + job.route.aim_ms).since(now) as u32,
         left_ms: job.deadline.since(now) as u32,
--- a/crates/mesh/src/counts.rs
+++ b/crates/mesh/src/counts.rs
@@ -34,7 +34,7 @@
 /// What was sent again: a second try, a second run, a call that a repeated run made.
 pub(crate) const REPEATS: [&str; 3] = ["try", "run", "call"];
 /// Why a gate refuses a request.
-pub(crate) const REFUSALS: [&str; 7] = [
+pub(crate) const REFUSALS: [&str; 8] = [
     "elsewhere",
     "late",
     "full",
@@ -42,6 +42,7 @@
     "down",
     "quarantined",
     "budget",
+    "limit",
 ];
 /// How an exchange with the local backend server ends.
 pub(crate) const RUNS: [&str; 4] = ["answered", "unexecuted", "unsent", "failed"];
--- a/crates/mesh/src/frame.rs
+++ b/crates/mesh/src/frame.rs
@@ -3,13 +3,14 @@
 use bincode::Options;
 use bytes::{Bytes, BytesMut};
 use compact_str::CompactString;
-use oriolering::{DeltaPart, GateLoad, NoRoom, QuarantineEntry, ServerNote};
+use oriolering::{DeltaPart, GateLoad, NoRoom, QuarantineEntry, Rate, ServerNote};
 use serde::{Deserialize, Serialize};
 use serde_bytes::ByteBuf;
 use snafu::{ResultExt, Snafu};
 use tokio_util::codec::{Decoder, Encoder, LengthDelimitedCodec};
 
 use crate::field_name::FieldName;
+use crate::notice::Notice;
 
 /// The largest message, in bytes: a published value with room for its envelope.
 const FRAME_BYTES: usize = 4 * 1024 * 1024;
@@ -38,6 +39,8 @@
     pub(crate) idempotent: bool,
     /// Whether it may have reached a backend server before, or a run that did so made it.
     pub(crate) repeat: bool,
+    /// The limit in the last answer of the backend server that passed the ingress.
+    pub(crate) limit: Option<Rate>,
     pub(crate) priority: u8,
     /// The milliseconds that are left until the answer is worth less.
     pub(crate) aim_ms: u32,
@@ -63,6 +66,8 @@
     pub(crate) ran_ms: u32,
     /// How long its work took then, as a percentage of the usual duration.
     pub(crate) work_percent: u32,
+    /// What it said of itself besides.
+    pub(crate) notice: Notice,
 }
 
 /// How a call ended at its gate, without the body of an answer.
--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -13,7 +13,8 @@
 use compact_str::CompactString;
 use ntex::http::{DateService, ResponseHead};
 use oriolering::{
-    Clock, Entry, GateLoad, Job, JobKey, Millis, NoRoom, QuarantineEntry, Room, ServerLoad, Turn,
+    Clock, Entry, GateLoad, Job, JobKey, Millis, NoRoom, QuarantineEntry, Rate, Room, ServerLoad,
+    ServerRecord, ServerState, Turn,
 };
 use oriolering_http::{Bytes, ExchangeError, HeaderMap, Response};
 use oriolering_platform::{HEADERS, scan_load};
@@ -24,6 +25,7 @@
 use crate::frame::{Answered, Ending, Offer};
 use crate::headers;
 use crate::listeners::{Listener, Listeners};
+use crate::notice::Notice;
 use crate::outbox::Outbox;
 use crate::outgoing;
 use crate::pool::Pool;
@@ -32,7 +34,7 @@
 use crate::suspects::Suspects;
 use crate::trail::{Known, Trail, Visit};
 
-use notices::Notices;
+use notices::{Heard, Notices};
 use permit::Permit;
 use waiting::Waiting;
 
@@ -70,7 +72,8 @@
     /// Held while somebody looks whether the backend server has crashed; when that was done.
     looked: Mutex<Option<Millis>>,
     pulse: Pulse,
-    offered: Cell<Millis>,
+    /// When a request was offered last, if ever.
+    offered: Cell<Option<Millis>>,
     probing: Cell<bool>,
     leaving: Cell<bool>,
     notices: Notices,
@@ -79,6 +82,8 @@
     /// Whether the list says that the backend server leaves.
     server_leaves: Cell<bool>,
     server: RefCell<CompactString>,
+    /// When the backend server began to run, as the list says.
+    born: Cell<Option<u64>>,
 }
 
 impl Gate {
@@ -93,7 +98,6 @@
         suspects: Rc<Suspects>,
         budgets: Rc<Budgets>,
     ) -> Self {
-        let now = clock.now();
         Self {
             pulse: Pulse::new(clock.clone(), Rc::clone(&trail)),
             notices: Notices::new(clock.clone(), Rc::clone(&trail)),
@@ -108,18 +112,19 @@
             runs: Runs::new(Rc::clone(&budgets)),
             budgets,
             looked: Mutex::default(),
-            offered: Cell::new(now),
+            offered: Cell::new(None),
             probing: Cell::new(false),
             leaving: Cell::new(false),
             answers_as: RefCell::default(),
             server_leaves: Cell::new(false),
             server: RefCell::default(),
+            born: Cell::new(None),
         }
     }
 
     /// Returns the load as ingresses are told.
     pub(crate) fn load(&self) -> GateLoad {
-        self.room.borrow().load()
+        self.room.borrow().load(self.clock.now())
     }
 
     /// Adds a link whose node is told of changes of the load.
@@ -146,37 +151,46 @@
     }
 
     /// Takes in what the list says of the local backend server.
-    pub(crate) fn describe(&self, server: &str, slots: u32, health_path: &str, leaving: bool) {
+    pub(crate) fn describe(&self, record: &ServerRecord, health_path: &str) {
         *self.health_path.borrow_mut() = health_path.into();
+        let leaving = record.state == ServerState::Draining;
         if self.server_leaves.replace(leaving) != leaving {
             self.reopen();
         }
-        if *self.server.borrow() == server {
+        let born = self.born.replace(record.born);
+        if *self.server.borrow() == record.id && born == record.born {
             return;
         }
-        *self.server.borrow_mut() = server.into();
+        *self.server.borrow_mut() = record.id.clone();
         self.pool.clear();
-        self.room.borrow_mut().resize(slots);
+        self.room.borrow_mut().resize(record.slots);
         self.pulse.renew();
-        self.notices.renew(server);
+        self.begin_run();
         self.reopen();
     }
 
+    /// Forgets what a run of the backend server has said of itself, since it is over.
+    fn begin_run(&self) {
+        self.notices.renew(&self.server.borrow());
+        self.room.borrow_mut().limit(self.clock.now(), None);
+    }
+
     /// Runs a request, and returns how it ended with the body of an answer.
     ///
     /// Dropping the future cancels the request at the backend server.
     pub(crate) async fn run(self: Rc<Self>, mut offer: Offer, body: Bytes) -> (Ending, Bytes) {
         let arrived = self.clock.now();
-        self.offered.set(arrived);
+        self.offered.set(Some(arrived));
         let work_ms = u64::from(offer.work_ms);
         let mut visit = Visit::new(&self.trail, &mut offer, arrived);
+        self.hear_of(&offer);
         if let Some((why, back_ms)) = self.rules_out(&offer) {
             return self.refuse(&mut visit, why, back_ms);
         }
         let calls = match self.hold_calls(&offer) {
             Ok(calls) => calls,
             Err(why) => {
-                let back_ms = self.room.borrow().back_ms(work_ms);
+                let back_ms = self.room.borrow().back_ms(self.clock.now(), work_ms);
                 return self.refuse(&mut visit, why, back_ms);
             }
         };
@@ -185,7 +199,7 @@
             return self.refuse(&mut visit, NoRoom::Late, 0);
         };
         if let Err(why) = self.enter(arrived, &offer, &mut visit).await {
-            let back_ms = self.room.borrow().back_ms(work_ms);
+            let back_ms = self.room.borrow().back_ms(self.clock.now(), work_ms);
             return self.refuse(&mut visit, why, back_ms);
         }
         let _permit = Permit(Rc::clone(&self));
@@ -353,14 +367,17 @@
     }
 
     fn answered(&self, offer: &Offer, response: Response, ran_ms: u64) -> (Ending, Bytes) {
-        let percent = self.room.borrow().load().work_percent;
+        let percent = self.load().work_percent;
         self.hear(&response.headers);
-        let after = self.room.borrow().load().work_percent;
+        let after = self.load().work_percent;
         let unexecuted = response.headers.contains_key(HEADERS.unexecuted);
         let misdirected = response.status.as_u16() == 421;
-        if !misdirected {
-            self.notices.hear(&response.headers);
-        }
+        let notice = match misdirected {
+            // Another backend server says this.
+            true => Notice::default(),
+            false if unexecuted => self.hear_notice(&response.headers, Heard::Refusal),
+            false => self.hear_notice(&response.headers, Heard::Run),
+        };
         if unexecuted || misdirected {
             let status = response.status.as_u16();
             return (Ending::Unexecuted { status }, Bytes::new());
@@ -378,6 +395,7 @@
             headers: headers::of_answer(&response.headers),
             ran_ms: ran_ms as u32,
             work_percent: percent.midpoint(after),
+            notice,
         };
         (Ending::Answered(answered), response.body)
     }
@@ -406,14 +424,34 @@
         }
     }
 
+    /// Takes in what an answer says beside the load.
+    fn hear_notice(&self, map: &HeaderMap, kind: Heard) -> Notice {
+        let notice = self.notices.hear(map, kind);
+        self.take_limit(self.notices.limit());
+        notice
+    }
+
+    /// Takes in the limit that an ingress has passed on, until the backend server has answered to
+    /// this process itself.
+    fn hear_of(&self, offer: &Offer) {
+        if offer.limit.is_some() && self.notices.hear_of(offer.limit) {
+            self.take_limit(offer.limit);
+        }
+    }
+
+    fn take_limit(&self, limit: Option<Rate>) {
+        if self.room.borrow_mut().limit(self.clock.now(), limit) {
+            self.pump();
+            self.tell_turn();
+        }
+    }
+
     fn reopen(&self) {
         let leaving = self.leaving.get() || self.server_leaves.get();
         let reason = leaving.then_some(NoRoom::Leaving);
         self.pulse.note_up(&self.server.borrow());
         self.room.borrow_mut().close(reason);
-        if self.listeners.told().closed != reason.is_some() {
-            self.tell();
-        }
+        self.tell_turn();
     }
 
     fn note_down(&self, e: &ExchangeError) {
@@ -423,6 +461,7 @@
         }
         self.pulse.note_lost(&self.server.borrow(), &e.to_string());
         if e.is_refused() {
+            self.begin_run();
             self.listeners
                 .push_any(self.suspects.crashed(&self.server.borrow()));
         }
@@ -454,8 +493,14 @@
     pub(crate) fn probe(self: &Rc<Self>) {
         let now = self.clock.now();
         let fresh = self.pulse.age_ms() < PROBE_AGE_MS;
-        let wanted = now.since(self.offered.get()) < INTEREST_MS || self.load().closed;
-        if fresh || !wanted || self.probing.get() || self.health_path.borrow().is_empty() {
+        if fresh
+            || !self.wants_probe(now)
+            || self.probing.get()
+            || self.health_path.borrow().is_empty()
+        {
+            return;
+        }
+        if !self.room.borrow_mut().take_probe(now) {
             return;
         }
         self.probing.set(true);
@@ -467,6 +512,14 @@
         });
     }
 
+    /// Returns whether anybody has use for the load of the backend server. One that has not said
+    /// anything yet is asked once before requests are offered: it may have named a limit.
+    fn wants_probe(&self, now: Millis) -> bool {
+        let offered = self.offered.get();
+        let in_use = offered.is_some_and(|at| now.since(at) < INTEREST_MS);
+        in_use || self.load().closed || self.answers_as.borrow().is_none()
+    }
+
     async fn ask(&self) {
         let now = self.clock.now();
         let Some(request) = outgoing::probe(&self.health_path.borrow()) else {
@@ -481,6 +534,9 @@
         match timeout(wait, conn.exchange(request, wanted)).await {
             Ok(Ok(response)) => {
                 self.hear(&response.headers);
+                if self.answers_as.borrow().as_ref() == Some(&*self.server.borrow()) {
+                    self.hear_notice(&response.headers, Heard::Probe);
+                }
                 self.pool.put(self.clock.now(), conn);
             }
             Ok(Err(_)) | Err(_) => {
@@ -504,6 +560,13 @@
         }
     }
 
+    /// Tells the listeners what all of them must know, if that has changed.
+    fn tell_turn(&self) {
+        if self.listeners.told().turns_to(self.load()) {
+            self.tell();
+        }
+    }
+
     fn tell(&self) {
         self.listeners.tell(self.clock.now(), self.load());
     }
--- a/crates/mesh/src/gate/notices.rs
+++ b/crates/mesh/src/gate/notices.rs
@@ -13,6 +13,17 @@
 /// How often a limit that changes is written down, in milliseconds: it may change in each answer.
 const LINE_MS: u64 = 1_000;
 
+/// To what the backend server answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Heard {
+    /// A request that it ran.
+    Run,
+    /// A request that it did not run.
+    Refusal,
+    /// A question for its health.
+    Probe,
+}
+
 /// What the answers of one run of the local backend server have said.
 pub(super) struct Notices {
     clock: Clock,
@@ -26,6 +37,10 @@
     leaving: Cell<bool>,
     /// Whether a limit that cannot be read was written down.
     rejected: Cell<bool>,
+    /// Whether it has answered to a run, so that it need not be asked of others what it says.
+    ran: Cell<bool>,
+    /// Whether answers to probes name limits, so that their silence ends one.
+    probes_tell: Cell<bool>,
 }
 
 impl Notices {
@@ -41,6 +56,8 @@
             since: Cell::new(now),
             leaving: Cell::new(false),
             rejected: Cell::new(false),
+            ran: Cell::new(false),
+            probes_tell: Cell::new(false),
         }
     }
 
@@ -51,15 +68,42 @@
         self.written.set(None);
         self.leaving.set(false);
         self.rejected.set(false);
+        self.ran.set(false);
+        self.probes_tell.set(false);
+    }
+
+    /// Returns the limit that holds.
+    pub(super) fn limit(&self) -> Option<Rate> {
+        self.limit.get()
+    }
+
+    /// Takes in the limit that an ingress has passed on; returns whether it counts here, which it
+    /// does until an answer to a run was heard.
+    pub(super) fn hear_of(&self, limit: Option<Rate>) -> bool {
+        let counts = !self.ran.get() && self.limit.get().is_none();
+        if counts {
+            self.hear_limit(limit);
+        }
+        counts
     }
 
     /// Takes in the headers of an answer, and returns what they say.
-    pub(super) fn hear(&self, map: &HeaderMap) -> Notice {
+    ///
+    /// An answer to a run without a limit ends the one before. A refusal ends none, since who
+    /// refuses is in need, and an answer to a probe only if such answers have named limits.
+    pub(super) fn hear(&self, map: &HeaderMap, kind: Heard) -> Notice {
         let notice = Notice::of(map);
+        match kind {
+            Heard::Run => self.ran.set(true),
+            Heard::Probe if notice.limit.is_some() => self.probes_tell.set(true),
+            Heard::Probe | Heard::Refusal => {}
+        }
         if let Some(value) = notice::unreadable_limit(map) {
             self.reject(value);
         }
-        self.hear_limit(notice.limit);
+        if notice.limit.is_some() || self.ends_limit(kind) {
+            self.hear_limit(notice.limit);
+        }
         if notice.leaving && !self.leaving.replace(true) {
             let server = self.server.borrow().clone();
             self.trail.note(Event::ServerLeaves { server });
@@ -67,6 +111,15 @@
         notice
     }
 
+    /// Returns whether an answer of this kind that names no limit ends the one before.
+    fn ends_limit(&self, kind: Heard) -> bool {
+        match kind {
+            Heard::Run => true,
+            Heard::Refusal => false,
+            Heard::Probe => self.probes_tell.get(),
+        }
+    }
+
     fn hear_limit(&self, limit: Option<Rate>) {
         let now = self.clock.now();
         let before = self.limit.replace(limit);
--- a/crates/mesh/src/listeners.rs
+++ b/crates/mesh/src/listeners.rs
@@ -72,9 +72,10 @@
         self.told.get()
     }
 
-    /// Tells the load to those who use it, and to all whether the gate takes requests.
+    /// Tells the load to those who use it, and to all whether the gate takes requests, and by
+    /// about which limit.
     pub(crate) fn tell(&self, now: Millis, load: GateLoad) {
-        let turned = self.told.replace(load).closed != load.closed;
+        let turned = self.told.replace(load).turns_to(load);
         let uses = |link: &Listener| turned || link.uses_load(now);
         self.push(&Frame::Load(load), uses);
     }
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -366,8 +366,7 @@
             .as_ref()
             .and_then(|p| p.table.service(&record.service));
         let path = service.map_or("", |s| s.health_path.as_str());
-        let leaving = record.state == ServerState::Draining;
-        self.gate.describe(&record.id, record.slots, path, leaving);
+        self.gate.describe(record, path);
     }
 
     /// Puts newer routes in force, which a node read from the store `age_ms` ago; older ones are
--- a/crates/mesh/src/noted.rs
+++ b/crates/mesh/src/noted.rs
@@ -62,7 +62,8 @@
                 | NoRoom::Full
                 | NoRoom::Leaving
                 | NoRoom::Down
-                | NoRoom::Budget => progress.back_ms = back_ms,
+                | NoRoom::Budget
+                | NoRoom::Limit => progress.back_ms = back_ms,
             }
             Noted::Unsent
         }
@@ -116,9 +117,10 @@
 ) -> Noted {
     let now = node.now();
     let failed = answered.status >= 500;
-    node.spots
-        .borrow_mut()
-        .with_site(&server, |s| s.record(now, failed));
+    node.spots.borrow_mut().with_site(&server, |site| {
+        site.record(now, failed);
+        site.limit = answered.notice.limit;
+    });
     if !failed {
         let ran_ms = u64::from(answered.ran_ms);
         node.work
--- a/crates/oriolering/src/lib.rs
+++ b/crates/oriolering/src/lib.rs
@@ -15,6 +15,7 @@
 //! ```
 
 mod adaptive;
+mod allowance;
 mod attempt;
 mod budget;
 mod call_counts;
@@ -80,6 +81,7 @@
 #[cfg(feature = "config")]
 pub mod config;
 
+pub use allowance::Allowance;
 pub use attempt::Attempt;
 pub use budget::{Budget, BudgetSettings, Receipt};
 pub use call_counts::{CallCounts, Calls, MostCalls};
--- a/crates/oriolering/src/placement.rs
+++ b/crates/oriolering/src/placement.rs
@@ -7,7 +7,7 @@
 
 use rand::Rng;
 
-use crate::{Crossing, GateLoad, Millis};
+use crate::{Crossing, GateLoad, Millis, Rate};
 
 /// The age up to which a pace is taken as it was told, in milliseconds.
 const FRESH_MS: u64 = 150;
@@ -42,6 +42,8 @@
     pub far: bool,
     /// Until when it is avoided, since its node does not answer.
     pub suspect: Millis,
+    /// The limit in the last answer of the backend server that passed here.
+    pub limit: Option<Rate>,
     failures: u32,
     failed: Millis,
 }
@@ -54,6 +56,8 @@
             waiting: 0,
             capacity: slots.max(1),
             work_percent: 100,
+            gap_us: 0,
+            turn_ms: 0,
             closed: false,
         };
         Self {
@@ -62,6 +66,7 @@
             sent: 0,
             far,
             suspect: Millis(0),
+            limit: None,
             failures: 0,
             failed: now,
         }
@@ -111,7 +116,7 @@
         let busy = u64::from(self.load.running + self.load.waiting + self.sent);
         let run = work_ms * pace / 100;
         let ahead = (busy + 1).saturating_sub(capacity);
-        let wait = ahead * run / capacity;
+        let wait = (ahead * run / capacity).max(self.turn_ms(now));
         // A part of what runs shares the instance's processor with the rest.
         let crowd = run * busy.min(capacity) / capacity / 8;
         let hop = if self.far { FAR_MS } else { 0 };
@@ -119,6 +124,14 @@
         (run + wait + crowd + hop) * u64::from(FAILURE_ONE) / alive
     }
 
+    /// Returns how long a request waits for its turn under the backend server's limit, in
+    /// milliseconds: by what the gate told, and what was sent and has passed since.
+    fn turn_ms(&self, now: Millis) -> u64 {
+        let told = u64::from(self.load.turn_ms) * 1_000;
+        let sent = u64::from(self.sent) * u64::from(self.load.gap_us);
+        ((told + sent) / 1_000).saturating_sub(now.since(self.told))
+    }
+
     /// Returns whether requests may be sent here.
     pub fn is_open(&self, now: Millis) -> bool {
         !self.load.closed && self.suspect <= now
--- a/crates/oriolering/src/room.rs
+++ b/crates/oriolering/src/room.rs
@@ -3,13 +3,14 @@
 //! The load that this answers: more requests than the backend server can run in time. Its
 //! slots are published and work slows down when they are nearly full, so a part of them stays
 //! free. What cannot end in time is refused at once; of what waits, requests that can still be
-//! answered within their aim go first, by priority and then by aim.
+//! answered within their aim go first, by priority and then by aim. The same holds where it is
+//! not the slots that are short but what the backend server takes a second ([`Allowance`]).
 
 use std::collections::VecDeque;
 
 use serde::{Deserialize, Serialize};
 
-use crate::{GateLoad, Millis};
+use crate::{Allowance, GateLoad, Millis, Rate};
 
 /// The part of the published slots that run at once; beyond it work slows down.
 const BUSY_PERCENT: u32 = 80;
@@ -60,6 +61,8 @@
     Quarantined,
     /// It is a repeat, and the budgets of the services that it calls are used up.
     Budget,
+    /// The backend server takes too few requests a second to run it before its deadline.
+    Limit,
 }
 
 impl NoRoom {
@@ -73,6 +76,7 @@
             Self::Down => "down",
             Self::Quarantined => "quarantined",
             Self::Budget => "budget",
+            Self::Limit => "limit",
         }
     }
 }
@@ -104,6 +108,7 @@
     running: u32,
     percent: u32,
     closed: Option<NoRoom>,
+    allowance: Allowance,
     waiting: VecDeque<(JobKey, Job)>,
     keys: u64,
 }
@@ -116,6 +121,7 @@
             running: 0,
             percent: 100,
             closed: None,
+            allowance: Allowance::default(),
             waiting: VecDeque::new(),
             keys: 0,
         }
@@ -142,13 +148,26 @@
         self.closed = reason;
     }
 
+    /// Takes in the requests a second that the backend server names, if it does; returns whether
+    /// that changed.
+    pub fn limit(&mut self, now: Millis, rate: Option<Rate>) -> bool {
+        self.allowance.limit(now, rate)
+    }
+
+    /// Returns whether the backend server may be asked for its load, and counts that.
+    pub fn take_probe(&mut self, now: Millis) -> bool {
+        self.allowance.rate().is_none() || self.allowance.take_spare(now)
+    }
+
     /// Returns what the gate tells ingresses.
-    pub fn load(&self) -> GateLoad {
+    pub fn load(&self, now: Millis) -> GateLoad {
         GateLoad {
             running: self.running,
             waiting: self.waiting.len() as u32,
             capacity: self.capacity(),
             work_percent: self.percent,
+            gap_us: self.allowance.gap_us(),
+            turn_ms: self.allowance.wait_ms(now, self.waiting.len()) as u32,
             closed: self.closed.is_some(),
         }
     }
@@ -158,14 +177,23 @@
         if let Some(reason) = self.closed {
             return Entry::Refuse(reason);
         }
-        let expected = self.expected_ms(job);
-        if self.is_better_elsewhere(job, expected) {
+        let ahead = self
+            .waiting
+            .iter()
+            .filter(|(_, j)| j.priority <= job.priority);
+        let ahead = ahead.count();
+        let expected = self.expected_ms(job, ahead);
+        let turn = self.run_ms(&job) + self.allowance.wait_ms(now, ahead);
+        if self.is_better_elsewhere(now, job, expected.max(turn)) {
             return Entry::Refuse(NoRoom::Elsewhere);
         }
         if now + expected + RETURN_MS > job.deadline {
             return Entry::Refuse(NoRoom::Late);
         }
-        if self.running < self.capacity() {
+        if now + turn + RETURN_MS > job.deadline {
+            return Entry::Refuse(NoRoom::Limit);
+        }
+        if self.running < self.capacity() && self.is_next(now) {
             self.running += 1;
             return Entry::Start;
         }
@@ -193,15 +221,14 @@
         if let Some(turn) = self.scan_hopeless(now) {
             return Some(turn);
         }
-        if let Some(turn) = self.scan_misplaced() {
+        if let Some(turn) = self.scan_misplaced(now) {
             return Some(turn);
         }
-        if self.running >= self.capacity() {
+        if self.running >= self.capacity() || !self.allowance.is_open(now) {
             return None;
         }
-        let pace = u64::from(self.percent);
         let order = |job: &Job| {
-            let end = now + job.work_ms * pace / 100 + RETURN_MS;
+            let end = now + self.run_ms(job) + RETURN_MS;
             let late = end > job.aim;
             let due = if late { job.deadline } else { job.aim };
             (late, job.priority, due)
@@ -209,6 +236,7 @@
         let jobs = self.waiting.iter().enumerate();
         let (index, _) = jobs.min_by_key(|(_, (_, job))| order(job))?;
         let (key, _) = self.waiting.remove(index)?;
+        self.allowance.take(now);
         self.running += 1;
         Some(Turn::Start(key))
     }
@@ -216,63 +244,97 @@
     /// Returns when [`Self::next`] is to be called if nothing else happens before.
     pub fn next_wake(&self, now: Millis) -> Option<Millis> {
         let latest = self.waiting.iter().map(|(_, job)| self.latest_start(job));
-        latest.min().map(|at| at.max(now + 1))
+        let latest = latest.min()?;
+        let next = match self.running < self.capacity() {
+            true => latest.min(now + self.allowance.wait_ms(now, 0)),
+            false => latest,
+        };
+        Some(next.max(now + 1))
     }
 
     /// Returns how long a refused caller does best to wait, in milliseconds.
-    pub fn back_ms(&self, work_ms: u64) -> u64 {
+    pub fn back_ms(&self, now: Millis, work_ms: u64) -> u64 {
         let run = work_ms * u64::from(self.percent) / 100;
-        let ahead = self.waiting.len() as u64 + 1;
-        let turn = ahead * run / u64::from(self.capacity());
-        turn.max(BACK_MIN_MS)
+        let ahead = self.waiting.len();
+        let free = (ahead as u64 + 1) * run / u64::from(self.capacity());
+        let turn = self.allowance.wait_ms(now, ahead);
+        free.max(turn).max(BACK_MIN_MS)
     }
 
-    /// Returns how long a request that arrives now is expected to take, in milliseconds.
-    fn expected_ms(&self, job: Job) -> u64 {
-        let run = job.work_ms * u64::from(self.percent) / 100;
+    /// Returns whether a request that arrives now is the next to be sent under the limit, and
+    /// counts it; those that wait go first.
+    fn is_next(&mut self, now: Millis) -> bool {
+        match self.allowance.rate() {
+            None => true,
+            Some(_) => self.waiting.is_empty() && self.allowance.take(now),
+        }
+    }
+
+    /// Returns how long a request runs at the pace of now, in milliseconds.
+    fn run_ms(&self, job: &Job) -> u64 {
+        job.work_ms * u64::from(self.percent) / 100
+    }
+
+    /// Returns how long a request that arrives now is expected to take by the slots alone, behind
+    /// `ahead` others, in milliseconds.
+    fn expected_ms(&self, job: Job, ahead: usize) -> u64 {
+        let run = self.run_ms(&job);
         if self.running < self.capacity() {
             return run;
         }
-        let urgent = self
-            .waiting
-            .iter()
-            .filter(|(_, j)| j.priority <= job.priority);
-        let ahead = urgent.count() as u64 + 1;
-        run + ahead * run / u64::from(self.capacity())
+        run + (ahead as u64 + 1) * run / u64::from(self.capacity())
     }
 
-    fn is_better_elsewhere(&self, job: Job, expected: u64) -> bool {
+    fn is_better_elsewhere(&self, now: Millis, job: Job, expected: u64) -> bool {
         let Some(other) = job.elsewhere_ms else {
             return false;
         };
-        let full = self.running >= self.capacity();
+        let full = self.running >= self.capacity() || !self.allowance.is_open(now);
         let slow = self.percent >= SLOW_PERCENT;
         (full || slow) && expected * 100 > other * ELSEWHERE_PERCENT
     }
 
     fn latest_start(&self, job: &Job) -> Millis {
-        let run = job.work_ms * u64::from(self.percent) / 100;
-        Millis(job.deadline.0.saturating_sub(run + RETURN_MS))
+        Millis(job.deadline.0.saturating_sub(self.run_ms(job) + RETURN_MS))
+    }
+
+    /// Returns how long a waiting request still waits for its turn under the limit, behind those
+    /// that are more urgent, in milliseconds.
+    fn turn_ms(&self, now: Millis, key: JobKey, job: &Job) -> u64 {
+        if self.allowance.rate().is_none() {
+            return 0;
+        }
+        let rank = |key: JobKey, job: &Job| (job.priority, job.aim, key);
+        let own = rank(key, job);
+        let ahead = self.waiting.iter().filter(|(k, j)| rank(*k, j) < own);
+        self.allowance.wait_ms(now, ahead.count())
     }
 
     /// Finds a waiting request that is expected to end sooner elsewhere, since the backend
-    /// server became slow while it waited.
-    fn scan_misplaced(&mut self) -> Option<Turn> {
-        if self.percent < SLOW_PERCENT {
+    /// server became slow, or takes fewer requests, while it waited.
+    fn scan_misplaced(&mut self, now: Millis) -> Option<Turn> {
+        if self.percent < SLOW_PERCENT && self.allowance.rate().is_none() {
             return None;
         }
-        let run = |job: &Job| job.work_ms * u64::from(self.percent) / 100;
-        let misplaced = |job: &Job| self.is_better_elsewhere(*job, run(job));
-        let index = self.waiting.iter().position(|(_, job)| misplaced(job))?;
+        let misplaced = |(key, job): &(JobKey, Job)| {
+            let expected = self.run_ms(job) + self.turn_ms(now, *key, job);
+            self.is_better_elsewhere(now, *job, expected)
+        };
+        let index = self.waiting.iter().position(misplaced)?;
         let (key, _) = self.waiting.remove(index)?;
         Some(Turn::Refuse(key, NoRoom::Elsewhere))
     }
 
     /// Finds a waiting request that cannot end before its deadline any more.
     fn scan_hopeless(&mut self, now: Millis) -> Option<Turn> {
-        let late = |job: &Job| self.latest_start(job) < now;
-        let index = self.waiting.iter().position(|(_, job)| late(job))?;
+        let late = |job: &Job, at: Millis| self.latest_start(job) < at;
+        let reason = |(key, job): &(JobKey, Job)| match late(job, now) {
+            true => Some(self.closed.unwrap_or(NoRoom::Late)),
+            false => late(job, now + self.turn_ms(now, *key, job)).then_some(NoRoom::Limit),
+        };
+        let mut found = self.waiting.iter().enumerate();
+        let (index, why) = found.find_map(|(i, waits)| Some((i, reason(waits)?)))?;
         let (key, _) = self.waiting.remove(index)?;
-        Some(Turn::Refuse(key, self.closed.unwrap_or(NoRoom::Late)))
+        Some(Turn::Refuse(key, why))
     }
 }
