Send nothing new to a backend server that says in an answer that it leaves

Requests went on to a backend server that had said in its answers that it leaves (Server-Leaving), until the list said so, or for as long as it served on.

The word passed from the backend server to the caller, and no part of a node read it; that it leaves was believed of the list alone. Connection: close was weighed as a sign and is none, it comes with other answers, too.

The gate takes the word from each answer of its backend server (not from a 421, which another one gives) and closes for that run of it, as it does for the list; all ingresses hear of that. An ingress remembers the runs that have said so in an answer that passed it, since the gate beside the backend server may start again and not know, and the entry may lapse and come back. What waits at the gate still runs. Another identity, or another start of the same one, begins anew; what it is is read from the list. A backend server that leaves is asked for its load no more.

--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -428,6 +428,9 @@
     fn hear_notice(&self, map: &HeaderMap, kind: Heard) -> Notice {
         let notice = self.notices.hear(map, kind);
         self.take_limit(self.notices.limit());
+        if notice.leaving {
+            self.reopen();
+        }
         notice
     }
 
@@ -446,9 +449,13 @@
         }
     }
 
+    /// Returns whether the node leaves, or its backend server by what the list or itself says.
+    fn is_leaving(&self) -> bool {
+        self.leaving.get() || self.server_leaves.get() || self.notices.leaves()
+    }
+
     fn reopen(&self) {
-        let leaving = self.leaving.get() || self.server_leaves.get();
-        let reason = leaving.then_some(NoRoom::Leaving);
+        let reason = self.is_leaving().then_some(NoRoom::Leaving);
         self.pulse.note_up(&self.server.borrow());
         self.room.borrow_mut().close(reason);
         self.tell_turn();
@@ -515,6 +522,9 @@
     /// Returns whether anybody has use for the load of the backend server. One that has not said
     /// anything yet is asked once before requests are offered: it may have named a limit.
     fn wants_probe(&self, now: Millis) -> bool {
+        if self.is_leaving() {
+            return false;
+        }
         let offered = self.offered.get();
         let in_use = offered.is_some_and(|at| now.since(at) < INTEREST_MS);
         in_use || self.load().closed || self.answers_as.borrow().is_none()
--- a/crates/mesh/src/gate/notices.rs
+++ b/crates/mesh/src/gate/notices.rs
@@ -77,6 +77,11 @@
         self.limit.get()
     }
 
+    /// Returns whether it has said that it leaves; it does not take that back.
+    pub(super) fn leaves(&self) -> bool {
+        self.leaving.get()
+    }
+
     /// Takes in the limit that an ingress has passed on; returns whether it counts here, which it
     /// does until an answer to a run was heard.
     pub(super) fn hear_of(&self, limit: Option<Rate>) -> bool {
--- a/crates/mesh/src/noted.rs
+++ b/crates/mesh/src/noted.rs
@@ -117,10 +117,15 @@
 ) -> Noted {
     let now = node.now();
     let failed = answered.status >= 500;
-    node.spots.borrow_mut().with_site(&server, |site| {
+    let mut spots = node.spots.borrow_mut();
+    spots.with_site(&server, |site| {
         site.record(now, failed);
         site.limit = answered.notice.limit;
     });
+    if answered.notice.leaving {
+        spots.note_leaving(&server);
+    }
+    drop(spots);
     if !failed {
         let ran_ms = u64::from(answered.ran_ms);
         node.work
--- a/crates/mesh/src/spots.rs
+++ b/crates/mesh/src/spots.rs
@@ -1,6 +1,6 @@
 //! The backend servers that an ingress can choose from.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -46,10 +46,18 @@
     }
 }
 
+/// The runs that are remembered as leaving; more than leave in the time that they take.
+const LEAVING_MAX: usize = 1_024;
+
+/// The identity of a backend server, and when that run of it began.
+type Run = (CompactString, Option<u64>);
+
 struct Spot {
     record: ServerRecord,
     site: Site,
     way: Way,
+    /// Whether it has said in an answer that it leaves.
+    leaving: bool,
 }
 
 /// A choice for a request.
@@ -71,19 +79,23 @@
 pub(crate) struct Spots {
     spots: Vec<Spot>,
     services: HashMap<CompactString, Vec<usize>>,
+    /// The runs of backend servers that have said in an answer that they leave, oldest first: a
+    /// gate that starts again does not know, and an entry may come back.
+    leaving: VecDeque<Run>,
 }
 
 impl Spots {
     /// Takes in a new list; what is known of backend servers that stay is kept.
     pub(crate) fn replace(&mut self, now: Millis, zone: &str, records: Vec<(ServerRecord, Way)>) {
-        let mut before: HashMap<(CompactString, Option<u64>), Spot> =
-            std::mem::take(&mut self.spots)
-                .into_iter()
-                .map(|spot| ((spot.record.id.clone(), spot.record.born), spot))
-                .collect();
+        let mut before: HashMap<Run, Spot> = std::mem::take(&mut self.spots)
+            .into_iter()
+            .map(|spot| (run_of(&spot.record), spot))
+            .collect();
         self.services.clear();
         for (record, way) in records {
-            let known = before.remove(&(record.id.clone(), record.born));
+            let run = run_of(&record);
+            let leaving = self.leaving.contains(&run);
+            let known = before.remove(&run);
             let site = known.map_or_else(
                 || Site::new(now, record.slots, record.zone != zone),
                 |spot| spot.site,
@@ -93,7 +105,12 @@
                 .entry(record.service.clone())
                 .or_default()
                 .push(index);
-            self.spots.push(Spot { record, site, way });
+            self.spots.push(Spot {
+                record,
+                site,
+                way,
+                leaving,
+            });
         }
     }
 
@@ -126,7 +143,21 @@
 
     fn is_usable(&self, index: usize) -> bool {
         let spot = &self.spots[index];
-        spot.record.state == ServerState::Ready && spot.way.is_up()
+        spot.record.state == ServerState::Ready && spot.way.is_up() && !spot.leaving
+    }
+
+    /// Notes that a backend server has said in an answer that it leaves; nothing is sent to that
+    /// run of it any more.
+    pub(crate) fn note_leaving(&mut self, server: &str) {
+        let found = self.spots.iter_mut().find(|s| s.record.id == server);
+        let Some(spot) = found.filter(|spot| !spot.leaving) else {
+            return;
+        };
+        spot.leaving = true;
+        self.leaving.push_back(run_of(&spot.record));
+        if self.leaving.len() > LEAVING_MAX {
+            self.leaving.pop_front();
+        }
     }
 
     /// Returns how long work takes at a backend server now, as a percentage of the usual.
@@ -158,3 +189,8 @@
         local.for_each(|spot| spot.site.tell(now, load));
     }
 }
+
+/// Returns which run of a backend server an entry names.
+fn run_of(record: &ServerRecord) -> Run {
+    (record.id.clone(), record.born)
+}
