Spread the callers that limited backend servers have no turn for

Callers that are refused since all backend servers of a service are limited were told nearly the same time to come back, and would have met again: of 20 in a row those refused got 0.089 or 0.090 s. Their times now lie between two thirds and one and a half of what is meant, within the time that callers wait.

Tests of what ends a limit (an answer to a run without it, another run at the address), of what does not count (a 421, which is another backend server's answer; a value that cannot be read, told once), and that callers without a turn are refused within 100 ms, at times that differ (failed before with two values, passes now). A site that answered 421 is avoided for two seconds, which the test waits for.

--- a/crates/mesh/src/dispatch.rs
+++ b/crates/mesh/src/dispatch.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use oriolering::{come_back_ms, spread_back_ms};
 use oriolering_http::{Answer, StatusCode};
 use tokio::time::timeout;
 
@@ -19,9 +20,6 @@
 const REFUSALS_MAX: u32 = 4;
 /// The time to come back after, when no gate told one, in milliseconds.
 const BACK_MS: u64 = 100;
-/// The part of the time left within which a caller comes back, in percent; callers do not wait
-/// longer than a third of it.
-const BACK_PERCENT: u64 = 30;
 
 /// Sends a request to backend servers until one answers, or nothing more can be done.
 pub(crate) async fn dispatch(node: Rc<Node>, mut job: Job) -> Answer {
@@ -61,6 +59,7 @@
         };
         if now + chosen.place.expected_ms > job.deadline {
             progress.back_ms.get_or_insert(chosen.place.expected_ms / 4);
+            progress.limited |= chosen.site.load.gap_us > 0;
             return give_up(
                 node,
                 job,
@@ -136,11 +135,11 @@
         return unavailable(back);
     }
     let left = job.deadline.since(now);
-    let back = progress
-        .back_ms
-        .unwrap_or(BACK_MS)
-        .min(left * BACK_PERCENT / 100);
-    unavailable(back)
+    let back = progress.back_ms.unwrap_or(BACK_MS);
+    unavailable(match progress.limited {
+        true => spread_back_ms(back, left, &mut rand::rng()),
+        false => come_back_ms(back, left),
+    })
 }
 
 /// Returns the answer that a request has not run, and when to come back.
--- a/crates/mesh/src/noted.rs
+++ b/crates/mesh/src/noted.rs
@@ -54,6 +54,7 @@
             let back_ms = Some(u64::from(back_ms));
             progress.refusals += 1;
             progress.away += u32::from(why == NoRoom::Elsewhere);
+            progress.limited |= why == NoRoom::Limit;
             progress.tried.push(server);
             match why {
                 NoRoom::Quarantined => progress.quarantined_ms = back_ms,
--- a/crates/mesh/src/progress.rs
+++ b/crates/mesh/src/progress.rs
@@ -19,6 +19,8 @@
     /// Whether an attempt may have run.
     pub(crate) uncertain: bool,
     pub(crate) back_ms: Option<u64>,
+    /// Whether a limit that a backend server names left it no turn.
+    pub(crate) limited: bool,
     /// For how long a gate quarantines it, in milliseconds.
     pub(crate) quarantined_ms: Option<u64>,
     /// What allows the next attempt, if that is a repeat.
--- a/crates/mesh/tests/notices.rs
+++ b/crates/mesh/tests/notices.rs
@@ -139,3 +139,103 @@
         assert_eq!(leaving.total(), 0);
     });
 }
+
+#[test]
+fn a_limit_ends_with_an_answer_that_names_none() {
+    run(async {
+        let fleet = Fleet::serving(&["front", "s"]).await;
+        let server = &fleet.instances[1].backend;
+        server.say(&[("server-limit", "20")]);
+        fleet.call(0, &get("/get/echo")).await;
+        server.say(&[]);
+        let flow = Rc::new(Flow::default());
+        flow.send(&fleet, 0, "/get/echo", 10, 1_000).await;
+        assert_eq!(flow.served.get(), flow.sent.get());
+        assert_eq!(fleet.events(1, "server_unlimited").await.len(), 1);
+    });
+}
+
+#[test]
+fn another_run_at_the_address_begins_without_limit_and_leaving() {
+    run(async {
+        let fleet = Fleet::serving(&["front", "s"]).await;
+        let server = &fleet.instances[1].backend;
+        server.say(&[("server-limit", "0.2"), ("server-leaving", "1")]);
+        fleet.call(0, &get("/get/echo")).await;
+        server.say(&[]);
+        assert_eq!(fleet.call(0, &get("/get/echo")).await.status, 503);
+        fleet.hand_over(1, "i-next", "s");
+        fleet
+            .wait_serves(0, "/get/echo", Instant::now(), 1_000)
+            .await;
+        let flow = Rc::new(Flow::default());
+        flow.send(&fleet, 0, "/get/echo", 20, 500).await;
+        assert_eq!(flow.served.get(), flow.sent.get());
+    });
+}
+
+/// A 421 is the answer of a backend server that was not asked.
+#[test]
+fn what_another_backend_server_says_of_itself_is_not_taken() {
+    run(async {
+        let fleet = Fleet::serving(&["front", "s", "s"]).await;
+        for instance in &fleet.instances[1..] {
+            let backend = &instance.backend;
+            backend.say_when_misdirected(&[("server-limit", "0"), ("server-leaving", "1")]);
+        }
+        assert_eq!(fleet.call(0, &get("/get/misdirected")).await.status, 200);
+        // For a while the address counts as that of another one.
+        pass(2_100).await;
+        let flow = Rc::new(Flow::default());
+        flow.send(&fleet, 0, "/get/echo", 10, 500).await;
+        assert_eq!(flow.served.get(), flow.sent.get());
+        let served: usize = fleet.instances[1..]
+            .iter()
+            .filter(|i| i.backend.total() > 2)
+            .count();
+        assert_eq!(served, 2, "both serve");
+    });
+}
+
+#[test]
+fn a_limit_that_cannot_be_read_is_none_and_written_down_once() {
+    run(async {
+        let fleet = Fleet::serving(&["front", "s"]).await;
+        fleet.instances[1].backend.say(&[("server-limit", "a few")]);
+        let flow = Rc::new(Flow::default());
+        flow.send(&fleet, 0, "/get/echo", 10, 500).await;
+        assert_eq!(flow.served.get(), flow.sent.get());
+        let lines = fleet.events(1, "limit_rejected").await;
+        assert_eq!(lines.len(), 1);
+        assert_eq!(lines[0]["value"], "a few");
+    });
+}
+
+/// All backend servers of the service are limited: the calls that have no turn in time are refused at
+/// once, with times to come back that differ.
+#[test]
+fn what_the_limits_leave_no_turn_is_refused_at_once() {
+    run(async {
+        let fleet = Fleet::serving(&["front", "s", "s"]).await;
+        for instance in &fleet.instances[1..] {
+            instance.backend.say(&[("server-limit", "2")]);
+        }
+        for _ in 0..4 {
+            fleet.call(0, &get("/get/echo")).await;
+        }
+        let mut backs = Vec::new();
+        for _ in 0..20 {
+            let asked = Instant::now();
+            let text = get("/get/echo").replace("3000", "300");
+            let reply = fleet.call(0, &text).await;
+            if reply.status == 503 {
+                assert!(asked.elapsed() < Duration::from_millis(100));
+                backs.push(reply.header("retry-after").expect("a time").to_owned());
+            }
+        }
+        assert!(backs.len() >= 10, "{backs:?}");
+        backs.sort_unstable();
+        backs.dedup();
+        assert!(backs.len() >= 5, "{backs:?}");
+    });
+}
--- a/crates/mesh/tests/support/backend.rs
+++ b/crates/mesh/tests/support/backend.rs
@@ -76,6 +76,8 @@
     listening: Rc<RefCell<Option<AbortHandle>>>,
     /// What all its answers say besides.
     says: Rc<RefCell<Vec<(&'static str, String)>>>,
+    /// What its answers to requests for others say besides.
+    misdirected_says: Rc<RefCell<Vec<(&'static str, String)>>>,
     /// Whether answers about its health say that, too.
     health_says: Rc<Cell<bool>>,
     /// When its health was asked for.
@@ -111,6 +113,7 @@
             crashed: Rc::default(),
             listening: Rc::default(),
             says: Rc::default(),
+            misdirected_says: Rc::default(),
             health_says: Rc::default(),
             probed: Rc::default(),
         };
@@ -188,10 +191,12 @@
 
     /// Says this in all answers to requests from now on, and nothing that it said before.
     pub fn say(&self, says: &[(&'static str, &str)]) {
-        let says = says
-            .iter()
-            .map(|(name, value)| (*name, (*value).to_owned()));
-        *self.says.borrow_mut() = says.collect();
+        *self.says.borrow_mut() = owned(says);
+    }
+
+    /// Says this in answers to requests that are meant for another one.
+    pub fn say_when_misdirected(&self, says: &[(&'static str, &str)]) {
+        *self.misdirected_says.borrow_mut() = owned(says);
     }
 
     /// Says it in answers about its health, too.
@@ -281,7 +286,9 @@
                 answer
             }
             ["misdirected"] if is_first(target) => {
-                self.unsigned(StatusCode::MISDIRECTED_REQUEST, request)
+                let mut answer = self.unsigned(StatusCode::MISDIRECTED_REQUEST, request);
+                add_all(&mut answer, &self.misdirected_says.borrow());
+                answer
             }
             ["full"] if is_first(target) => {
                 let mut answer = self.unsigned(StatusCode::SERVICE_UNAVAILABLE, request);
@@ -355,14 +362,24 @@
             &self.answers_as.borrow(),
         );
         if request.uri.path() != HEALTH_PATH || self.health_says.get() {
-            let says = self.says.borrow();
-            says.iter()
-                .for_each(|(name, value)| set(&mut answer, name, value));
+            add_all(&mut answer, &self.says.borrow());
         }
         answer
     }
 }
 
+fn owned(says: &[(&'static str, &str)]) -> Vec<(&'static str, String)> {
+    let says = says.iter();
+    says.map(|(name, value)| (*name, (*value).to_owned()))
+        .collect()
+}
+
+fn add_all(answer: &mut Answer, says: &[(&'static str, String)]) {
+    for (name, value) in says {
+        set(answer, name, value);
+    }
+}
+
 fn is_first(target: &str) -> bool {
     RESET.with_borrow_mut(|targets| targets.insert(target.to_owned()))
 }
