Leave the turns under a limit to other nodes, too

Cause: what a gate tells of the next turn is for all nodes, and each took it for itself. Two changes, found by the play: an ingress that is refused by a limited gate reckons with twice as many others (64 at most) and leaves that many turns to them, two seconds at most; one that is served reckons with fewer. Ruled out: not to reckon with the time since the gate told (all but a few turns are then lost).

--- a/crates/mesh/src/noted.rs
+++ b/crates/mesh/src/noted.rs
@@ -55,6 +55,11 @@
             progress.refusals += 1;
             progress.away += u32::from(why == NoRoom::Elsewhere);
             progress.limited |= why == NoRoom::Limit;
+            if matches!(why, NoRoom::Elsewhere | NoRoom::Limit) {
+                let now = node.now();
+                let mut spots = node.spots.borrow_mut();
+                spots.with_site(&server, |site| site.record_no_turn(now));
+            }
             progress.tried.push(server);
             match why {
                 NoRoom::Quarantined => progress.quarantined_ms = back_ms,
@@ -121,6 +126,7 @@
     let mut spots = node.spots.borrow_mut();
     spots.with_site(&server, |site| {
         site.record(now, failed);
+        site.record_turn();
         site.limit = answered.notice.limit;
     });
     if answered.notice.leaving {
--- a/crates/oriolering/src/placement.rs
+++ b/crates/oriolering/src/placement.rs
@@ -29,6 +29,12 @@
 /// The time in which a failure rate halves while nothing is sent, in milliseconds.
 const FORGIVE_MS: u64 = 1_500;
 
+/// The most nodes that an ingress reckons with beside itself for the turns under a limit.
+const CROWD_MAX: u32 = 64;
+/// The longest time for which it leaves the turns to others, in milliseconds: it may be alone by
+/// then.
+const YIELD_MAX_MS: u64 = 2_000;
+
 /// What an ingress knows of one backend server.
 #[derive(Clone, Copy, Debug)]
 pub struct Site {
@@ -46,6 +52,10 @@
     pub limit: Option<Rate>,
     failures: u32,
     failed: Millis,
+    /// How many nodes seem to share the turns under the limit.
+    crowd: u32,
+    /// When the gate had no turn for a request.
+    no_turn: Millis,
 }
 
 impl Site {
@@ -69,6 +79,8 @@
             limit: None,
             failures: 0,
             failed: now,
+            crowd: 1,
+            no_turn: now,
         }
     }
 
@@ -87,6 +99,23 @@
         self.failed = now;
     }
 
+    /// Records that the gate sent a request on; if the backend server is limited, others come for
+    /// the turns, too, and some are left to those.
+    ///
+    /// The load that this answers: a backend server takes one request in some 80 ms, and dozens
+    /// of nodes know when. Each of them would send one, and all but one would come back.
+    pub fn record_no_turn(&mut self, now: Millis) {
+        if self.load.gap_us > 0 {
+            self.crowd = (self.crowd * 2).min(CROWD_MAX);
+            self.no_turn = now;
+        }
+    }
+
+    /// Records that the backend server ran a request.
+    pub fn record_turn(&mut self) {
+        self.crowd -= (self.crowd - 1).div_ceil(4);
+    }
+
     /// Returns how many of a thousand requests fail; it falls while nothing is sent.
     pub fn failure_rate(&self, now: Millis) -> u32 {
         let halvings = now.since(self.failed) / FORGIVE_MS;
@@ -127,9 +156,12 @@
     /// Returns how long a request waits for its turn under the backend server's limit, in
     /// milliseconds: by what the gate told, and what was sent and has passed since.
     fn turn_ms(&self, now: Millis) -> u64 {
-        let told = u64::from(self.load.turn_ms) * 1_000;
-        let sent = u64::from(self.sent) * u64::from(self.load.gap_us);
-        ((told + sent) / 1_000).saturating_sub(now.since(self.told))
+        let gap_us = u64::from(self.load.gap_us);
+        let sent_ms = u64::from(self.sent) * gap_us / 1_000;
+        let others_ms = u64::from(self.crowd - 1) * gap_us / 1_000;
+        let told = self.told + u64::from(self.load.turn_ms) + sent_ms;
+        let yielded = self.no_turn + others_ms.min(YIELD_MAX_MS);
+        told.max(yielded).since(now)
     }
 
     /// Returns whether requests may be sent here.
--- a/crates/oriolering/tests/load/figures.rs
+++ b/crates/oriolering/tests/load/figures.rs
@@ -29,6 +29,8 @@
     pub(crate) crossed: u64,
     /// How often a gate refused a request of its own zone.
     pub(crate) refused_near: u64,
+    /// The most runs in a span at any backend server that names a limit.
+    pub(crate) limited_most: u64,
     /// Within which time half of the answers came, in milliseconds.
     pub(crate) p50_ms: u64,
     /// Within which time 99 of 100 answers came, in milliseconds.
--- a/crates/oriolering/tests/load/fleet.rs
+++ b/crates/oriolering/tests/load/fleet.rs
@@ -50,6 +50,8 @@
         fleet.apply(event);
     }
     fleet.figures.rank(&mut fleet.took);
+    let limited = fleet.gates.iter().take(load.limited);
+    fleet.figures.limited_most = limited.map(Gate::most_in_span).max().unwrap_or(0);
     fleet.figures
 }
 
@@ -68,7 +70,7 @@
                 .map(|number| Ingress::new(&load, number))
                 .collect(),
             gates: (0..load.servers)
-                .map(|server| Gate::new(load.slots, load.is_gone(server)))
+                .map(|server| Gate::new(load.slots, load.is_gone(server), load.limit_of(server)))
                 .collect(),
             calls: Vec::new(),
             queue: Vec::new(),
@@ -160,12 +162,13 @@
         let demand = ingress.demand(&self.load, self.calls[call].arrived, self.now);
         let crossing = self.load.crossing;
         let tried = &self.calls[call].tried;
+        let away = self.calls[call].refusals as u32;
         let open = ingress.sites.iter().enumerate();
         let mut open = open.filter(|(i, _)| !tried.contains(i));
         let (gate, expected_ms, elsewhere_ms) = match self.strategy {
             Strategy::Adaptive => {
                 match choose_place(now, demand, crossing, open, &mut self.choices) {
-                    Some(place) => (place.index, place.expected_ms, place.next_ms),
+                    Some(place) => (place.index, place.expected_ms, place.alternative_ms(away)),
                     None => return self.refuse(call),
                 }
             }
@@ -247,6 +250,8 @@
 
     fn refused(&mut self, call: usize, gate: usize, load: GateLoad) {
         self.hear(call, gate, load);
+        let ingress = self.calls[call].ingress;
+        self.ingresses[ingress].sites[gate].record_no_turn(Millis(self.now));
         if self.calls[call].over {
             return;
         }
@@ -262,6 +267,7 @@
     /// Begins a run for which the gate has made room.
     pub(crate) fn start(&mut self, call: usize, gate: usize) {
         self.figures.runs += 1;
+        self.gates[gate].starts.push(self.now);
         let server = &mut self.gates[gate].server;
         self.calls[call].start(gate, self.now, server.percent());
         let end = server.start(self.now, call, self.load.work_ms);
@@ -304,6 +310,7 @@
     fn answer(&mut self, call: usize, gate: usize, load: GateLoad, ran_ms: u64, percent: u32) {
         self.hear(call, gate, load);
         let ingress = self.calls[call].ingress;
+        self.ingresses[ingress].sites[gate].record_turn();
         self.ingresses[ingress].work.record(ROUTE, ran_ms, percent);
         if std::mem::replace(&mut self.calls[call].over, true) {
             self.figures.runs_in_vain += 1;
--- a/crates/oriolering/tests/load/gate.rs
+++ b/crates/oriolering/tests/load/gate.rs
@@ -2,20 +2,26 @@
 
 use std::collections::HashMap;
 
-use oriolering::{Entry, GateLoad, Job, JobKey, Millis, NoRoom, Room};
+use oriolering::{Entry, GateLoad, Job, JobKey, Millis, NoRoom, Rate, Room};
 
 use crate::server::Server;
 
+/// The span in which the platform counts what a limited backend server gets, in milliseconds.
+pub(crate) const SPAN_MS: u64 = 4_000;
+
 pub(crate) struct Gate {
     pub(crate) room: Room,
     pub(crate) server: Server,
     pub(crate) waiting: HashMap<JobKey, usize>,
     pub(crate) told: GateLoad,
+    /// When runs began.
+    pub(crate) starts: Vec<u64>,
 }
 
 impl Gate {
-    pub(crate) fn new(slots: u32, gone: bool) -> Self {
+    pub(crate) fn new(slots: u32, gone: bool, limit: Option<Rate>) -> Self {
         let mut room = Room::new(slots);
+        room.limit(Millis(0), limit);
         room.close(gone.then_some(NoRoom::Down));
         let told = room.load(Millis(0));
         Self {
@@ -23,6 +29,7 @@
             server: Server::new(),
             waiting: HashMap::new(),
             told,
+            starts: Vec::new(),
         }
     }
 
@@ -31,6 +38,7 @@
         let (load, told) = (self.room.load(now), self.told);
         let busy = load.running + load.waiting;
         let changed = busy.abs_diff(told.running + told.waiting) >= step;
+        let changed = changed || told.turns_to(load);
         if !changed && load.work_percent == told.work_percent {
             return None;
         }
@@ -52,6 +60,14 @@
         }
     }
 
+    /// Returns the most runs that began in any span in which the platform counts.
+    pub(crate) fn most_in_span(&self) -> u64 {
+        let first = |end: u64| self.starts.partition_point(|at| at + SPAN_MS <= end);
+        let starts = self.starts.iter().enumerate();
+        let counts = starts.map(|(i, end)| i + 1 - first(*end));
+        counts.max().unwrap_or(0) as u64
+    }
+
     /// Removes a waiting request.
     pub(crate) fn leave(&mut self, call: usize) -> bool {
         let found = self.waiting.iter().find(|(_, c)| **c == call);
--- a/crates/oriolering/tests/load/main.rs
+++ b/crates/oriolering/tests/load/main.rs
@@ -11,6 +11,7 @@
 mod gains;
 mod gate;
 mod ingress;
+mod limits;
 mod one_queue;
 mod second_run;
 mod server;
--- a/crates/oriolering/tests/load/settings.rs
+++ b/crates/oriolering/tests/load/settings.rs
@@ -1,6 +1,6 @@
 //! What is played: how many nodes, which work, and how the backend servers slow down.
 
-use oriolering::Crossing;
+use oriolering::{Crossing, Rate};
 
 /// The parameters of one play.
 #[derive(Clone, Copy, Debug)]
@@ -60,6 +60,11 @@
     pub(crate) crossing: Crossing,
     /// How many backend servers of the first zone are down.
     pub(crate) gone: usize,
+    /// How many backend servers name a limit, and that in thousandths of a request a second.
+    pub(crate) limited: usize,
+    pub(crate) limit: u32,
+    /// Whether gates and ingresses know of it.
+    pub(crate) limit_told: bool,
     /// How long work takes in the first zone, as a percentage of what it takes elsewhere.
     pub(crate) first_zone_percent: u32,
     /// How many of a hundred callers of other zones have moved to the first one.
@@ -103,6 +108,9 @@
             far_ms: 0,
             crossing: Crossing::DEFAULT,
             gone: 0,
+            limited: 0,
+            limit: 0,
+            limit_told: true,
             first_zone_percent: 100,
             shifted_percent: 0,
             offered_percent,
@@ -131,6 +139,12 @@
         server.is_multiple_of(self.served_zones) && server / self.served_zones < self.gone
     }
 
+    /// Returns the limit of a backend server.
+    pub(crate) fn limit_of(&self, server: usize) -> Option<Rate> {
+        let named = server < self.limited && self.limit_told;
+        named.then_some(Rate::from_thousandths(self.limit))
+    }
+
     /// Returns the mean time between two arrivals, in milliseconds.
     pub(crate) fn gap_ms(&self) -> f64 {
         let slow = self.slow_share as f64 / 100.0;
