Let the soak's backend servers name limits and say that they leave, and judge both

They now name a limit for four to eight seconds at times, and say in their answers that they leave, in either spelling; some leave without a word in the list. A restart or freeze of the machine excuses it, a cut from the store does not; a backend server that stood still excuses the spans that it stood in.

--- a/crates/bench/src/soak/app.rs
+++ b/crates/bench/src/soak/app.rs
@@ -45,6 +45,7 @@
         .append(true)
         .open(&settings.record)?;
     let state = Rc::new(State::new(settings, record));
+    state.set_fault(AppFault::default());
     let faults = state.clone();
     let controlled = async move {
         loop {
@@ -69,7 +70,7 @@
     let mut lines = BufReader::new(reader).lines();
     while let Some(line) = lines.next_line().await? {
         let fault: AppFault = serde_json::from_str(&line)?;
-        state.fault.set(fault);
+        state.set_fault(fault);
         writer.write_all(b"ok\n").await?;
     }
     Ok(())
--- a/crates/bench/src/soak/app_answer.rs
+++ b/crates/bench/src/soak/app_answer.rs
@@ -102,6 +102,16 @@
         if settings.tells_load {
             add(HEADERS.load, &self.state.load());
         }
+        let fault = self.state.fault.get();
+        // Each backend server keeps to one of the two spellings.
+        let spelling = usize::from(settings.seed % 2 == 1);
+        if let Some(limit) = fault.limit {
+            let per_s = f64::from(limit) / 1_000.0;
+            add(HEADERS.limit[spelling], &per_s.to_string());
+        }
+        if fault.leaving {
+            add(HEADERS.leaving[spelling], "1");
+        }
         match framed {
             true => add("content-length", &self.body.len().to_string()),
             false => add("connection", "close"),
--- a/crates/bench/src/soak/app_settings.rs
+++ b/crates/bench/src/soak/app_settings.rs
@@ -62,8 +62,10 @@
     pub when_full: WhenFull,
     /// Whether the health endpoint says 503.
     pub unhealthy: bool,
-    /// Whether it leaves: bad health, and answers close their connections.
+    /// Whether it leaves: bad health, and answers say so and close their connections.
     pub leaving: bool,
+    /// The limit that its answers name, in thousandths of a request a second.
+    pub limit: Option<u32>,
 }
 
 impl Default for AppFault {
@@ -75,6 +77,7 @@
             when_full: WhenFull::Refuse,
             unhealthy: false,
             leaving: false,
+            limit: None,
         }
     }
 }
--- a/crates/bench/src/soak/app_state.rs
+++ b/crates/bench/src/soak/app_state.rs
@@ -92,6 +92,13 @@
             .filter(|_| self.rng.borrow_mut().random_bool(share))
     }
 
+    /// Takes faults, and writes down what answers say of the backend server from now on.
+    pub(crate) fn set_fault(&self, fault: AppFault) {
+        self.fault.set(fault);
+        let AppFault { limit, leaving, .. } = fault;
+        self.write(0, "", Step::Says { limit, leaving });
+    }
+
     /// Writes down that the health is asked for.
     pub(crate) fn note_probe(&self) {
         self.write(0, "", Step::Probed);
@@ -139,7 +146,8 @@
         match step {
             Step::Started(_) => self.runs.set(true),
             Step::Answered(_) | Step::Cancelled | Step::Refused => self.runs.set(false),
-            Step::Reached { .. } | Step::Body(_) | Step::Flawed | Step::Probed => {}
+            Step::Reached { .. } | Step::Body(_) | Step::Flawed => {}
+            Step::Probed | Step::Says { .. } => {}
         }
         self.state.write(self.number, &self.id, step);
     }
--- a/crates/bench/src/soak/deeds.rs
+++ b/crates/bench/src/soak/deeds.rs
@@ -21,6 +21,8 @@
 const AWAY: Duration = Duration::from_millis(800);
 /// How long a backend server serves beyond the time that draining has to take.
 const DRAIN_MORE: Duration = Duration::from_millis(500);
+/// The same where only its answers say that it leaves, which takes some requests to be heard.
+const UNLISTED_MORE: Duration = Duration::from_millis(2_000);
 /// How often the end of a process is looked for.
 const POLL: Duration = Duration::from_millis(20);
 
@@ -43,7 +45,11 @@
             return done;
         }
         Deed::Reload => machine.signal_node(Signal::Reload),
-        Deed::App(_, _) | Deed::AppKill | Deed::AppFreeze(_) | Deed::Replace => {
+        Deed::App(_, _)
+        | Deed::AppKill
+        | Deed::AppFreeze(_)
+        | Deed::Replace
+        | Deed::LeaveUnlisted => {
             let span = world.note_fault(machine.number, &format!("{deed:?}"));
             let done = disturb(&world, &machine, deed).await;
             world.end_fault(span);
@@ -80,7 +86,8 @@
             machine.set_frozen(false).await;
             world.note_freeze(server, from_ms);
         }
-        Deed::Replace => return replace(world, machine).await,
+        Deed::Replace => return replace(world, machine, true).await,
+        Deed::LeaveUnlisted => return replace(world, machine, false).await,
         Deed::AppKill | Deed::AppFreeze(_) => {}
         Deed::Harm(_) | Deed::Reload | Deed::Configure => {}
         Deed::DropHistory | Deed::StoreFails(_, _) => {}
@@ -139,7 +146,7 @@
 }
 
 /// Drains a backend server unless another one leaves, ends it and its node, and puts another service at its address.
-async fn replace(world: &Rc<World>, machine: &Rc<Machine>) -> io::Result<()> {
+async fn replace(world: &Rc<World>, machine: &Rc<Machine>, listed: bool) -> io::Result<()> {
     let another = world.machines.iter().any(|m| m.now.draining.get());
     let frozen = machine.now.frozen.get();
     if another || frozen || !machine.is_settled() || !machine.is_app_running() {
@@ -147,13 +154,17 @@
     }
     let server = machine.now.server.borrow().clone();
     machine.now.draining.set(true);
-    world.publish(machine);
+    machine.now.unlisted.set(!listed);
+    if listed {
+        world.publish(machine);
+    }
     let leaving = AppFault {
         leaving: true,
         ..AppFault::default()
     };
     machine.set_fault(leaving).await;
-    sleep(Duration::from_millis(world.bounds.drain_ms) + DRAIN_MORE).await;
+    let more = if listed { DRAIN_MORE } else { UNLISTED_MORE };
+    sleep(Duration::from_millis(world.bounds.drain_ms) + more).await;
     machine.kill_app();
     world.remove(&server);
     let span = world.disrupt(Some(machine.number), "replace", true);
--- a/crates/bench/src/soak/journal.rs
+++ b/crates/bench/src/soak/journal.rs
@@ -40,6 +40,17 @@
     pub to_ms: u64,
 }
 
+/// What the answers of a backend server say of it from a time on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Saying {
+    /// The time, in Unix milliseconds.
+    pub at_ms: u64,
+    /// The limit, in thousandths of a request a second.
+    pub limit: Option<u32>,
+    /// Whether it leaves.
+    pub leaving: bool,
+}
+
 /// A configuration: which services each prefix leads to.
 #[derive(Clone, Debug)]
 pub struct Configuration {
@@ -99,7 +110,7 @@
             Step::Body(digest) => self.body = Some(digest.clone()),
             Step::Answered(status) => self.ended = Some((entry.at_ms, Some(*status))),
             Step::Cancelled => self.ended = Some((entry.at_ms, None)),
-            Step::Refused | Step::Reached { .. } | Step::Probed => {}
+            Step::Refused | Step::Reached { .. } | Step::Probed | Step::Says { .. } => {}
         }
     }
 }
@@ -123,6 +134,8 @@
     pub freezes: Vec<Freeze>,
     /// When the health of each backend server was asked for, in order.
     pub probes: HashMap<CompactString, Vec<u64>>,
+    /// What each backend server said of itself, in order; each start says something.
+    pub sayings: HashMap<CompactString, Vec<Saying>>,
     /// When the store had it that a backend server leaves or is gone.
     pub leavings: HashMap<CompactString, u64>,
     /// The configurations in order.
@@ -151,6 +164,15 @@
                     probes.push(entry.at_ms);
                     None
                 }
+                Step::Says { limit, leaving } => {
+                    let sayings = self.sayings.entry(entry.server.clone()).or_default();
+                    sayings.push(Saying {
+                        at_ms: entry.at_ms,
+                        limit,
+                        leaving,
+                    });
+                    None
+                }
                 Step::Refused
                 | Step::Started(_)
                 | Step::Body(_)
@@ -209,6 +231,12 @@
         stalls.filter(is_held).count()
     }
 
+    /// Returns how often a backend server named a limit.
+    pub(crate) fn limits(&self) -> usize {
+        let sayings = self.sayings.values().flatten();
+        sayings.filter(|saying| saying.limit.is_some()).count()
+    }
+
     /// Returns whether a machine was in touch through a whole span.
     pub fn in_touch(&self, machine: usize, from_ms: u64, to_ms: u64, window_ms: u64) -> bool {
         let mut disruptions = self.disruptions_of(machine, from_ms, to_ms, window_ms);
--- a/crates/bench/src/soak/judge.rs
+++ b/crates/bench/src/soak/judge.rs
@@ -11,6 +11,7 @@
 use super::journal::{Journal, Run};
 use super::judge_config::config_breaches;
 use super::judge_load::load_breaches;
+use super::judge_notices::notice_breaches;
 
 /// The late arrivals and lost answers that the rules let pass.
 pub(crate) const FEW: usize = 3;
@@ -67,6 +68,10 @@
     Probes,
     /// A backend server that does not answer for long gets nothing new.
     Frozen,
+    /// A backend server gets no more than the limit that it names allows.
+    Limit,
+    /// What was told in an answer that a backend server leaves sends nothing new there.
+    Leaving,
 }
 
 /// A broken promise and the lines that show it.
@@ -116,6 +121,7 @@
     breaches.extend(case.recover());
     breaches.extend(config_breaches(&case));
     breaches.extend(load_breaches(&case));
+    breaches.extend(notice_breaches(&case));
     breaches
 }
 
--- a/crates/bench/src/soak/machine.rs
+++ b/crates/bench/src/soak/machine.rs
@@ -53,6 +53,8 @@
     /// The backend server that runs, or ran last.
     pub(crate) server: RefCell<CompactString>,
     pub(crate) draining: Cell<bool>,
+    /// Whether its entry keeps silent about that.
+    pub(crate) unlisted: Cell<bool>,
     /// Whether the backend server is stopped.
     pub(crate) frozen: Cell<bool>,
     /// The fault that the backend server has or, if it is frozen, is to have.
@@ -126,6 +128,7 @@
         self.now.born_ms.set(born_ms);
         self.now.sequence.set(0);
         self.now.draining.set(false);
+        self.now.unlisted.set(false);
         self.now.frozen.set(false);
         self.now.fault.set(AppFault::default());
         if !keep_id {
@@ -165,7 +168,7 @@
     pub(crate) fn beat(&self) -> (String, String) {
         self.now.sequence.set(self.now.sequence.get() + 1);
         let age_ms = now_ms().saturating_sub(self.now.born_ms.get());
-        let state = if self.now.draining.get() {
+        let state = if self.now.draining.get() && !self.now.unlisted.get() {
             "draining"
         } else {
             "ready"
--- a/crates/bench/src/soak/mod.rs
+++ b/crates/bench/src/soak/mod.rs
@@ -12,6 +12,7 @@
 mod judge;
 mod judge_config;
 mod judge_load;
+mod judge_notices;
 mod machine;
 mod plan;
 pub mod record;
--- a/crates/bench/src/soak/plan.rs
+++ b/crates/bench/src/soak/plan.rs
@@ -16,6 +16,8 @@
 /// The pause before the first fault: the nodes have found each other by then.
 const QUIET_MS: u64 = 1_500;
 const VICTIMS: usize = 2;
+/// How long a backend server names a limit; it is judged after three seconds.
+const LIMIT_MS: Range<u64> = 4_000..8_000;
 /// How long a backend server is frozen; its entry lapses after 4,500 ms.
 const FREEZE_MS: Range<u64> = 800..4_000;
 
@@ -62,6 +64,8 @@
     AppFreeze(u64),
     /// Drains the backend server and puts another in its place.
     Replace,
+    /// The same, but only the backend server's answers say that it leaves.
+    LeaveUnlisted,
     /// Publishes the next configuration.
     Configure,
     /// Lets the store forget its history.
@@ -123,7 +127,7 @@
 }
 
 fn draw_work(rng: &mut StdRng) -> Deed {
-    match rng.random_range(0..14) {
+    match rng.random_range(0..16) {
         0..=5 => Deed::App(draw_fault(rng), rng.random_range(500..2_500)),
         6 => Deed::AppKill,
         7 => Deed::Replace,
@@ -131,6 +135,8 @@
         9 => Deed::DropHistory,
         10 => Deed::StoreFails(draw_store_fault(rng), rng.random_range(300..2_500)),
         11 | 12 => Deed::AppFreeze(rng.random_range(FREEZE_MS)),
+        13 => Deed::App(draw_limit(rng), rng.random_range(LIMIT_MS)),
+        14 => Deed::LeaveUnlisted,
         _ => Deed::Reload,
     }
 }
@@ -167,6 +173,14 @@
         share: rng.random_range(0.05..0.5),
         when_full: *fulls.choose(rng).unwrap_or(&WhenFull::Refuse),
         unhealthy: rng.random_bool(0.1),
-        leaving: false,
+        ..AppFault::default()
+    }
+}
+
+/// Draws a limit, from a request in two seconds to a part of what comes at a time.
+fn draw_limit(rng: &mut StdRng) -> AppFault {
+    AppFault {
+        limit: Some(rng.random_range(500..20_000)),
+        ..AppFault::default()
     }
 }
--- a/crates/bench/src/soak/record.rs
+++ b/crates/bench/src/soak/record.rs
@@ -37,6 +37,13 @@
     Cancelled,
     /// It asks for the health of the backend server; it has neither identity nor number.
     Probed,
+    /// What the backend server's answers say of it from now on; no request.
+    Says {
+        /// The limit, in thousandths of a request a second.
+        limit: Option<u32>,
+        /// Whether it leaves.
+        leaving: bool,
+    },
 }
 
 /// A line of the record.
--- a/crates/bench/src/soak/run.rs
+++ b/crates/bench/src/soak/run.rs
@@ -227,6 +227,7 @@
         ("disruptions", journal.disruptions.len()),
         ("faults of backend servers", journal.faults.len()),
         ("frozen", journal.freezes.len()),
+        ("limits named", journal.limits()),
         ("backend servers left", journal.leavings.len()),
         ("configurations", journal.configurations.len()),
         ("times it stood still", journal.stalls()),
--- a/crates/bench/tests/judge/main.rs
+++ b/crates/bench/tests/judge/main.rs
@@ -1,6 +1,7 @@
 //! The judge of the soak finds each broken promise, and nothing in what is allowed.
 
 mod load;
+mod notices;
 
 use std::collections::HashMap;
 
