Let what waits for a turn go on when another run of the backend server begins

Cause: the limit was taken away without waking what waits. It now goes the way of any other change of the limit.

--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -1,7 +1,9 @@
 //! The gate: the only way to the backend server on the same instance.
 
+mod hearing;
 mod notices;
 mod permit;
+mod probing;
 mod waiting;
 
 use std::cell::{Cell, RefCell};
@@ -13,11 +15,11 @@
 use compact_str::CompactString;
 use ntex::http::{DateService, ResponseHead};
 use oriolering::{
-    Clock, Entry, GateLoad, Job, JobKey, Millis, NoRoom, QuarantineEntry, Rate, Room, ServerLoad,
-    ServerRecord, ServerState, Turn,
+    Clock, Entry, GateLoad, Job, JobKey, Millis, NoRoom, QuarantineEntry, Room, ServerRecord,
+    ServerState, Turn,
 };
-use oriolering_http::{Bytes, ExchangeError, HeaderMap, Response};
-use oriolering_platform::{HEADERS, scan_load};
+use oriolering_http::{Bytes, ExchangeError, Response};
+use oriolering_platform::HEADERS;
 use tokio::sync::{Mutex, oneshot};
 use tokio::time::{sleep, timeout};
 
@@ -41,11 +43,6 @@
 /// The age of the last word of the backend server from which it is asked, in milliseconds; a
 /// sixth of the time for which a noisy neighbour slows it down.
 const PROBE_AGE_MS: u64 = 50;
-/// How long an answer to a probe may take, in milliseconds.
-const PROBE_WAIT_MS: u64 = 400;
-/// How long after the last request for it a backend server is asked for its load, in
-/// milliseconds.
-const INTEREST_MS: u64 = 3_000;
 /// The slots of a backend server that has told none.
 const SLOTS: u32 = 10;
 /// By how much the requests at the gate must have changed to be told unasked.
@@ -172,7 +169,7 @@
     /// Forgets what a run of the backend server has said of itself, since it is over.
     fn begin_run(&self) {
         self.notices.renew(&self.server.borrow());
-        self.room.borrow_mut().limit(self.clock.now(), None);
+        self.take_limit(None);
     }
 
     /// Runs a request, and returns how it ended with the body of an answer.
@@ -400,55 +397,6 @@
         (Ending::Answered(answered), response.body)
     }
 
-    /// Takes in the load that an answer of the backend server tells.
-    fn hear(&self, map: &HeaderMap) {
-        if let Some(id) = headers::text(map, HEADERS.server) {
-            let before = self.answers_as.replace(Some(id.into()));
-            if let Some(before) = before.filter(|before| before != id) {
-                self.listeners.push_any(self.suspects.replaced(&before));
-            }
-        }
-        let Some(load) = headers::text(map, HEADERS.load).and_then(scan_load) else {
-            return;
-        };
-        self.pulse.hear();
-        self.reopen();
-        self.take_load(load);
-    }
-
-    fn take_load(&self, load: ServerLoad) {
-        self.room.borrow_mut().resize(load.slots);
-        if self.room.borrow_mut().set_pace(load.work_percent) {
-            self.pump();
-            self.tell();
-        }
-    }
-
-    /// Takes in what an answer says beside the load.
-    fn hear_notice(&self, map: &HeaderMap, kind: Heard) -> Notice {
-        let notice = self.notices.hear(map, kind);
-        self.take_limit(self.notices.limit());
-        if notice.leaving {
-            self.reopen();
-        }
-        notice
-    }
-
-    /// Takes in the limit that an ingress has passed on, until the backend server has answered to
-    /// this process itself.
-    fn hear_of(&self, offer: &Offer) {
-        if offer.limit.is_some() && self.notices.hear_of(offer.limit) {
-            self.take_limit(offer.limit);
-        }
-    }
-
-    fn take_limit(&self, limit: Option<Rate>) {
-        if self.room.borrow_mut().limit(self.clock.now(), limit) {
-            self.pump();
-            self.tell_turn();
-        }
-    }
-
     /// Returns whether the node leaves, or its backend server by what the list or itself says.
     fn is_leaving(&self) -> bool {
         self.leaving.get() || self.server_leaves.get() || self.notices.leaves()
@@ -496,70 +444,6 @@
         }
     }
 
-    /// Asks the backend server for its load if nothing else told it lately.
-    pub(crate) fn probe(self: &Rc<Self>) {
-        let now = self.clock.now();
-        let fresh = self.pulse.age_ms() < PROBE_AGE_MS;
-        if fresh
-            || !self.wants_probe(now)
-            || self.probing.get()
-            || self.health_path.borrow().is_empty()
-        {
-            return;
-        }
-        if !self.room.borrow_mut().take_probe(now) {
-            return;
-        }
-        self.probing.set(true);
-        self.trail.counts.probes.add(1);
-        let gate = Rc::clone(self);
-        tokio::task::spawn_local(async move {
-            gate.ask().await;
-            gate.probing.set(false);
-        });
-    }
-
-    /// Returns whether anybody has use for the load of the backend server. One that has not said
-    /// anything yet is asked once before requests are offered: it may have named a limit.
-    fn wants_probe(&self, now: Millis) -> bool {
-        if self.is_leaving() {
-            return false;
-        }
-        let offered = self.offered.get();
-        let in_use = offered.is_some_and(|at| now.since(at) < INTEREST_MS);
-        in_use || self.load().closed || self.answers_as.borrow().is_none()
-    }
-
-    async fn ask(&self) {
-        let now = self.clock.now();
-        let Some(request) = outgoing::probe(&self.health_path.borrow()) else {
-            return;
-        };
-        let mut conn = match self.pool.take(now).await {
-            Ok(conn) => conn,
-            Err(e) => return self.note_down(&e),
-        };
-        let wanted = |head: &ResponseHead| !head.headers.contains_key(HEADERS.request);
-        let wait = Duration::from_millis(PROBE_WAIT_MS);
-        match timeout(wait, conn.exchange(request, wanted)).await {
-            Ok(Ok(response)) => {
-                self.hear(&response.headers);
-                if self.answers_as.borrow().as_ref() == Some(&*self.server.borrow()) {
-                    self.hear_notice(&response.headers, Heard::Probe);
-                }
-                self.pool.put(self.clock.now(), conn);
-            }
-            Ok(Err(_)) | Err(_) => {
-                if self.pulse.miss() {
-                    let error = "the probes have no answer";
-                    self.pulse.note_lost(&self.server.borrow(), error);
-                    self.room.borrow_mut().close(Some(NoRoom::Down));
-                    self.tell();
-                }
-            }
-        }
-    }
-
     /// Tells the listeners when what runs or waits has changed by a step.
     fn tell_step(&self) {
         let (load, told) = (self.load(), self.listeners.told());
--- a/crates/mesh/tests/notices.rs
+++ b/crates/mesh/tests/notices.rs
@@ -239,3 +239,21 @@
         assert!(backs.len() >= 5, "{backs:?}");
     });
 }
+
+#[test]
+fn what_waits_for_a_turn_goes_on_when_another_run_begins() {
+    run(async {
+        let fleet = Fleet::serving(&["front", "s"]).await;
+        let server = &fleet.instances[1].backend;
+        server.say(&[("server-limit", "0.8")]);
+        fleet.call(0, &get("/get/echo")).await;
+        let mut caller = fleet.caller(0).await;
+        caller.send(get("/get/echo")).await;
+        let sent = Instant::now();
+        pass(100).await;
+        server.say(&[]);
+        fleet.hand_over(1, "i-next", "s");
+        assert_eq!(caller.reply().await.status, 200);
+        assert!(sent.elapsed() < Duration::from_millis(700));
+    });
+}
