Tell the stand-in's own words from those on requests in its tests

They read the entries on requests and probes now, with the same expectations; what is said has a test of its own (at the start, and with a limit and leaving, in both spellings, in the answer and in the record).

--- a/crates/bench/tests/app.rs
+++ b/crates/bench/tests/app.rs
@@ -97,8 +97,28 @@
         })
     }
 
+    /// Returns what was written down of requests and probes.
     fn entries(&self) -> Vec<Entry> {
-        read_record(&self.settings.record).unwrap()
+        let mut entries = read_record(&self.settings.record).unwrap();
+        entries.retain(|entry| !matches!(entry.step, Step::Says { .. }));
+        entries
+    }
+
+    /// Returns what the backend server has said of itself, in order.
+    fn sayings(&self) -> Vec<(Option<u32>, bool)> {
+        let entries = read_record(&self.settings.record).unwrap().into_iter();
+        let said = |entry: Entry| match entry.step {
+            Step::Says { limit, leaving } => Some((limit, leaving)),
+            Step::Reached { .. }
+            | Step::Refused
+            | Step::Started(_)
+            | Step::Body(_)
+            | Step::Flawed
+            | Step::Answered(_)
+            | Step::Cancelled
+            | Step::Probed => None,
+        };
+        entries.filter_map(said).collect()
     }
 
     fn steps(&self) -> Vec<Step> {
@@ -281,6 +301,28 @@
     assert!(site.entries().iter().all(|entry| entry.id == "t1"));
 }
 
+#[rstest]
+#[case::as_the_incident_spells_it(2, 0)]
+#[case::as_other_headers_are_spelled(3, 1)]
+#[ntex::test]
+async fn a_limit_and_leaving_are_said_and_written_down(#[case] seed: u64, #[case] spelling: usize) {
+    let site = Site::start(AppSettings { seed, ..settings() }).await;
+    let own = [(HEADERS.request, "t1")];
+    let silent = site.ask("/rack/", &own).await;
+    let [limit, leaving] = [HEADERS.limit[spelling], HEADERS.leaving[spelling]];
+    assert!(!silent.contains(limit) && !silent.contains(leaving));
+    let fault = AppFault {
+        limit: Some(2_500),
+        leaving: true,
+        ..AppFault::default()
+    };
+    site.fault(fault).await;
+    let head = site.ask("/rack/", &own).await;
+    assert_head(&head, 200, limit, "2.5");
+    assert_head(&head, 200, leaving, "1");
+    assert_eq!(site.sayings(), [(None, false), (Some(2_500), true)]);
+}
+
 #[ntex::test]
 async fn health_and_load_are_told() {
     let site = Site::start(settings()).await;
