--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -53,7 +53,7 @@
 pub use report::{Report, histogram, label};
 pub use scenario::{Outcomes, Scenario, Trouble};
 pub use signal::Signal;
-pub use store::Store;
+pub use store::{Store, StoreCopy};
 pub use store_fault::StoreFault;
 pub use store_limits::{StoreLimits, StoreReads};
 pub use trial::{Mix, Trial, Verdict, block_on, seed_or};
--- a/crates/bench/src/soak/deeds.rs
+++ b/crates/bench/src/soak/deeds.rs
@@ -23,6 +23,9 @@
 const DRAIN_MORE: Duration = Duration::from_millis(500);
 /// The same where only its answers say that it leaves, which takes some requests to be heard.
 const UNLISTED_MORE: Duration = Duration::from_millis(2_000);
+/// The pause between the entries that are written again after the store has come back from a copy;
+/// all are back within two seconds.
+const WRITE_GAP: Duration = Duration::from_millis(120);
 /// How often the end of a process is looked for.
 const POLL: Duration = Duration::from_millis(20);
 
@@ -57,6 +60,17 @@
         }
         Deed::Configure => world.configure(),
         Deed::DropHistory => world.store.drop_history(),
+        Deed::StoreReturns { age_ms, away_ms } => {
+            let copy = world.store.copy();
+            sleep(Duration::from_millis(age_ms)).await;
+            let span = world.disrupt(None, "StoreReturns", false);
+            world.store.set_fault(StoreFault::Reset);
+            sleep(Duration::from_millis(away_ms)).await;
+            world.store.restore(copy);
+            world.store.set_fault(StoreFault::None);
+            write_again(&world).await;
+            world.calm(span);
+        }
         Deed::StoreFails(fault, ms) => {
             let span = world.disrupt(None, &format!("{fault:?}"), false);
             world.store.set_fault(fault);
@@ -68,6 +82,18 @@
     Ok(())
 }
 
+/// Writes again what the operator and the backend servers have written.
+async fn write_again(world: &World) {
+    world.configure_again();
+    for machine in &world.machines {
+        sleep(WRITE_GAP).await;
+        if machine.is_app_running() {
+            world.publish(machine);
+        }
+    }
+    world.remove_again();
+}
+
 /// Does a deed to a backend server.
 async fn disturb(world: &Rc<World>, machine: &Rc<Machine>, deed: Deed) -> io::Result<()> {
     match deed {
@@ -90,7 +116,7 @@
         Deed::LeaveUnlisted => return replace(world, machine, false).await,
         Deed::AppKill | Deed::AppFreeze(_) => {}
         Deed::Harm(_) | Deed::Reload | Deed::Configure => {}
-        Deed::DropHistory | Deed::StoreFails(_, _) => {}
+        Deed::DropHistory | Deed::StoreReturns { .. } | Deed::StoreFails(_, _) => {}
     }
     Ok(())
 }
--- a/crates/bench/src/soak/plan.rs
+++ b/crates/bench/src/soak/plan.rs
@@ -18,6 +18,10 @@
 const VICTIMS: usize = 2;
 /// How long a backend server names a limit; it is judged after three seconds.
 const LIMIT_MS: Range<u64> = 4_000..8_000;
+/// How old the copy is from which the store comes back.
+const COPY_AGE_MS: Range<u64> = 500..5_000;
+/// How long the store is away before it comes back from a copy.
+const AWAY_MS: Range<u64> = 0..1_000;
 /// How long a backend server is frozen; its entry lapses after 4,500 ms.
 const FREEZE_MS: Range<u64> = 800..4_000;
 
@@ -70,6 +74,9 @@
     Configure,
     /// Lets the store forget its history.
     DropHistory,
+    /// Copies the store, and after milliseconds lets it be away for some, and come back from the
+    /// copy.
+    StoreReturns { age_ms: u64, away_ms: u64 },
     /// Lets the store fail for all nodes for milliseconds.
     StoreFails(StoreFault, u64),
 }
@@ -127,7 +134,7 @@
 }
 
 fn draw_work(rng: &mut StdRng) -> Deed {
-    match rng.random_range(0..16) {
+    match rng.random_range(0..17) {
         0..=5 => Deed::App(draw_fault(rng), rng.random_range(500..2_500)),
         6 => Deed::AppKill,
         7 => Deed::Replace,
@@ -137,6 +144,10 @@
         11 | 12 => Deed::AppFreeze(rng.random_range(FREEZE_MS)),
         13 => Deed::App(draw_limit(rng), rng.random_range(LIMIT_MS)),
         14 => Deed::LeaveUnlisted,
+        15 => Deed::StoreReturns {
+            age_ms: rng.random_range(COPY_AGE_MS),
+            away_ms: rng.random_range(AWAY_MS),
+        },
         _ => Deed::Reload,
     }
 }
--- a/crates/bench/src/soak/world.rs
+++ b/crates/bench/src/soak/world.rs
@@ -197,6 +197,28 @@
             });
     }
 
+    /// Publishes the newest configuration again.
+    pub(crate) fn configure_again(&self) {
+        let journal = self.journal.borrow();
+        let number = journal.configurations.len().checked_sub(1);
+        if let Some((number, last)) = number.zip(journal.configurations.last()) {
+            let (text, _) = configuration(number, last.version);
+            self.store.put("op/config", text.to_string());
+        }
+    }
+
+    /// Removes the entries again that were removed and belong to no backend server.
+    pub(crate) fn remove_again(&self) {
+        let journal = self.journal.borrow();
+        let is_used = |server: &CompactString| {
+            let mut machines = self.machines.iter();
+            machines.any(|m| *m.now.server.borrow() == *server)
+        };
+        for server in journal.leavings.keys().filter(|s| !is_used(s)) {
+            self.store.delete(&format!("servers/{server}"));
+        }
+    }
+
     /// Removes an entry whose backend server has been silent, unless it came back under it.
     pub(crate) async fn expire(self: Rc<Self>, machine: Rc<Machine>, server: CompactString) {
         sleep(Duration::from_millis(SILENT_BEATS * HEARTBEAT_MS)).await;
--- a/crates/bench/src/store.rs
+++ b/crates/bench/src/store.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use ntex::http::header::{HeaderName, HeaderValue};
 use ntex::util::Bytes;
 use ntex::web::types::{Query, State as WebState};
 use ntex::web::{self, App, HttpResponse, HttpServer};
@@ -21,6 +22,8 @@
 
 /// The longest wait of a watch that the platform's store takes.
 const MAX_WAIT_MS: u64 = 30_000;
+/// The header of all answers that counts how often the store came back from a copy.
+const ERA: &str = "store-era";
 /// Milliseconds in a second, in which an answer tells when to read again.
 const SECOND_MS: f64 = 1_000.0;
 
@@ -31,6 +34,10 @@
     count: ReadCount,
 }
 
+/// A copy of what a store holds, from which it may come back.
+#[derive(Clone, Debug)]
+pub struct StoreCopy(StoreData);
+
 /// A store; cheap to clone, and its clones share the items.
 #[derive(Clone, Debug)]
 pub struct Store {
@@ -74,6 +81,17 @@
         self.wake();
     }
 
+    /// Returns a copy of the items and their history.
+    pub fn copy(&self) -> StoreCopy {
+        StoreCopy(self.state.lock().data.clone())
+    }
+
+    /// Puts a copy in place of the items, in a new era; what was written since it was made is lost.
+    pub fn restore(&self, copy: StoreCopy) {
+        self.state.lock().data.restore(copy.0);
+        self.wake();
+    }
+
     /// Changes what the store does with reads.
     pub fn set_fault(&self, fault: StoreFault) {
         self.state.lock().fault = fault;
@@ -157,11 +175,20 @@
         (!within).then(|| limited(None))
     }
 
-    /// Returns the answer, or nothing ever when answers are lost.
+    /// Returns the answer with its era, or nothing ever when answers are lost.
     async fn reply(&self, answer: HttpResponse) -> HttpResponse {
         if self.fault() == StoreFault::Lost {
             return pending().await;
         }
+        self.with_era(answer)
+    }
+
+    /// Adds the header for the era to an answer.
+    fn with_era(&self, mut answer: HttpResponse) -> HttpResponse {
+        let era = HeaderValue::from(self.state.lock().data.era());
+        answer
+            .headers_mut()
+            .insert(HeaderName::from_static(ERA), era);
         answer
     }
 
@@ -172,7 +199,7 @@
         read: impl FnOnce(&StoreData) -> HttpResponse,
     ) -> HttpResponse {
         if let Some(answer) = self.fail().await {
-            return answer;
+            return self.with_era(answer);
         }
         let refused = self.count(stale);
         let answer = refused.unwrap_or_else(|| read(&self.state.lock().data));
@@ -248,10 +275,10 @@
     }
     let end = Instant::now() + Duration::from_millis(query.wait_ms);
     if let Some(answer) = store.fail().await {
-        return answer;
+        return store.with_era(answer);
     }
     if let Some(answer) = store.count(false) {
-        return answer;
+        return store.with_era(answer);
     }
     let answer = store.wait(&query, end).await;
     store.reply(answer).await
--- a/crates/bench/src/store_data.rs
+++ b/crates/bench/src/store_data.rs
@@ -18,7 +18,7 @@
     created: u64,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Change {
     key: String,
     /// The item as it was written; `None` when it was removed.
@@ -76,8 +76,9 @@
 pub(crate) struct Gone;
 
 /// The items and the changes that are kept.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct StoreData {
+    era: u64,
     items: BTreeMap<String, Stored>,
     history: VecDeque<Change>,
     revision: u64,
@@ -116,6 +117,17 @@
         self.revision
     }
 
+    /// Returns how often the store has come back from a copy.
+    pub(crate) fn era(&self) -> u64 {
+        self.era
+    }
+
+    /// Puts a copy in place of the items and their history, in a new era.
+    pub(crate) fn restore(&mut self, copy: Self) {
+        let era = self.era + 1;
+        *self = Self { era, ..copy };
+    }
+
     /// Forgets every change so far.
     pub(crate) fn forget(&mut self) {
         self.history.clear();
@@ -177,7 +189,7 @@
         limits: &StoreLimits,
     ) -> Result<WatchBody, Gone> {
         self.expire(limits);
-        if after < self.forgotten {
+        if after < self.forgotten || after > self.revision {
             return Err(Gone);
         }
         let newer = self.history.iter().filter(|change| change.revision > after);
--- a/crates/bench/tests/store.rs
+++ b/crates/bench/tests/store.rs
@@ -7,8 +7,8 @@
 
 use oriolering_bench::{Store, StoreFault, StoreLimits};
 use oriolering_platform::{
-    ALL_KEYS, Answer, Change, Range, SERVERS_PREFIX, StoreError, Watch, key_path, parse_item,
-    parse_range, parse_watch, range_path, watch_path,
+    ALL_KEYS, Answer, Change, Range, SERVERS_PREFIX, StoreError, Watch, key_path, parse_era,
+    parse_item, parse_range, parse_watch, range_path, watch_path,
 };
 use rstest::rstest;
 
@@ -40,10 +40,14 @@
         let retry_after = lines
             .clone()
             .find_map(|line| line.strip_prefix("retry-after: "));
+        let era = lines
+            .clone()
+            .find_map(|line| line.strip_prefix("store-era: "));
         let status = lines.next().and_then(|line| line.split(' ').nth(1));
         Answer {
             status: status.unwrap().parse().unwrap(),
             retry_after,
+            era: era.and_then(parse_era).expect("all answers name their era"),
             body: &self.body,
         }
     }
@@ -100,13 +104,16 @@
     }
     let reply = get(address, &key_path("servers/c&d"), LIMIT).unwrap();
     let item = parse_item(reply.answer()).unwrap();
-    assert_eq!((&*item.value, item.revision), (&b"servers/c&d"[..], 3));
+    assert_eq!(
+        (&*item.value, item.position.revision),
+        (&b"servers/c&d"[..], 3)
+    );
     let first = range(address, None).unwrap();
     let keys: Vec<_> = first.items.iter().map(|item| &*item.key).collect();
     assert_eq!(keys, ["servers/a", "servers/b"]);
     let last = range(address, first.more.as_deref()).unwrap();
     assert_eq!((&*last.items[0].key, last.items.len()), ("servers/c&d", 1));
-    assert_eq!((last.more, last.revision), (None, 5));
+    assert_eq!((last.more, last.position.revision), (None, 5));
     let missing = get(address, &key_path("servers/x"), LIMIT).unwrap();
     assert!(matches!(
         parse_item(missing.answer()),
@@ -124,13 +131,13 @@
     let seen = waiting.join().unwrap();
     assert_eq!(seen.events[0].change, Change::Deleted);
     assert_eq!(
-        (&*seen.events[0].key, seen.revision),
+        (&*seen.events[0].key, seen.position.revision),
         ("servers/a", before + 1)
     );
     let begun = Instant::now();
-    let empty = watch(address, seen.revision, 100).unwrap();
+    let empty = watch(address, seen.position.revision, 100).unwrap();
     assert!(empty.events.is_empty() && begun.elapsed() >= Duration::from_millis(100));
-    assert_eq!(empty.revision, seen.revision);
+    assert_eq!(empty.position.revision, seen.position.revision);
 }
 
 #[test]
@@ -143,8 +150,8 @@
         store.put("op/config", value);
     }
     let first = watch(address, 0, 0).unwrap();
-    assert_eq!((first.events.len(), first.revision), (2, 2));
-    let last = watch(address, first.revision, 0).unwrap();
+    assert_eq!((first.events.len(), first.position.revision), (2, 2));
+    let last = watch(address, first.position.revision, 0).unwrap();
     assert_eq!(last.events[0].change, Change::Put(b"3".to_vec()));
 }
 
@@ -166,6 +173,27 @@
     ));
 }
 
+#[test]
+fn a_store_that_comes_back_from_a_copy_gives_out_its_revisions_again() {
+    let (store, address) = start(StoreLimits::default());
+    store.put("servers/a", "1");
+    let copy = store.copy();
+    let lost = store.put("servers/a", "2");
+    let waiting = spawn(move || watch(address, lost, 9_000));
+    sleep(Duration::from_millis(100));
+    store.restore(copy);
+    assert!(matches!(
+        waiting.join().unwrap(),
+        Err(StoreError::Compacted)
+    ));
+    let read = range(address, None).unwrap();
+    assert_eq!((read.position.era, read.position.revision), (1, lost - 1));
+    assert_eq!(read.items[0].value, b"1");
+    assert_eq!(store.put("servers/a", "3"), lost);
+    let seen = watch(address, read.position.revision, 0).unwrap();
+    assert_eq!(seen.events[0].change, Change::Put(b"3".to_vec()));
+}
+
 #[test]
 fn reads_beyond_the_limit_are_refused_but_stale_ones_are_not() {
     let (store, address) = start(StoreLimits {
--- a/crates/mesh/src/counts.rs
+++ b/crates/mesh/src/counts.rs
@@ -53,9 +53,10 @@
 /// The causes of calls to the store.
 pub(crate) const CALLS: [&str; 4] = ["start", "list", "routes", "watch"];
 /// The changes of a node's state that are counted.
-pub(crate) const CHANGES: [&str; 17] = [
+pub(crate) const CHANGES: [&str; 18] = [
     "store_lost",
     "store_back",
+    "store_returned",
     "peer_up",
     "peer_lost",
     "peer_suspected",
@@ -199,6 +200,7 @@
     pub(crate) servers: Counter,
     pub(crate) version: Counter,
     pub(crate) list_revision: Counter,
+    pub(crate) store_era: Counter,
 }
 
 impl Default for Counts {
@@ -235,6 +237,7 @@
             servers: Counter::default(),
             version: Counter::default(),
             list_revision: Counter::default(),
+            store_era: Counter::default(),
         }
     }
 }
--- a/crates/mesh/src/dispatch.rs
+++ b/crates/mesh/src/dispatch.rs
@@ -70,8 +70,8 @@
             );
         }
         chosen.placement.next_best_ms = chosen.placement.alternative_ms(progress.better_elsewhere);
-        let revision = node.list.borrow().revision();
-        job.record.chosen(now, &chosen, work_ms, revision);
+        let position = node.list.borrow().position();
+        job.record.chosen(now, &chosen, work_ms, position);
         let tried = second_run::run(node, job, progress, chosen, work_ms).await;
         let seen = AttemptSummary::of(&tried.server, &tried.reply);
         let answer = conclude_attempt(node, job, progress, tried);
--- a/crates/mesh/src/frame.rs
+++ b/crates/mesh/src/frame.rs
@@ -3,7 +3,9 @@
 use bincode::Options;
 use bytes::{Bytes, BytesMut};
 use compact_str::CompactString;
-use oriolering::{DeltaSection, GateLoad, QuarantineEntry, Rate, RefusalReason, ServerUpdate};
+use oriolering::{
+    DeltaSection, GateLoad, ListUpdate, QuarantineEntry, Rate, RefusalReason, StorePosition,
+};
 use serde::{Deserialize, Serialize};
 use serde_bytes::ByteBuf;
 use snafu::{ResultExt, Snafu};
@@ -128,19 +130,19 @@
     Ping,
     /// The reply to a [`Frame::Ping`].
     Pong,
-    /// What the node knows: the version of its routes, the revision of its server list, how long
+    /// What the node knows: the version of its routes, the position of its server list, how long
     /// ago the store confirmed that there is nothing newer, whether the node watches the store,
     /// and the rate of its instance's network link in megabytes per second.
     Known {
         routes: u64,
-        servers: u64,
+        servers: StorePosition,
         /// In milliseconds; none if the node knows of no confirmation.
         age_ms: Option<u64>,
         watching: bool,
         rate: u32,
     },
     /// Requests what is newer than these versions.
-    Want { routes: u64, servers: u64 },
+    Want { routes: u64, servers: StorePosition },
     /// The published text of the routes, as a delta against the version that the receiver has;
     /// unless `whole`, the packed content follows in pieces.
     Routes {
@@ -152,11 +154,8 @@
     },
     /// A piece of the packed content of [`Frame::Routes`].
     RoutesPiece { bytes: ByteBuf, last: bool },
-    /// Updates to the server list, which is complete up to `revision` with them.
-    Servers {
-        revision: u64,
-        notes: Vec<ServerUpdate>,
-    },
+    /// What the receiver's server list lacks.
+    Servers(ListUpdate),
     /// Requests that were in flight when the backend server of this gate crashed, and requests
     /// that are cleared because they finished a run here.
     Suspects {
@@ -185,7 +184,7 @@
             | Self::Want { .. }
             | Self::Routes { .. }
             | Self::RoutesPiece { .. }
-            | Self::Servers { .. }
+            | Self::Servers(_)
             | Self::Suspects { .. } => "news",
         }
     }
--- a/crates/mesh/src/gossip.rs
+++ b/crates/mesh/src/gossip.rs
@@ -8,7 +8,9 @@
 use std::net::IpAddr;
 use std::rc::Rc;
 
-use oriolering::{FanOut, Millis, RouteTable, ServerRecord, ServerUpdate, TextDelta};
+use oriolering::{
+    FanOut, ListUpdate, Millis, RouteTable, ServerRecord, StorePosition, StoreReturn, TextDelta,
+};
 use oriolering_platform::parse_config;
 use rand::seq::IteratorRandom;
 use serde_bytes::ByteBuf;
@@ -61,7 +63,7 @@
     let now = node.now();
     Frame::Known {
         routes: node.version(),
-        servers: node.list.borrow().revision(),
+        servers: node.list.borrow().position(),
         age_ms: node.confirmed_age(now),
         watching: node.watching.get(),
         rate: node.rate(),
@@ -74,7 +76,7 @@
         node.trail.note(Event::WatchChanged {
             reading: watching,
             readers: node.watchers() as u64,
-            list_revision: node.list.borrow().revision(),
+            list_position: node.list.borrow().position(),
         });
         announce_all(node);
     }
@@ -112,9 +114,9 @@
             receive_routes(node, from, age_ms, TextDelta { parts, packed }, whole);
         }
         Frame::RoutesPiece { bytes, last } => receive_piece(node, from, &bytes, last),
-        Frame::Servers { revision, notes } => {
+        Frame::Servers(update) => {
             node.gossip.requested.set(None);
-            apply_servers(node, revision, notes, Origin::Peer(from));
+            apply_servers(node, update, Origin::Peer(from));
         }
         Frame::Hello { .. }
         | Frame::Offer { .. }
@@ -171,10 +173,10 @@
 }
 
 /// Requests newer versions from a peer that has them, unless a request is pending.
-fn request_newer(node: &Node, outbox: &Outbox, routes: u64, servers: u64) {
+fn request_newer(node: &Node, outbox: &Outbox, routes: u64, servers: StorePosition) {
     let now = node.now();
     let own_routes = node.version();
-    let own_servers = node.list.borrow().revision();
+    let own_servers = node.list.borrow().position();
     let up_to_date = routes <= own_routes && servers <= own_servers;
     let pending = node
         .gossip
@@ -197,20 +199,26 @@
     let peers = node.peers.borrow();
     let up: Vec<&Rc<Peer>> = peers.values().filter(|p| p.is_up()).collect();
     let routes = node.version();
-    let servers = node.list.borrow().revision();
+    let servers = node.list.borrow().position();
     let ahead = up.into_iter().filter(|peer| {
-        let (version, revision) = peer.known.get();
-        version > routes || revision > servers
+        let (version, position) = peer.known.get();
+        version > routes || position > servers
     });
     let Some(peer) = ahead.choose(&mut rand::rng()) else {
         return;
     };
-    let (version, revision) = peer.known.get();
-    request_newer(node, &peer.outbox(), version, revision);
+    let (version, position) = peer.known.get();
+    request_newer(node, &peer.outbox(), version, position);
 }
 
 /// Sends a peer what it lacks; routes are sent to a few peers at a time.
-fn send_missing(node: &Node, from: IpAddr, outbox: &Rc<Outbox>, routes: u64, servers: u64) {
+fn send_missing(
+    node: &Node,
+    from: IpAddr,
+    outbox: &Rc<Outbox>,
+    routes: u64,
+    servers: StorePosition,
+) {
     if node.version() > routes {
         let outbox = Rc::clone(outbox);
         let version = routes;
@@ -221,11 +229,8 @@
         send_queued(node);
     }
     let list = node.list.borrow();
-    if list.revision() > servers {
-        outbox.push(Frame::Servers {
-            revision: list.revision(),
-            notes: list.updates_since(servers),
-        });
+    if list.position() > servers {
+        outbox.push(Frame::Servers(list.updates_since(node.now(), servers)));
     }
 }
 
@@ -299,17 +304,18 @@
     newer
 }
 
-fn apply_servers(node: &Rc<Node>, revision: u64, notes: Vec<ServerUpdate>, source: Origin) {
+/// Applies what the server list of a peer has.
+fn apply_servers(node: &Rc<Node>, update: ListUpdate, source: Origin) {
     let now = node.now();
     let mut list = node.list.borrow_mut();
-    let before = list.revision();
-    let mut changed = false;
-    for note in notes {
-        changed |= list.apply(now, note);
-    }
-    list.advance(revision);
-    let advanced = list.revision() > before;
+    let (before, changes) = (list.position(), list.changes());
+    let returned = list.merge(now, update);
+    let advanced = list.position() > before;
+    let changed = list.changes() != changes;
     drop(list);
+    if let Some(returned) = returned {
+        note_return(node, returned, source);
+    }
     if changed {
         apply_list_from(node, source);
     }
@@ -318,6 +324,18 @@
     }
 }
 
+/// Logs that the store came back from a copy, and what became of the list.
+pub(crate) fn note_return(node: &Node, returned: StoreReturn, source: Origin) {
+    node.trail.note(Event::StoreReturned {
+        before: returned.before,
+        after: returned.after,
+        kept: returned.kept as u64,
+        withheld: returned.withheld as u64,
+        dropped: returned.dropped as u64,
+        source,
+    });
+}
+
 /// Opens links to the nodes on the instances of these backend servers.
 pub(crate) fn add_peers(node: &Rc<Node>, records: &[ServerRecord]) {
     for peer in node.add_peers(records) {
@@ -333,7 +351,7 @@
     node.trail.note(Event::ListConfirmed {
         by,
         version: node.version(),
-        list_revision: node.list.borrow().revision(),
+        list_position: node.list.borrow().position(),
     });
     apply_list_from(node, Origin::Node);
 }
--- a/crates/mesh/src/inbound.rs
+++ b/crates/mesh/src/inbound.rs
@@ -151,7 +151,7 @@
         | Frame::Want { .. }
         | Frame::Routes { .. }
         | Frame::RoutesPiece { .. }
-        | Frame::Servers { .. } => {
+        | Frame::Servers(_) => {
             gossip::handle(node, from, outbox, frame);
         }
         Frame::Pong | Frame::Ended { .. } | Frame::Load(_) | Frame::Suspects { .. } => {}
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -42,6 +42,8 @@
 mod server_table;
 mod spans;
 mod start;
+mod store_client;
+mod store_read_error;
 mod store_reader;
 mod subscribers;
 mod suspects;
--- a/crates/mesh/src/metrics.rs
+++ b/crates/mesh/src/metrics.rs
@@ -104,7 +104,8 @@
     counts.peers_up.set(up as u64);
     counts.servers.set(list.servers().count() as u64);
     counts.version.set(node.version());
-    counts.list_revision.set(list.revision());
+    counts.list_revision.set(list.position().revision);
+    counts.store_era.set(list.position().era);
 }
 
 /// The instruments and the registry that a scrape reads.
@@ -188,6 +189,7 @@
     gauge(meter, counts, "servers_listed", |c| &c.servers);
     gauge(meter, counts, "routes_version", |c| &c.version);
     gauge(meter, counts, "list_revision", |c| &c.list_revision);
+    gauge(meter, counts, "store_era", |c| &c.store_era);
 }
 
 fn counter(meter: &Meter, counts: &Arc<Counts>, name: &'static str, of: fn(&Counts) -> &Counter) {
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -106,6 +106,8 @@
     pub(crate) confirmed: Cell<bool>,
     /// When the store last confirmed to this node that there is nothing newer.
     pub(crate) store_confirmed: Cell<Option<Millis>>,
+    /// The era of the last answer of the store.
+    pub(crate) seen_era: Cell<u64>,
     /// Whether this node watches the store.
     pub(crate) watching: Cell<bool>,
     /// The exchange of routes and server lists with the peers.
@@ -162,6 +164,7 @@
             splitter: RefCell::default(),
             budgets,
             store_confirmed: Cell::new(None),
+            seen_era: Cell::new(0),
             watching: Cell::new(false),
             gossip: Gossip::default(),
             stopping: Cell::new(false),
@@ -198,8 +201,8 @@
     pub(crate) fn apply_list(&self, source: Origin) -> Vec<Rc<Peer>> {
         let now = self.now();
         let records: Vec<ServerRecord> = self.list.borrow().current().cloned().collect();
-        let revision = self.list.borrow().revision();
-        self.trail.log_list(&records, revision, source);
+        let position = self.list.borrow().position();
+        self.trail.log_list(&records, position, source);
         let mut added = Vec::new();
         let mut choices = Vec::with_capacity(records.len());
         let mut peers = self.peers.borrow_mut();
@@ -261,13 +264,13 @@
     }
 
     /// Returns how long ago the store confirmed the state of this node, in milliseconds, either to
-    /// this node or to a peer whose state is not newer.
+    /// this node or to a peer whose state is of the same era and not newer.
     pub(crate) fn confirmed_age(&self, now: Millis) -> Option<u64> {
-        let (version, revision) = (self.version(), self.list.borrow().revision());
+        let (version, position) = (self.version(), self.list.borrow().position());
         let peers = self.peers.borrow();
         let not_newer = peers.values().filter(|peer| {
             let (routes, servers) = peer.known.get();
-            routes <= version && servers <= revision
+            routes <= version && servers.era == position.era && servers <= position
         });
         let reported = not_newer.filter_map(|peer| peer.confirmed.get());
         let own = self.store_confirmed.get().map(|at| now.since(at));
@@ -277,7 +280,7 @@
     /// Returns whether the store recently confirmed, to this node or to a peer, that the routes and
     /// the server list of this node are complete.
     pub(crate) fn is_current(&self) -> bool {
-        let known = self.version() > 0 && self.list.borrow().revision() > 0;
+        let known = self.version() > 0 && self.list.borrow().position().is_known();
         let age = self.confirmed_age(self.now());
         known && age.is_some_and(|ms| ms < CONFIRMED_MS)
     }
@@ -293,7 +296,11 @@
         if reporting.peek().is_none() {
             return FIRST_PEER_MS;
         }
-        match reporting.any(|peer| peer.known.get() != (0, 0)) {
+        let has_state = |peer: &Rc<Peer>| {
+            let (routes, servers) = peer.known.get();
+            routes > 0 || servers.is_known()
+        };
+        match reporting.any(has_state) {
             true => STATE_WAIT_MS,
             false => NEW_PEERS_MS,
         }
@@ -305,6 +312,11 @@
         self.peers.borrow().get(&address).cloned()
     }
 
+    /// Returns the latest era of the store that any answer or peer has shown.
+    pub(crate) fn store_era(&self) -> u64 {
+        self.seen_era.get().max(self.list.borrow().era())
+    }
+
     /// Returns the rate of this instance's network link, in megabytes per second.
     pub(crate) fn rate(&self) -> u32 {
         (self.settings.limits.link_bytes_per_s / MEGABYTE) as u32
--- a/crates/mesh/src/outbound.rs
+++ b/crates/mesh/src/outbound.rs
@@ -55,7 +55,7 @@
     }
     node.trail.note(Event::PeerGone {
         peer: peer.address,
-        list_revision: node.list.borrow().revision(),
+        list_position: node.list.borrow().position(),
     });
 }
 
@@ -126,7 +126,7 @@
         | Frame::Want { .. }
         | Frame::Routes { .. }
         | Frame::RoutesPiece { .. }
-        | Frame::Servers { .. } => {
+        | Frame::Servers(_) => {
             let outbox = peer.outbox();
             gossip::handle(node, peer.address.ip(), &outbox, frame);
         }
--- a/crates/mesh/src/outbox.rs
+++ b/crates/mesh/src/outbox.rs
@@ -38,7 +38,7 @@
             | Frame::Known { .. }
             | Frame::Want { .. }
             | Frame::Routes { .. }
-            | Frame::Servers { .. }
+            | Frame::Servers(_)
             | Frame::Suspects { .. } => self.short.borrow_mut().push(frame),
         }
         self.wake.notify_one();
--- a/crates/mesh/src/peer.rs
+++ b/crates/mesh/src/peer.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use oriolering::{GateLoad, Millis};
+use oriolering::{GateLoad, Millis, StorePosition};
 use serde_bytes::ByteBuf;
 use tokio::sync::oneshot;
 
@@ -62,8 +62,8 @@
     pub(crate) cross_zone: Cell<bool>,
     /// When it was pinged; none if no ping is unanswered.
     pinged: Cell<Option<Millis>>,
-    /// The version of the routes and the revision of the server list that it last reported.
-    pub(crate) known: Cell<(u64, u64)>,
+    /// The version of the routes and the position of the server list that it last reported.
+    pub(crate) known: Cell<(u64, StorePosition)>,
     /// The age that it reported for the last confirmation of these versions by the store.
     pub(crate) confirmed: Cell<Option<Age>>,
     /// Whether it has reported its versions since its link came up.
@@ -91,7 +91,7 @@
             inbound: Cell::new(now),
             cross_zone: Cell::new(false),
             pinged: Cell::new(None),
-            known: Cell::new((0, 0)),
+            known: Cell::default(),
             confirmed: Cell::new(None),
             reported: Cell::new(false),
             watching: Cell::new(false),
@@ -103,7 +103,7 @@
     /// Records what the peer announced about itself.
     pub(crate) fn record_known(
         &self,
-        known: (u64, u64),
+        known: (u64, StorePosition),
         confirmed: Option<Age>,
         watching: bool,
         rate: u32,
@@ -341,7 +341,7 @@
         | Frame::Want { .. }
         | Frame::Routes { .. }
         | Frame::RoutesPiece { .. }
-        | Frame::Servers { .. }
+        | Frame::Servers(_)
         | Frame::Suspects { .. } => None,
     }
 }
--- a/crates/mesh/src/second_run.rs
+++ b/crates/mesh/src/second_run.rs
@@ -103,8 +103,8 @@
             continue;
         }
         if let Some(reservation) = attempt::reserve_second_run(node, job, progress) {
-            let revision = node.list.borrow().revision();
-            job.record.chosen(now, &chosen, work_ms, revision);
+            let position = node.list.borrow().position();
+            job.record.chosen(now, &chosen, work_ms, position);
             return (chosen, reservation);
         }
     }
--- a/crates/mesh/src/store_reader.rs
+++ b/crates/mesh/src/store_reader.rs
@@ -4,24 +4,21 @@
 use std::time::Duration;
 
 use compact_str::CompactString;
-use ntex::http::ResponseHead;
-use oriolering::{Millis, ServerRecord, ServerUpdate};
-use oriolering_http::{Bytes, ClientConn, ExchangeError, HeaderMap, Method, Request, Uri};
+use oriolering::{Millis, ServerRecord, ServerUpdate, StorePosition};
 use oriolering_platform::{
-    ALL_KEYS, Answer, CONFIG_KEY, Change, Event, InvalidItem, Item, Range, SERVERS_PREFIX,
-    StoreError, Watch, key_path, parse_entry, parse_item, parse_range, parse_watch, range_path,
-    watch_path,
+    ALL_KEYS, CONFIG_KEY, Change, Event, InvalidItem, Item, Range, SERVERS_PREFIX, StoreError,
+    Watch, key_path, parse_entry, parse_item, parse_range, parse_watch, range_path, watch_path,
 };
 use rand::Rng;
-use snafu::{ResultExt, Snafu};
-use tokio::time::{sleep, timeout};
+use snafu::ensure;
+use tokio::time::sleep;
 
 use crate::gossip;
 use crate::node::Node;
-use crate::trail::{Event as Decision, Trail, clip};
+use crate::store_client::StoreClient;
+use crate::store_read_error::{ReturnedSnafu, StoreReadError};
+use crate::trail::{Event as Decision, Origin, Trail, clip};
 
-/// The timeout for connecting to the store, in milliseconds.
-const CONNECT_MS: u64 = 1_000;
 /// The timeout for a response that does not wait for a change, in milliseconds.
 const READ_TIMEOUT_MS: u64 = 2_000;
 /// How long a watch waits for a change, in milliseconds.
@@ -61,24 +58,14 @@
 const PEER_CHECK_MS: u64 = 10;
 /// How long the watch that brings a stale read up to date waits for changes, in milliseconds.
 const CATCH_UP_MS: u64 = 0;
+/// The maximum random delay before a node reads a store that came back from a copy, in
+/// milliseconds, so that most nodes learn the list from the first one to read it.
+const RETURN_SPREAD_MS: u64 = 200;
 
-/// Why a call to the store failed.
-#[derive(Debug, Snafu)]
-enum StoreReadError {
-    #[snafu(display("the store cannot be reached: {source}"))]
-    Exchange { source: ExchangeError },
-    #[snafu(display("the store did not answer within {ms} ms"))]
-    Silent { ms: u64 },
-    #[snafu(display("{source}"))]
-    Store { source: StoreError },
-    #[snafu(display("a path of the store is not a valid target: {path}"))]
-    Path { path: String },
-}
-
-/// The connection to the store, and whether the store is available.
+/// The calls to the store, and whether the store is available.
 struct StoreReader {
     node: Rc<Node>,
-    conn: Option<ClientConn>,
+    client: StoreClient,
     failed: bool,
     lost_at: Millis,
     /// Until when removals may be lapsed leases, in milliseconds of the node's clock.
@@ -88,15 +75,15 @@
 /// Reads and watches the store until the process ends.
 pub(crate) async fn run(node: Rc<Node>) {
     let mut reader = StoreReader {
+        client: StoreClient::new(Rc::clone(&node)),
         node,
-        conn: None,
         failed: false,
         lost_at: Millis::default(),
         lapse_until: 0,
     };
     let mut backoff = BACKOFF_MIN_MS;
     while let Err(e) = reader.begin().await {
-        reader.conn = None;
+        reader.client.disconnect();
         reader.record_failure(&e);
         // While the store is unavailable, the state of the peers is the best available.
         gossip::confirm(&reader.node, "nobody");
@@ -106,7 +93,7 @@
     loop {
         reader.wait_turn().await;
         let result = reader.watch_changes(&mut backoff).await;
-        reader.conn = None;
+        reader.client.disconnect();
         gossip::set_watching(&reader.node, false);
         match result {
             Ok(()) => continue,
@@ -159,6 +146,7 @@
     async fn begin(&mut self) -> Result<(), StoreReadError> {
         let path = range_path(ALL_KEYS, None, true);
         let range: Range = self
+            .client
             .call("start", &path, READ_TIMEOUT_MS, parse_range)
             .await?;
         if self.node.settings.first_start {
@@ -167,7 +155,7 @@
             return Ok(());
         }
         if range.more.is_none() {
-            return self.catch_up(range.items, range.revision).await.map(drop);
+            return self.catch_up(range.items, range.position).await.map(drop);
         }
         let trail = &self.node.trail;
         let updates = range
@@ -216,27 +204,30 @@
     /// Reads the state if this node lacks it, then watches for changes until a call fails or enough
     /// other nodes watch.
     async fn watch_changes(&mut self, backoff: &mut u64) -> Result<(), StoreReadError> {
-        let known = self.node.list.borrow().revision();
-        let mut revision = match known > 0 && self.node.version() > 0 {
+        let known = self.node.list.borrow().position();
+        let mut position = match known.is_known() && self.node.version() > 0 {
             true => known,
             false => self.read_all().await?,
         };
         while self.node.should_watch() {
-            let path = watch_path(ALL_KEYS, revision, WATCH_MS);
-            let watch = match self.watch(&path).await {
+            let watch = match self.watch(position, WATCH_MS).await {
                 Err(StoreReadError::Store {
                     source: StoreError::Compacted,
                 }) => {
-                    self.node.trail.note(Decision::StoreCompacted { revision });
-                    revision = self.read_current().await?;
+                    self.node.trail.note(Decision::StoreCompacted { position });
+                    position = self.read_lost(position).await?;
                     continue;
                 }
                 result => result?,
             };
             *backoff = BACKOFF_MIN_MS;
             self.record_success();
+            if watch.position.era > position.era {
+                position = self.read_lost(position).await?;
+                continue;
+            }
             self.record_confirmation();
-            revision = watch.revision;
+            position = watch.position;
             self.apply_watch(watch);
             gossip::set_watching(&self.node, true);
             sleep(Duration::from_millis(COALESCE_MS)).await;
@@ -244,25 +235,57 @@
         Ok(())
     }
 
-    /// Reads the routes and the whole list, and returns the revision to watch from.
+    /// Reads the state after the store has lost the changes since `position`, and returns the
+    /// position to watch from.
     ///
-    /// A stale read costs a tenth of a current one, and a watch from its revision brings the changes
-    /// since then.
-    async fn read_all(&mut self) -> Result<u64, StoreReadError> {
-        let (items, revision) = self.read_stale().await?;
-        self.catch_up(items, revision).await
+    /// If the store came back from a copy, a peer may be faster; its list is then used.
+    async fn read_lost(
+        &mut self,
+        position: StorePosition,
+    ) -> Result<StorePosition, StoreReadError> {
+        if self.node.store_era() <= position.era {
+            return self.read_current().await;
+        }
+        let spread = rand::rng().random_range(0..RETURN_SPREAD_MS);
+        sleep(Duration::from_millis(spread)).await;
+        let known = self.node.list.borrow().position();
+        match known.era >= self.node.store_era() {
+            true => Ok(known),
+            false => self.read_all().await,
+        }
     }
 
-    /// Applies the items of the store as of `revision` and the changes since then, and returns the
-    /// revision to watch from.
-    async fn catch_up(&mut self, items: Vec<Item>, revision: u64) -> Result<u64, StoreReadError> {
-        let path = watch_path(ALL_KEYS, revision, CATCH_UP_MS);
-        let changes = match self.watch(&path).await {
+    /// Reads the routes and the whole list, and returns the position to watch from.
+    ///
+    /// A stale read costs a tenth of a current one, and a watch from its position brings the
+    /// changes since then. A stale read of an earlier era is of no use.
+    async fn read_all(&mut self) -> Result<StorePosition, StoreReadError> {
+        match self.read_stale().await {
+            Ok((items, position)) => self.catch_up(items, position).await,
+            Err(StoreReadError::Outdated { .. } | StoreReadError::Returned) => {
+                self.read_current().await
+            }
+            Err(e) => Err(e),
+        }
+    }
+
+    /// Applies the items of the store as of `position` and the changes since then, and returns the
+    /// position to watch from.
+    async fn catch_up(
+        &mut self,
+        items: Vec<Item>,
+        position: StorePosition,
+    ) -> Result<StorePosition, StoreReadError> {
+        let changes = match self.watch(position, CATCH_UP_MS).await {
             Err(StoreReadError::Store {
                 source: StoreError::Compacted,
             }) => return self.read_current().await,
             result => result?,
         };
+        // The revisions of another era are not those of the items.
+        if changes.position.era != position.era {
+            return self.read_current().await;
+        }
         let mut updates = Vec::new();
         for item in items {
             if item.key == CONFIG_KEY {
@@ -272,52 +295,60 @@
             }
         }
         self.record_success();
+        self.replace_list(updates, position);
+        let position = changes.position;
+        self.apply_watch(changes);
+        Ok(self.finish_read(position))
+    }
+
+    /// Puts a complete list in effect.
+    fn replace_list(&self, updates: Vec<ServerUpdate>, position: StorePosition) {
         let lapsed = self.may_be_lapsed();
         let now = self.node.now();
         let mut list = self.node.list.borrow_mut();
-        list.replace(now, updates, revision, lapsed);
+        let returned = list.replace(now, updates, position, lapsed);
         drop(list);
-        let revision = changes.revision;
-        self.apply_watch(changes);
-        Ok(self.finish_read(revision))
+        if let Some(returned) = returned {
+            gossip::note_return(&self.node, returned, Origin::Store);
+        }
     }
 
-    /// Reads all pages with stale reads, and returns their items with the oldest revision of the
+    /// Reads all pages with stale reads, and returns their items with the oldest position of the
     /// pages; later changes may be missing.
-    async fn read_stale(&mut self) -> Result<(Vec<Item>, u64), StoreReadError> {
+    async fn read_stale(&mut self) -> Result<(Vec<Item>, StorePosition), StoreReadError> {
         let mut items = Vec::new();
         let mut after: Option<CompactString> = None;
-        let mut oldest = u64::MAX;
+        let mut oldest: Option<StorePosition> = None;
         loop {
             let path = range_path(ALL_KEYS, after.as_deref(), true);
             let range: Range = self
+                .client
                 .call("start", &path, READ_TIMEOUT_MS, parse_range)
                 .await?;
-            self.log_rejected(&range.broken, range.revision);
-            oldest = oldest.min(range.revision);
+            self.log_rejected(&range.broken, range.position);
+            let known = *oldest.get_or_insert(range.position);
+            ensure!(known.era == range.position.era, ReturnedSnafu);
+            let position = known.min(range.position);
+            oldest = Some(position);
             items.extend(range.items);
             match range.more {
                 Some(key) => after = Some(key),
-                None => return Ok((items, oldest)),
+                None => return Ok((items, position)),
             }
         }
     }
 
     /// Reads the current routes and the whole current list.
-    async fn read_current(&mut self) -> Result<u64, StoreReadError> {
-        let (updates, revision) = self.read_servers().await?;
+    async fn read_current(&mut self) -> Result<StorePosition, StoreReadError> {
+        let (updates, position) = self.read_servers().await?;
         self.read_routes().await?;
         self.record_success();
-        let lapsed = self.may_be_lapsed();
-        let now = self.node.now();
-        let mut list = self.node.list.borrow_mut();
-        list.replace(now, updates, revision, lapsed);
-        drop(list);
-        Ok(self.finish_read(revision))
+        self.replace_list(updates, position);
+        Ok(self.finish_read(position))
     }
 
-    /// Applies the list that was read, confirms the state, and returns its revision.
-    fn finish_read(&self, revision: u64) -> u64 {
+    /// Applies the list that was read, confirms the state, and returns its position.
+    fn finish_read(&self, position: StorePosition) -> StorePosition {
         self.record_confirmation();
         self.node.confirmed.set(true);
         gossip::apply_list(&self.node);
@@ -325,8 +356,8 @@
         let servers = self.node.list.borrow().servers().count() as u64;
         self.node
             .trail
-            .note(Decision::StoreRead { revision, servers });
-        revision
+            .note(Decision::StoreRead { position, servers });
+        position
     }
 
     /// Records that the store has just confirmed the state of this node.
@@ -334,32 +365,34 @@
         self.node.store_confirmed.set(Some(self.node.now()));
     }
 
-    fn log_rejected(&self, broken: &[InvalidItem], revision: u64) {
+    fn log_rejected(&self, broken: &[InvalidItem], position: StorePosition) {
         for InvalidItem { key, error } in broken {
             let key = key.as_deref().unwrap_or_default();
             let error = error.to_string();
-            self.node.trail.item_rejected(key, revision, &error);
+            self.node.trail.item_rejected(key, position, &error);
         }
     }
 
-    async fn read_servers(&mut self) -> Result<(Vec<ServerUpdate>, u64), StoreReadError> {
+    async fn read_servers(&mut self) -> Result<(Vec<ServerUpdate>, StorePosition), StoreReadError> {
         let mut updates = Vec::new();
         let mut after: Option<CompactString> = None;
         let mut first = None;
         loop {
             let path = range_path(SERVERS_PREFIX, after.as_deref(), false);
             let range: Range = self
+                .client
                 .call("list", &path, READ_TIMEOUT_MS, parse_range)
                 .await?;
-            // Pages are not a snapshot, so the watch starts from the revision of the first page.
-            let revision = *first.get_or_insert(range.revision);
-            self.log_rejected(&range.broken, revision);
+            // Pages are not a snapshot, so the watch starts from the position of the first page.
+            let position = *first.get_or_insert(range.position);
+            ensure!(position.era == range.position.era, ReturnedSnafu);
+            self.log_rejected(&range.broken, position);
             let trail = &self.node.trail;
             let items = range.items.into_iter();
             updates.extend(items.filter_map(|item| item_update(trail, item)));
             match range.more {
                 Some(key) => after = Some(key),
-                None => return Ok((updates, revision)),
+                None => return Ok((updates, position)),
             }
         }
     }
@@ -367,6 +400,7 @@
     async fn read_routes(&mut self) -> Result<(), StoreReadError> {
         let path = key_path(CONFIG_KEY);
         match self
+            .client
             .call("routes", &path, READ_TIMEOUT_MS, parse_item)
             .await
         {
@@ -381,9 +415,17 @@
         }
     }
 
-    async fn watch(&mut self, path: &str) -> Result<Watch, StoreReadError> {
+    /// Waits for the changes after a position.
+    async fn watch(
+        &mut self,
+        position: StorePosition,
+        wait_ms: u64,
+    ) -> Result<Watch, StoreReadError> {
+        let path = watch_path(ALL_KEYS, position.revision, wait_ms);
         let timeout_ms = WATCH_MS + WATCH_SLACK_MS;
-        self.call("watch", path, timeout_ms, parse_watch).await
+        self.client
+            .call("watch", &path, timeout_ms, parse_watch)
+            .await
     }
 
     /// Applies the changes that a watch returned.
@@ -391,11 +433,11 @@
         let lapsed = self.may_be_lapsed();
         let now = self.node.now();
         let mut changed = false;
-        self.log_rejected(&watch.broken, watch.revision);
+        self.log_rejected(&watch.broken, watch.position);
         for Event {
             key,
             change,
-            revision,
+            position,
         } in watch.events
         {
             if key == CONFIG_KEY {
@@ -408,69 +450,17 @@
                 Change::Put(value) => Some(value.as_slice()),
                 Change::Deleted => None,
             };
-            if let Some(update) = key_update(&self.node.trail, &key, value, revision, lapsed) {
+            if let Some(update) = key_update(&self.node.trail, &key, value, position, lapsed) {
                 changed |= self.node.list.borrow_mut().apply(now, update);
             }
         }
-        self.node.list.borrow_mut().advance(watch.revision);
+        self.node.list.borrow_mut().advance(watch.position);
         if changed {
             gossip::apply_list(&self.node);
             gossip::announce_all(&self.node);
         }
     }
 
-    async fn call<T>(
-        &mut self,
-        cause: &'static str,
-        path: &str,
-        timeout_ms: u64,
-        scan: fn(Answer<'_>) -> Result<T, StoreError>,
-    ) -> Result<T, StoreReadError> {
-        self.node.trail.counts.store_calls.add(cause);
-        let exchange = self.exchange(path);
-        let result = timeout(Duration::from_millis(timeout_ms), exchange).await;
-        let response = match result {
-            Ok(response) => response?,
-            Err(_) => return SilentSnafu { ms: timeout_ms }.fail(),
-        };
-        let retry_after = crate::headers::text(&response.headers, "retry-after");
-        let answer = Answer {
-            status: response.status.as_u16(),
-            retry_after,
-            body: &response.body,
-        };
-        scan(answer).context(StoreSnafu)
-    }
-
-    async fn exchange(&mut self, path: &str) -> Result<oriolering_http::Response, StoreReadError> {
-        let address = self.node.settings.store.address;
-        let Ok(uri) = Uri::try_from(path) else {
-            return PathSnafu { path }.fail();
-        };
-        let mut headers = HeaderMap::new();
-        crate::headers::set(&mut headers, "host", &address.to_string());
-        let request = Request {
-            method: Method::GET,
-            uri,
-            headers,
-            body: Bytes::new(),
-        };
-        let idle = self.conn.take();
-        let reusable = idle.and_then(|mut conn| conn.is_reusable().then_some(conn));
-        let mut conn = match reusable {
-            Some(conn) => conn,
-            None => {
-                let date = self.node.date.clone();
-                let conn = ClientConn::connect(address, date, CONNECT_MS).await;
-                conn.context(ExchangeSnafu)?
-            }
-        };
-        let any = |_: &ResponseHead| true;
-        let response = conn.exchange(request, any).await.context(ExchangeSnafu)?;
-        self.conn = Some(conn);
-        Ok(response)
-    }
-
     fn may_be_lapsed(&self) -> bool {
         self.node.now().0 < self.lapse_until
     }
@@ -480,7 +470,7 @@
             self.lost_at = self.node.now();
             self.node.trail.note(Decision::StoreLost {
                 error: clip(&e.to_string()),
-                revision: self.node.list.borrow().revision(),
+                position: self.node.list.borrow().position(),
             });
         }
         self.failed = true;
@@ -491,7 +481,7 @@
             let now = self.node.now();
             self.node.trail.note(Decision::StoreBack {
                 lost_ms: now.since(self.lost_at),
-                revision: self.node.list.borrow().revision(),
+                position: self.node.list.borrow().position(),
             });
             // If a peer still watches the store, the store was available and only rejected this node.
             if !self.node.has_watching_peer() {
@@ -504,7 +494,7 @@
 
 /// Returns the update of an item of the server list, or none for other items.
 fn item_update(trail: &Trail, item: Item) -> Option<ServerUpdate> {
-    key_update(trail, &item.key, Some(&item.value), item.revision, false)
+    key_update(trail, &item.key, Some(&item.value), item.position, false)
 }
 
 /// Returns the update of a key of the server list, or none for other keys.
@@ -512,22 +502,23 @@
     trail: &Trail,
     key: &str,
     value: Option<&[u8]>,
-    revision: u64,
+    position: StorePosition,
     lapsed: bool,
 ) -> Option<ServerUpdate> {
     let id = key.strip_prefix(SERVERS_PREFIX)?;
     let record = match value.map(|v| parse_entry(key, v)) {
         Some(Ok(record)) => Some(record),
         Some(Err(e)) => {
-            trail.item_rejected(key, revision, &e.to_string());
+            trail.item_rejected(key, position, &e.to_string());
             None
         }
         None => None,
     };
     Some(ServerUpdate {
         id: id.into(),
-        revision,
+        position,
         lapsed: lapsed && value.is_none(),
         record,
+        kept: None,
     })
 }
--- a/crates/mesh/src/trail.rs
+++ b/crates/mesh/src/trail.rs
@@ -23,7 +23,7 @@
 use std::time::{Duration, SystemTime};
 
 use compact_str::{CompactString, ToCompactString};
-use oriolering::{Clock, Millis};
+use oriolering::{Clock, Millis, StorePosition};
 use oriolering_http::Request;
 use oriolering_platform::HEADERS;
 use serde::Serialize;
@@ -174,10 +174,10 @@
     }
 
     /// Logs that an item in the store cannot be read and is ignored.
-    pub(crate) fn item_rejected(&self, key: &str, revision: u64, error: &str) {
+    pub(crate) fn item_rejected(&self, key: &str, position: StorePosition, error: &str) {
         self.note(Event::StoreItemRejected {
             key: clip(key),
-            revision,
+            position,
             error: clip(error),
         });
     }
--- a/crates/mesh/src/trail/count_events.rs
+++ b/crates/mesh/src/trail/count_events.rs
@@ -17,6 +17,7 @@
             Event::Dropped { .. } => self.dropped.add(1),
             Event::StoreLost { .. } => self.changes.add("store_lost"),
             Event::StoreBack { .. } => self.changes.add("store_back"),
+            Event::StoreReturned { .. } => self.changes.add("store_returned"),
             Event::PeerUp { .. } => self.changes.add("peer_up"),
             Event::PeerLost { .. } => self.changes.add("peer_lost"),
             Event::PeerSuspected { .. } => self.changes.add("peer_suspected"),
@@ -49,6 +50,7 @@
             | Event::Stopped { .. }
             | Event::SettingsRejected { .. }
             | Event::StoreCompacted { .. }
+            | Event::StoreEraRejected { .. }
             | Event::StoreRead { .. }
             | Event::StoreItemRejected { .. }
             | Event::ListTaken { .. }
--- a/crates/mesh/src/trail/event.rs
+++ b/crates/mesh/src/trail/event.rs
@@ -3,6 +3,7 @@
 use std::net::{IpAddr, SocketAddr};
 
 use compact_str::CompactString;
+use oriolering::StorePosition;
 use serde::Serialize;
 
 use super::{Origin, Rank};
@@ -50,7 +51,7 @@
         sent: u32,
         work_percent: u32,
         failures_permille: u32,
-        list_revision: u64,
+        list_position: StorePosition,
     },
     /// An attempt ended, and the ingress decided whether another follows.
     AttemptEnded {
@@ -210,17 +211,37 @@
         error: CompactString,
     },
     /// The store no longer responds.
-    StoreLost { error: CompactString, revision: u64 },
+    StoreLost {
+        error: CompactString,
+        position: StorePosition,
+    },
     /// The store responds again.
-    StoreBack { lost_ms: u64, revision: u64 },
-    /// The store has compacted the changes since a revision; all items are read again.
-    StoreCompacted { revision: u64 },
+    StoreBack {
+        lost_ms: u64,
+        position: StorePosition,
+    },
+    /// The store has compacted the changes since a position; all items are read again.
+    StoreCompacted { position: StorePosition },
+    /// The store came back from a copy, and a complete list of its new era is in effect.
+    StoreReturned {
+        before: StorePosition,
+        after: StorePosition,
+        kept: u64,
+        withheld: u64,
+        dropped: u64,
+        source: Origin,
+    },
+    /// An answer of the store has no era that can be read, and counts as one of era 0.
+    StoreEraRejected { era: CompactString },
     /// All items of the store were read.
-    StoreRead { revision: u64, servers: u64 },
+    StoreRead {
+        position: StorePosition,
+        servers: u64,
+    },
     /// An item in the store cannot be read and is ignored.
     StoreItemRejected {
         key: CompactString,
-        revision: u64,
+        position: StorePosition,
         error: CompactString,
     },
     /// Newer routes are in effect.
@@ -253,7 +274,7 @@
     /// The list no longer contains a peer, which is removed.
     PeerGone {
         peer: SocketAddr,
-        list_revision: u64,
+        list_position: StorePosition,
     },
     /// Another node opened a link to this one.
     NodeLinked {
@@ -271,19 +292,19 @@
     WatchChanged {
         reading: bool,
         readers: u64,
-        list_revision: u64,
+        list_position: StorePosition,
     },
     /// The first list of backend servers is in effect.
     ListTaken {
         servers: u64,
-        list_revision: u64,
+        list_position: StorePosition,
         source: Origin,
     },
     /// The routes and the list that a restarted node has received are confirmed for use.
     ListConfirmed {
         by: &'static str,
         version: u64,
-        list_revision: u64,
+        list_position: StorePosition,
     },
     /// The list contains a new backend server, or one whose attributes changed.
     ServerListed {
@@ -292,14 +313,14 @@
         address: SocketAddr,
         state: &'static str,
         slots: u32,
-        list_revision: u64,
+        list_position: StorePosition,
         source: Origin,
     },
     /// The list no longer contains a backend server.
     ServerGone {
         server: CompactString,
         service: CompactString,
-        list_revision: u64,
+        list_position: StorePosition,
         source: Origin,
     },
     /// The local backend server does not respond; its gate refuses requests.
@@ -381,6 +402,7 @@
             | Self::BudgetSpent { .. }
             | Self::StoreBack { .. }
             | Self::StoreCompacted { .. }
+            | Self::StoreReturned { .. }
             | Self::StoreRead { .. }
             | Self::ListTaken { .. }
             | Self::ListConfirmed { .. }
@@ -400,6 +422,7 @@
             | Self::RequestCleared { .. } => Rank::Change,
             Self::SettingsRejected { .. }
             | Self::StoreLost { .. }
+            | Self::StoreEraRejected { .. }
             | Self::StoreItemRejected { .. }
             | Self::RoutesRejected { .. }
             | Self::PeerLost { .. }
--- a/crates/mesh/src/trail/ingress_record.rs
+++ b/crates/mesh/src/trail/ingress_record.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 
 use compact_str::CompactString;
-use oriolering::{Millis, Route};
+use oriolering::{Millis, Route, StorePosition};
 use oriolering_http::Answer;
 use smallvec::SmallVec;
 
@@ -94,9 +94,15 @@
     }
 
     /// Records the chosen backend server and the inputs of the choice.
-    pub(crate) fn chosen(&self, now: Millis, chosen: &ServerChoice, work_ms: u64, revision: u64) {
+    pub(crate) fn chosen(
+        &self,
+        now: Millis,
+        chosen: &ServerChoice,
+        work_ms: u64,
+        position: StorePosition,
+    ) {
         self.attempts.set(self.attempts.get() + 1);
-        let choice = Choice::new(self.attempts.get(), now, chosen, work_ms, revision);
+        let choice = Choice::new(self.attempts.get(), now, chosen, work_ms, position);
         self.add_step(now, Step::Chosen(choice));
     }
 
--- a/crates/mesh/src/trail/logged_server.rs
+++ b/crates/mesh/src/trail/logged_server.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 
 use compact_str::CompactString;
-use oriolering::{ServerRecord, ServerState};
+use oriolering::{ServerRecord, ServerState, StorePosition};
 
 use super::{Event, Origin, Trail};
 
@@ -24,7 +24,7 @@
         }
     }
 
-    fn event(&self, record: &ServerRecord, list_revision: u64, source: Origin) -> Event {
+    fn event(&self, record: &ServerRecord, list_position: StorePosition, source: Origin) -> Event {
         Event::ServerListed {
             server: record.id.clone(),
             service: self.service.clone(),
@@ -34,7 +34,7 @@
                 ServerState::Draining => "draining",
             },
             slots: self.slots,
-            list_revision,
+            list_position,
             source,
         }
     }
@@ -42,14 +42,19 @@
 
 impl Trail {
     /// Logs how a new list differs from the last one; the first list is logged in a single line.
-    pub(crate) fn log_list(&self, records: &[ServerRecord], list_revision: u64, source: Origin) {
+    pub(crate) fn log_list(
+        &self,
+        records: &[ServerRecord],
+        list_position: StorePosition,
+        source: Origin,
+    ) {
         let mut logged = self.logged_servers.borrow_mut();
         let mut before = std::mem::take(&mut *logged);
         let first = before.is_empty();
         for record in records {
             let now = LoggedServer::of(record);
             if before.remove(&record.id).as_ref() != Some(&now) && !first {
-                self.note(now.event(record, list_revision, source));
+                self.note(now.event(record, list_position, source));
             }
             logged.insert(record.id.clone(), now);
         }
@@ -57,24 +62,24 @@
             let servers = records.len() as u64;
             self.note(Event::ListTaken {
                 servers,
-                list_revision,
+                list_position,
                 source,
             });
         }
-        self.log_removed(before, list_revision, source);
+        self.log_removed(before, list_position, source);
     }
 
     fn log_removed(
         &self,
         removed: HashMap<CompactString, LoggedServer>,
-        list_revision: u64,
+        list_position: StorePosition,
         source: Origin,
     ) {
         for (server, LoggedServer { service, .. }) in removed {
             self.note(Event::ServerGone {
                 server,
                 service,
-                list_revision,
+                list_position,
                 source,
             });
         }
--- a/crates/mesh/src/trail/step.rs
+++ b/crates/mesh/src/trail/step.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 
 use compact_str::CompactString;
-use oriolering::{Millis, Placement, Route, ServerEstimate};
+use oriolering::{Millis, Placement, Route, ServerEstimate, StorePosition};
 
 use super::{AttemptSummary, AttemptTotals, Event};
 use crate::server_table::ServerChoice;
@@ -49,7 +49,7 @@
     site: ServerEstimate,
     open: u64,
     work_ms: u64,
-    revision: u64,
+    position: StorePosition,
 }
 
 impl Choice {
@@ -58,7 +58,7 @@
         at: Millis,
         chosen: &ServerChoice,
         work_ms: u64,
-        revision: u64,
+        position: StorePosition,
     ) -> Self {
         Self {
             server: chosen.server.clone(),
@@ -69,7 +69,7 @@
             site: chosen.estimate,
             open: chosen.candidates as u64,
             work_ms,
-            revision,
+            position,
         }
     }
 
@@ -92,7 +92,7 @@
             sent: self.site.sent,
             work_percent: load.work_percent,
             failures_permille: self.site.failure_rate(self.at),
-            list_revision: self.revision,
+            list_position: self.position,
         }
     }
 }
--- a/crates/mesh/tests/support/store.rs
+++ b/crates/mesh/tests/support/store.rs
@@ -9,7 +9,9 @@
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
 use ntex::http::DateService;
-use oriolering_http::{Answer, Bytes, ConnLimits, Request, StatusCode, serve};
+use oriolering_http::{
+    Answer, Bytes, ConnLimits, HeaderName, HeaderValue, Request, StatusCode, serve,
+};
 use serde_json::{Value, json};
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
@@ -23,13 +25,20 @@
     pipelined: 1,
 };
 
+/// The header that counts how often the store came back from a copy.
+const ERA: &str = "store-era";
+
 #[derive(Clone, Default)]
 struct Data {
     items: BTreeMap<String, Value>,
     events: Vec<Value>,
     revision: u64,
+    era: u64,
 }
 
+/// A backup of the items of a store.
+pub struct StoreCopy(Data);
+
 /// The store; clones share its items.
 #[derive(Clone, Default)]
 pub struct Store {
@@ -42,6 +51,8 @@
     unresponsive: Rc<RefCell<BTreeSet<SocketAddr>>>,
     /// The maximum number of items in one answer, if it is limited.
     page_size: Rc<Cell<Option<usize>>>,
+    /// Whether answers lack the header for the era.
+    hides_era: Rc<Cell<bool>>,
     /// The paths and queries of all requests.
     requests: Rc<RefCell<Vec<String>>>,
 }
@@ -93,6 +104,33 @@
         self.changed.notify_waiters();
     }
 
+    /// Returns a copy of the items and their history.
+    pub fn copy(&self) -> StoreCopy {
+        StoreCopy(self.data.borrow().clone())
+    }
+
+    /// Puts a copy in place of the items, as a store does that comes back in a new era.
+    pub fn restore(&self, copy: StoreCopy) {
+        self.restore_after(copy, 1);
+    }
+
+    /// Puts a copy in place of the items; the era rises by `eras`.
+    pub fn restore_after(&self, copy: StoreCopy, eras: u64) {
+        let era = self.data.borrow().era + eras;
+        *self.data.borrow_mut() = Data { era, ..copy.0 };
+        self.changed.notify_waiters();
+    }
+
+    /// Leaves the header for the era out of all answers.
+    pub fn hide_era(&self) {
+        self.hides_era.set(true);
+    }
+
+    /// Makes reads that may be stale return a copy from now on.
+    pub fn serve_stale_copy(&self, copy: &StoreCopy) {
+        *self.stale.borrow_mut() = Some(copy.0.clone());
+    }
+
     /// Returns the addresses at which watches arrived since the last call.
     pub fn take_watchers(&self) -> BTreeSet<SocketAddr> {
         self.watchers.take()
@@ -140,13 +178,16 @@
                 let may_be_stale = fields.get("serializable") == Some(&"1");
                 let after = fields.get("after").copied().unwrap_or_default();
                 let after = percent_decode(after);
-                json_answer(&self.range(prefix, &after, may_be_stale))
+                self.range(prefix, &after, may_be_stale)
             }
             "/v1/kv-watch" => {
                 self.watchers.borrow_mut().insert(at);
                 let after = fields["after"].parse().expect("a revision");
                 let wait_ms = fields["wait_ms"].parse().expect("milliseconds");
-                json_answer(&self.watch(prefix, after, wait_ms).await)
+                match self.watch(prefix, after, wait_ms).await {
+                    Some(changes) => self.json_answer(&changes),
+                    None => self.with_era(Answer::new(StatusCode::GONE), self.era()),
+                }
             }
             path => panic!("the store has no {path}"),
         }
@@ -154,12 +195,16 @@
 
     fn item(&self, key: &str) -> Answer {
         match self.data.borrow().items.get(key) {
-            Some(item) => json_answer(item),
-            None => Answer::new(StatusCode::NOT_FOUND),
+            Some(item) => self.json_answer(item),
+            None => self.with_era(Answer::new(StatusCode::NOT_FOUND), self.era()),
         }
     }
 
-    fn range(&self, prefix: &str, after: &str, may_be_stale: bool) -> Value {
+    fn era(&self) -> u64 {
+        self.data.borrow().era
+    }
+
+    fn range(&self, prefix: &str, after: &str, may_be_stale: bool) -> Answer {
         let stale = self.stale.borrow();
         let now = self.data.borrow();
         let data = match stale.as_ref() {
@@ -171,23 +216,43 @@
         let mut items: Vec<&Value> = items.map(|(_, item)| item).collect();
         let all = items.len();
         items.truncate(self.page_size.get().unwrap_or(all));
-        json!({"items": items, "truncated": items.len() < all, "as_of": data.revision})
+        let truncated = items.len() < all;
+        let body = json!({"items": items, "truncated": truncated, "as_of": data.revision});
+        self.with_era(json_answer(&body), data.era)
     }
 
-    async fn watch(&self, prefix: &str, after: u64, wait_ms: u64) -> Value {
+    /// Returns the changes after a revision, or none if the store has no such revision.
+    async fn watch(&self, prefix: &str, after: u64, wait_ms: u64) -> Option<Value> {
         loop {
             let changed = self.changed.notified();
+            let revision = self.data.borrow().revision;
+            if after > revision {
+                return None;
+            }
             let events = self.events(prefix, after);
             if !events.is_empty() {
-                return json!({"events": events, "as_of": self.data.borrow().revision});
+                return Some(json!({"events": events, "as_of": revision}));
             }
             let wait = Duration::from_millis(wait_ms);
             if timeout(wait, changed).await.is_err() {
-                return json!({"events": [], "as_of": after});
+                return Some(json!({"events": [], "as_of": after}));
             }
         }
     }
 
+    fn json_answer(&self, value: &Value) -> Answer {
+        self.with_era(json_answer(value), self.era())
+    }
+
+    /// Adds the header for the era to an answer.
+    fn with_era(&self, mut answer: Answer, era: u64) -> Answer {
+        if !self.hides_era.get() {
+            let name = HeaderName::from_static(ERA);
+            answer.headers.insert(name, HeaderValue::from(era));
+        }
+        answer
+    }
+
     fn events(&self, prefix: &str, after: u64) -> Vec<Value> {
         let data = self.data.borrow();
         let newer = data
--- a/crates/oriolering/src/lib.rs
+++ b/crates/oriolering/src/lib.rs
@@ -66,15 +66,18 @@
 mod section;
 mod sequence_states;
 mod server;
+mod server_entry;
 mod server_list;
 mod server_load;
 mod server_record;
+mod server_update;
 mod service_stats;
 mod session_table;
 mod shutdown;
 mod slack_share;
 mod slots;
 mod splitter;
+mod store_position;
 mod subset;
 mod text_delta;
 mod tracked_server;
@@ -135,12 +138,14 @@
     Digest, SECTION_MAX_BYTES, SECTION_MIN_BYTES, SECTIONS_MAX, Section, VALUE_MAX_BYTES, compress,
     decompress, decompress_section, split_sections,
 };
-pub use server_list::{ServerList, ServerUpdate};
+pub use server_list::{ServerList, StoreReturn};
 pub use server_load::ServerLoad;
 pub use server_record::{ServerRecord, ServerState};
+pub use server_update::{KeptRecord, ListUpdate, ServerUpdate};
 pub use session_table::SessionTable;
 pub use shutdown::Shutdown;
 pub use slack_share::SlackShare;
 pub use splitter::TrafficSplitter;
+pub use store_position::StorePosition;
 pub use text_delta::{DeltaError, DeltaSection, SectionedText, TextDelta};
 pub use tracked_server::Candidate;
--- a/crates/oriolering/tests/server_list.rs
+++ b/crates/oriolering/tests/server_list.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use oriolering::{Millis, ServerList, ServerRecord, ServerState, ServerUpdate};
+use oriolering::{Millis, ServerList, ServerRecord, ServerState, ServerUpdate, StorePosition};
 use proptest::prelude::*;
 use rstest::rstest;
 
@@ -12,6 +12,13 @@
 const TOMBSTONE_MS: u64 = 60_000;
 const NOW: Millis = Millis(1_000);
 
+/// The era of all updates here; crates/oriolering/tests/store_return.rs has those of several.
+const ERA: u64 = 3;
+
+fn at(revision: u64) -> StorePosition {
+    StorePosition::new(ERA, revision)
+}
+
 fn record(id: &str, sequence: u64) -> ServerRecord {
     ServerRecord {
         id: id.into(),
@@ -29,18 +36,20 @@
 fn put(id: &str, revision: u64) -> ServerUpdate {
     ServerUpdate {
         id: id.into(),
-        revision,
+        position: at(revision),
         record: Some(record(id, revision)),
         lapsed: false,
+        kept: None,
     }
 }
 
 fn removal(id: &str, revision: u64, lapsed: bool) -> ServerUpdate {
     ServerUpdate {
         id: id.into(),
-        revision,
+        position: at(revision),
         record: None,
         lapsed,
+        kept: None,
     }
 }
 
@@ -118,19 +127,19 @@
 #[test]
 fn a_complete_read_removes_missing_entries() {
     let mut list = list_of(&[put("a", 1), put("b", 2), put("late", 9)]);
-    list.replace(NOW, vec![put("b", 2), put("c", 3)], 5, false);
+    list.replace(NOW, vec![put("b", 2), put("c", 3)], at(5), false);
     // Entries that changed after the read are kept.
     assert_eq!(
         listed(&list).into_keys().collect::<Vec<_>>(),
         ["b", "c", "late"]
     );
-    assert_eq!(list.revision(), 5);
+    assert_eq!(list.position(), at(5));
 }
 
 #[test]
 fn a_complete_read_after_an_outage_keeps_missing_entries_for_a_while() {
     let mut list = list_of(&[put("a", 1), put("b", 2)]);
-    list.replace(NOW, vec![put("b", 2)], 5, true);
+    list.replace(NOW, vec![put("b", 2)], at(5), true);
     assert_eq!(listed(&list).into_keys().collect::<Vec<_>>(), ["a", "b"]);
     list.expire(NOW + LAPSE_MS);
     assert_eq!(listed(&list).into_keys().collect::<Vec<_>>(), ["b"]);
@@ -139,8 +148,8 @@
 #[test]
 fn a_second_read_does_not_extend_a_lapse() {
     let mut list = list_of(&[put("a", 1)]);
-    list.replace(NOW, Vec::new(), 5, true);
-    list.replace(NOW + 2_000, Vec::new(), 6, true);
+    list.replace(NOW, Vec::new(), at(5), true);
+    list.replace(NOW + 2_000, Vec::new(), at(6), true);
     list.expire(NOW + LAPSE_MS);
     assert!(listed(&list).is_empty());
 }
@@ -149,8 +158,8 @@
 fn an_entry_without_a_record_replaces_the_earlier_one() {
     let list = list_of(&[put("a", 1), removal("a", 2, false)]);
     assert!(listed(&list).is_empty());
-    let update = &list.updates_since(1)[0];
-    assert_eq!((update.revision, update.record.is_none()), (2, true));
+    let update = &list.updates_since(NOW, at(1)).updates[0];
+    assert_eq!((update.position, update.record.is_none()), (at(2), true));
 }
 
 #[rstest]
@@ -160,7 +169,8 @@
 fn the_updates_since_a_revision_are_returned(#[case] revision: u64, #[case] expected: &[&str]) {
     let list = list_of(&[put("a", 1), put("b", 3), removal("c", 4, false)]);
     let mut ids: Vec<_> = list
-        .updates_since(revision)
+        .updates_since(NOW, at(revision))
+        .updates
         .into_iter()
         .map(|u| u.id)
         .collect();
@@ -172,17 +182,17 @@
 fn a_tombstone_is_returned_until_it_is_discarded() {
     let mut list = list_of(&[put("a", 1), removal("a", 2, false)]);
     list.expire(NOW + (TOMBSTONE_MS - 1));
-    assert_eq!(list.updates_since(0).len(), 1);
+    assert_eq!(list.updates_since(NOW, at(0)).updates.len(), 1);
     list.expire(NOW + TOMBSTONE_MS);
-    assert!(list.updates_since(0).is_empty());
+    assert!(list.updates_since(NOW, at(0)).updates.is_empty());
 }
 
 #[test]
 fn the_revision_never_decreases() {
     let mut list = ServerList::default();
-    list.advance(7);
-    list.advance(3);
-    assert_eq!(list.revision(), 7);
+    list.advance(at(7));
+    list.advance(at(3));
+    assert_eq!(list.position(), at(7));
 }
 
 /// Returns a strategy for the history of a store, one revision per change, with removals that
@@ -237,9 +247,7 @@
     ) {
         let mut one = list_of(&updates);
         let mut other = list_of(&updates[..known.min(updates.len())]);
-        for update in one.updates_since(0) {
-            other.apply(NOW, update);
-        }
+        other.merge(NOW, one.updates_since(NOW, at(0)));
         one.expire(NOW + LAPSE_MS);
         other.expire(NOW + LAPSE_MS);
         prop_assert_eq!(listed(&one), listed(&other));
@@ -257,7 +265,7 @@
         }
         let mut list = list_of(&updates[..read]);
         let revision = updates.len() as u64;
-        list.replace(NOW, present.into_values().collect(), revision, false);
+        list.replace(NOW, present.into_values().collect(), at(revision), false);
         // Late updates from before the read change nothing.
         for update in &updates {
             list.apply(NOW, update.clone());
@@ -314,3 +322,28 @@
     let current: Vec<&str> = list.current().map(|r| r.id.as_str()).collect();
     assert_eq!(current, ["old"]);
 }
+
+/// A list that was read as a whole does not know what was removed before, so it sends all entries
+/// to a list that may still have it.
+#[rstest]
+#[case::from_before_the_read(4, true, &["b"])]
+#[case::from_after_the_read(5, false, &["b"])]
+fn a_removal_that_a_list_does_not_know_reaches_an_older_list(
+    #[case] known: u64,
+    #[case] whole: bool,
+    #[case] expected: &[&str],
+) {
+    let mut read = ServerList::default();
+    read.replace(NOW, vec![put("b", 2)], at(5), false);
+    read.advance(at(6));
+    let mut older = list_of(&[put("a", 1), put("b", 2)]);
+    older.advance(at(known));
+    if !whole {
+        older.apply(NOW, removal("a", 5, false));
+    }
+    let update = read.updates_since(NOW, older.position());
+    assert_eq!(update.whole, whole);
+    older.merge(NOW, update);
+    assert_eq!(listed(&older).into_keys().collect::<Vec<_>>(), expected);
+    assert_eq!(older.position(), at(6));
+}
