--- a/crates/oriolering/src/server_list.rs
+++ b/crates/oriolering/src/server_list.rs
@@ -1,4 +1,4 @@
-//! The list of backend servers, merged by revision from the reads of several nodes.
+//! The list of backend servers, merged by position in the store from the reads of several nodes.
 
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
