Let the soak lose writes of every entry when the store returns, and drain by the list alone

Cause: the soak drew returns of the store, but nodes that ignore the era passed it. By reading: an entry is compared by its own position, so one that was not written in the time that is lost takes any later change; and every drain was also said in the backend server's answers, from which nodes learn without the store. Ruled out: too few lost writes alone. Change: before a return, 50 to 600 writes to another key and one of each entry are lost; once the store is stable again, a backend server leaves by the list alone and serves on for 1.5 s beyond the bound.

--- a/crates/bench/src/soak/deeds.rs
+++ b/crates/bench/src/soak/deeds.rs
@@ -23,12 +23,35 @@
 const DRAIN_MORE: Duration = Duration::from_millis(500);
 /// The same where only its answers say that it leaves, which takes some requests to be heard.
 const UNLISTED_MORE: Duration = Duration::from_millis(2_000);
+/// The same where only the list says so.
+const LISTED_MORE: Duration = Duration::from_millis(1_500);
+/// A key of the store that means nothing to the nodes.
+const OTHER_KEY: &str = "other/writes";
 /// The pause between the entries that are written again after the store has come back from a copy;
 /// all are back within two seconds.
 const WRITE_GAP: Duration = Duration::from_millis(120);
 /// How often the end of a process is looked for.
 const POLL: Duration = Duration::from_millis(20);
 
+/// How a backend server says that it leaves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum LeaveNotice {
+    ListAndAnswers,
+    List,
+    Answers,
+}
+
+impl LeaveNotice {
+    /// Returns how long the backend server serves beyond the time that draining has to take.
+    fn serves_beyond(self) -> Duration {
+        match self {
+            Self::ListAndAnswers => DRAIN_MORE,
+            Self::List => LISTED_MORE,
+            Self::Answers => UNLISTED_MORE,
+        }
+    }
+}
+
 /// Does one deed.
 ///
 /// # Errors
@@ -52,6 +75,7 @@
         | Deed::AppKill
         | Deed::AppFreeze(_)
         | Deed::Replace
+        | Deed::LeaveListed
         | Deed::LeaveUnlisted => {
             let span = world.note_fault(machine.number, &format!("{deed:?}"));
             let done = disturb(&world, &machine, deed).await;
@@ -60,9 +84,18 @@
         }
         Deed::Configure => world.configure(),
         Deed::DropHistory => world.store.drop_history(),
-        Deed::StoreReturns { age_ms, away_ms } => {
+        Deed::StoreReturns {
+            age_ms,
+            away_ms,
+            lost_writes,
+        } => {
             let copy = world.store.copy();
             sleep(Duration::from_millis(age_ms)).await;
+            for number in 0..lost_writes {
+                world.store.put(OTHER_KEY, number.to_string());
+            }
+            // Each entry is written in the time that is lost, as by a heartbeat.
+            publish_all(&world, Duration::ZERO).await;
             let span = world.disrupt(None, "StoreReturns", false);
             world.store.set_fault(StoreFault::Reset);
             sleep(Duration::from_millis(away_ms)).await;
@@ -70,6 +103,11 @@
             world.store.set_fault(StoreFault::None);
             write_again(&world).await;
             world.calm(span);
+            sleep(Duration::from_millis(world.bounds.stable_window_ms)).await;
+            let span = world.note_fault(machine.number, &format!("{:?}", Deed::LeaveListed));
+            let done = disturb(&world, &machine, Deed::LeaveListed).await;
+            world.end_fault(span);
+            return done;
         }
         Deed::StoreFails(fault, ms) => {
             let span = world.disrupt(None, &format!("{fault:?}"), false);
@@ -85,13 +123,18 @@
 /// Writes again what the operator and the backend servers have written.
 async fn write_again(world: &World) {
     world.configure_again();
+    publish_all(world, WRITE_GAP).await;
+    world.remove_again();
+}
+
+/// Writes the entries of all backend servers that run, with a pause before each.
+async fn publish_all(world: &World, pause: Duration) {
     for machine in &world.machines {
-        sleep(WRITE_GAP).await;
+        sleep(pause).await;
         if machine.is_app_running() {
             world.publish(machine);
         }
     }
-    world.remove_again();
 }
 
 /// Does a deed to a backend server.
@@ -112,8 +155,9 @@
             machine.set_frozen(false).await;
             world.note_freeze(server, from_ms);
         }
-        Deed::Replace => return replace(world, machine, true).await,
-        Deed::LeaveUnlisted => return replace(world, machine, false).await,
+        Deed::Replace => return replace(world, machine, LeaveNotice::ListAndAnswers).await,
+        Deed::LeaveListed => return replace(world, machine, LeaveNotice::List).await,
+        Deed::LeaveUnlisted => return replace(world, machine, LeaveNotice::Answers).await,
         Deed::AppKill | Deed::AppFreeze(_) => {}
         Deed::Harm(_) | Deed::Reload | Deed::Configure => {}
         Deed::DropHistory | Deed::StoreReturns { .. } | Deed::StoreFails(_, _) => {}
@@ -172,7 +216,7 @@
 }
 
 /// Drains a backend server unless another one leaves, ends it and its node, and puts another service at its address.
-async fn replace(world: &Rc<World>, machine: &Rc<Machine>, listed: bool) -> io::Result<()> {
+async fn replace(world: &Rc<World>, machine: &Rc<Machine>, notice: LeaveNotice) -> io::Result<()> {
     let another = world.machines.iter().any(|m| m.now.draining.get());
     let frozen = machine.now.frozen.get();
     if another || frozen || !machine.is_settled() || !machine.is_app_running() {
@@ -180,17 +224,17 @@
     }
     let server = machine.now.server.borrow().clone();
     machine.now.draining.set(true);
-    machine.now.unlisted.set(!listed);
-    if listed {
+    machine.now.unlisted.set(notice == LeaveNotice::Answers);
+    if notice != LeaveNotice::Answers {
         world.publish(machine);
     }
     let leaving = AppFault {
-        leaving: true,
+        leaving: notice != LeaveNotice::List,
+        unhealthy: true,
         ..AppFault::default()
     };
     machine.set_fault(leaving).await;
-    let more = if listed { DRAIN_MORE } else { UNLISTED_MORE };
-    sleep(Duration::from_millis(world.bounds.drain_ms) + more).await;
+    sleep(Duration::from_millis(world.bounds.drain_ms) + notice.serves_beyond()).await;
     machine.kill_app();
     world.remove(&server);
     let span = world.disrupt(Some(machine.number), "replace", true);
--- a/crates/bench/src/soak/plan.rs
+++ b/crates/bench/src/soak/plan.rs
@@ -22,6 +22,8 @@
 const COPY_AGE_MS: Range<u64> = 500..5_000;
 /// How long the store is away before it comes back from a copy.
 const AWAY_MS: Range<u64> = 0..1_000;
+/// How many writes that nobody repeats are lost when the store comes back from a copy.
+const LOST_WRITES: Range<u32> = 50..600;
 /// How long a backend server is frozen; its entry lapses after 4,500 ms.
 const FREEZE_MS: Range<u64> = 800..4_000;
 
@@ -70,13 +72,20 @@
     Replace,
     /// The same, but only the backend server's answers say that it leaves.
     LeaveUnlisted,
+    /// The same, but only the list says that the backend server leaves.
+    LeaveListed,
     /// Publishes the next configuration.
     Configure,
     /// Lets the store forget its history.
     DropHistory,
-    /// Copies the store, and after milliseconds lets it be away for some, and come back from the
-    /// copy.
-    StoreReturns { age_ms: u64, away_ms: u64 },
+    /// Copies the store, and after milliseconds, some writes to other keys and one of each entry
+    /// lets it be away for some, and come back from the copy. Once it is stable, the backend server of the machine
+    /// leaves by the list alone.
+    StoreReturns {
+        age_ms: u64,
+        away_ms: u64,
+        lost_writes: u32,
+    },
     /// Lets the store fail for all nodes for milliseconds.
     StoreFails(StoreFault, u64),
 }
@@ -147,6 +156,7 @@
         15 => Deed::StoreReturns {
             age_ms: rng.random_range(COPY_AGE_MS),
             away_ms: rng.random_range(AWAY_MS),
+            lost_writes: rng.random_range(LOST_WRITES),
         },
         _ => Deed::Reload,
     }
