--- a/review/3/case.py
+++ b/review/3/case.py
@@ -15,8 +15,9 @@
 DRAIN_S = 2.5
 # `srv_slow` with `all`: 5 times as long for 9 s; the site file has x = 12 for 9 s.
 SLOW_X, SLOW_S = 5.0, 9.0
-# Under half of what the two backends can run at their usual speed.
-UPLOADS_PER_S = 25.0
+# Four backends, of which one leaves: a share of 0.25. The uploads are under half of what their gates
+# let run at the usual speed.
+BACKENDS, UPLOADS_PER_S = 4, 50.0
 
 
 async def main(world):
@@ -24,8 +25,8 @@
     world.bounds = [b for b in BOUNDS if not b.startswith(("drain_ms", "config_apply_ms", "ack_ms",
                                                            "catch_up_s"))]
     world.bounds += ["drain_ms=2500", "config_apply_ms=2500", "ack_ms=5000", "catch_up_s=6"]
-    for i in range(4):
-        world.add_node(ZONES[i], "bita11a" if i < 2 else "rack11a")
+    for i in range(BACKENDS + 2):
+        world.add_node(ZONES[i % 4], "bita11a" if i < BACKENDS else "rack11a")
     await world.open([{
         "name": "r-upload", "host": "jepu9.example", "prefix": "/fiti832/", "kind": "upload",
         "timeout_ms": DEADLINE_MS, "target_latency_ms": AIM_MS, "priority": 1,
@@ -58,7 +59,7 @@
     await asyncio.sleep(5.0)
     if TROUBLE:
         record.note(f"the backends of bita11a turn slow, {SLOW_X} times")
-        for backend in world.backends[:2]:
+        for backend in world.backends[:BACKENDS]:
             backend.slow = SLOW_X
     await asyncio.sleep(5.0)
     acknowledged = await leaving.leave(DRAIN_S + 1.5)
@@ -74,8 +75,11 @@
         record.note(f"{rid} reached the backend {after:.2f} s after the acknowledgement, drain_ms "
                     f"is {DRAIN_S * 1000:.0f}; its client got {answers.get(rid)}")
     lost = [rid for rid, _ in leaving.runs if answers.get(rid) != 200]
-    record.note(f"requests that reached the draining backend too late: {len(late)}; requests that "
-                f"it ran and whose clients got no success: {len(lost)} of {len(leaving.runs)}")
+    last = max((after for _, after in late), default=0.0)
+    statuses = sorted({str(answers.get(rid)) for rid in lost})
+    record.note(f"requests that reached the draining backend too late: {len(late)}, the last "
+                f"{last:.2f} s after the acknowledgement; requests that it ran and whose clients got "
+                f"no success: {len(lost)} of {len(leaving.runs)}, answered {', '.join(statuses) or '-'}")
     return bool(late)
 
 
