A leaving gate refuses what waits at it

Cause: Scheduler::close refused new requests only; next_event started the waiting ones until their own deadline. Evidence: the gate's node logged the entry as draining 2,885 ms before it admitted a request that had been queued before. Ruled out by the same lines: an ingress that learns late (all six nodes within 1 ms), a slow link (chosen to queued in 1 ms), a gate that learns late.

Change: a scheduler that is closed as leaving refuses what waits, and the gate acts on it at once: for an entry that says draining, a backend server that says so in an answer, and SIGTERM. The ingress sends the request to another backend server; it keeps its target time, which orders the queues. Why it works: nothing starts after the gate knows, so neither the drain nor the exit can be overtaken by a queue.

Test that failed before: a_request_that_waits_for_a_leaving_backend_server_runs_elsewhere; draining, announced and stopped gave 9, 9 and 7 requests where 6 are allowed; passes now.

--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -143,12 +143,10 @@
         self.listeners.broadcast(update);
     }
 
-    /// Refuses new requests from now on; waiting and running requests are still served.
+    /// Refuses new and waiting requests from now on; running requests are still served.
     pub(crate) fn leave(&self) {
         self.leaving.set(true);
-        self.scheduler
-            .borrow_mut()
-            .close(Some(RefusalReason::Leaving));
+        self.close_leaving();
         self.send_load();
     }
 
@@ -436,12 +434,21 @@
 
     /// Opens the gate, unless the node or its backend server is leaving.
     fn reopen(&self) {
-        let reason = self.is_leaving().then_some(RefusalReason::Leaving);
         self.health.log_up(&self.server.borrow());
-        self.scheduler.borrow_mut().close(reason);
+        match self.is_leaving() {
+            true => self.close_leaving(),
+            false => self.scheduler.borrow_mut().close(None),
+        }
         self.send_load_change();
     }
 
+    /// Closes the gate, and refuses the requests that wait at it.
+    fn close_leaving(&self) {
+        let reason = RefusalReason::Leaving;
+        self.scheduler.borrow_mut().close(Some(reason));
+        self.process_events();
+    }
+
     fn handle_connect_error(&self, e: &ExchangeError) {
         *self.responding_id.borrow_mut() = None;
         if self.leaving.get() || self.load().closed {
--- a/crates/mesh/tests/data_path/changes.rs
+++ b/crates/mesh/tests/data_path/changes.rs
@@ -6,7 +6,7 @@
 
 use crate::responding_service;
 use crate::support::raw::{run, sleep_ms};
-use crate::support::{Fleet, config, get, until};
+use crate::support::{Fleet, config, get, request, until};
 
 /// The time by which a change in the store is in force, in milliseconds.
 const APPLY_WITHIN_MS: u64 = 2_000;
@@ -93,6 +93,55 @@
     });
 }
 
+/// How a backend server or its node begins to leave.
+#[derive(Clone, Copy, Debug)]
+enum Departure {
+    /// The entry of the backend server says that it is draining.
+    Draining,
+    /// The responses of the backend server say that it is leaving.
+    Announced,
+    /// The node is told to stop.
+    Stopped,
+}
+
+// A request that waits at a gate must not be sent to a backend server that may exit before it
+// ends; it runs once, elsewhere.
+#[rstest]
+#[case::draining(Departure::Draining)]
+#[case::announced(Departure::Announced)]
+#[case::stopped(Departure::Stopped)]
+fn a_request_that_waits_for_a_leaving_backend_server_runs_elsewhere(#[case] departure: Departure) {
+    const RUNNING: usize = 12;
+    const TARGET: &str = "/post/slow/600";
+    run(async move {
+        let mut fleet = Fleet::serving(&["front", "s", "s"]).await;
+        let mut callers = Vec::new();
+        for _ in 0..RUNNING + 6 {
+            let mut caller = fleet.caller(0).await;
+            caller.send(request("POST", TARGET, "", "x")).await;
+            callers.push(caller);
+        }
+        until(|| fleet.request_count(TARGET) == RUNNING).await;
+        let leaving = fleet.instances[1].backend.clone();
+        match departure {
+            Departure::Draining => fleet.publish(1, "draining"),
+            Departure::Announced => {
+                leaving.set_headers_in_health(true);
+                leaving.set_answer_headers(&[("server-leaving", "1")]);
+            }
+            Departure::Stopped => fleet.stop(1),
+        }
+        sleep_ms(300).await;
+        let received = leaving.total_requests();
+        assert_eq!(received, RUNNING / 2);
+        for caller in &mut callers {
+            assert_eq!(caller.reply().await.status, 200);
+        }
+        assert_eq!(leaving.total_requests(), received);
+        assert_eq!(fleet.request_count(TARGET), callers.len());
+    });
+}
+
 #[test]
 fn a_node_that_the_store_rejects_learns_the_configuration_from_its_peers() {
     run(async {
--- a/crates/oriolering/src/scheduler.rs
+++ b/crates/oriolering/src/scheduler.rs
@@ -149,6 +149,9 @@
     }
 
     /// Refuses new requests for this reason, or accepts them again when it is `None`.
+    ///
+    /// When the reason is [`RefusalReason::Leaving`], [`Self::next_event`] refuses the waiting
+    /// requests too: the backend server may exit before they end.
     pub fn close(&mut self, reason: Option<RefusalReason>) {
         self.closed = reason;
     }
@@ -224,6 +227,9 @@
     ///
     /// The caller repeats the call until it returns `None`.
     pub fn next_event(&mut self, now: Millis) -> Option<SchedulerEvent> {
+        if let Some(event) = self.refuse_leaving() {
+            return Some(event);
+        }
         if let Some(event) = self.refuse_late(now) {
             return Some(event);
         }
@@ -322,6 +328,15 @@
         self.rate_limiter.wait_ms(now, ahead.count())
     }
 
+    /// Refuses a waiting request if the node or its backend server is shutting down.
+    fn refuse_leaving(&mut self) -> Option<SchedulerEvent> {
+        if self.closed != Some(RefusalReason::Leaving) {
+            return None;
+        }
+        let (key, _) = self.waiting.pop_front()?;
+        Some(SchedulerEvent::Refuse(key, RefusalReason::Leaving))
+    }
+
     /// Refuses a waiting request that is expected to end sooner at another backend server.
     ///
     /// This happens when the backend server became slow or lowered its rate limit in the meantime.
