A gate whose backend server's entry is removed is closed

Callers saw: of backend servers that leave without reporting `draining`, the gate took what was still offered and started what waited until its own deadline (DRAIN: "draining or gone"); 10 requests reached one in the test where 6 ran at the removal.

Cause: Node::update_gate returned when the list named no backend server at the local address, so the gate never heard of a removal. Ruled out: a node that does not hear of it, as its ingress chooses from the same list.

Change: a gate that had a backend server and no longer finds it listed is closed as leaving, and opens when one is listed there again; a gate that never had one stays open, as peers may hear of a new backend server first. set_server_leaving also no longer logs a backend server as up when it becomes leaving while it is down.

Test that failed before: a_request_that_waits_for_a_leaving_backend_server_runs_elsewhere, case removed (10 and 9 requests where 6 are allowed); passes. New guard of the way back: a_backend_server_that_is_listed_again_is_used_again.

--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -79,8 +79,8 @@
     notices: Notices,
     /// The identity that the backend server named in its last response.
     responding_id: RefCell<Option<CompactString>>,
-    /// Whether the server list says that the backend server is draining.
-    server_draining: Cell<bool>,
+    /// Whether the server list says that the backend server is draining, or no longer contains it.
+    server_leaving: Cell<bool>,
     server: RefCell<CompactString>,
     /// The start time of the backend server, by the server list.
     born: Cell<Option<u64>>,
@@ -116,7 +116,7 @@
             probing: Cell::new(false),
             leaving: Cell::new(false),
             responding_id: RefCell::default(),
-            server_draining: Cell::new(false),
+            server_leaving: Cell::new(false),
             server: RefCell::default(),
             born: Cell::new(None),
         }
@@ -147,16 +147,12 @@
     pub(crate) fn leave(&self) {
         self.leaving.set(true);
         self.close_leaving();
-        self.send_load();
     }
 
     /// Applies the record of the local backend server in the server list.
     pub(crate) fn update_server(&self, record: &ServerRecord, health_path: &str) {
         *self.health_path.borrow_mut() = health_path.into();
-        let leaving = record.state == ServerState::Draining;
-        if self.server_draining.replace(leaving) != leaving {
-            self.reopen();
-        }
+        self.set_server_leaving(record.state == ServerState::Draining);
         let born = self.born.replace(record.born);
         if *self.server.borrow() == record.id && born == record.born {
             return;
@@ -169,6 +165,23 @@
         self.reopen();
     }
 
+    /// Records that the server list no longer contains the local backend server, which may leave
+    /// without being listed as draining before.
+    pub(crate) fn remove_server(&self) {
+        let was_listed = !self.server.borrow().is_empty();
+        self.set_server_leaving(was_listed);
+    }
+
+    fn set_server_leaving(&self, leaving: bool) {
+        if self.server_leaving.replace(leaving) == leaving {
+            return;
+        }
+        match leaving {
+            true => self.close_leaving(),
+            false => self.reopen(),
+        }
+    }
+
     /// Resets what the previous run of the backend server reported of itself.
     fn reset_run(&self) {
         self.notices.reset(&self.server.borrow());
@@ -429,16 +442,16 @@
     /// Returns whether the node is stopping, or its backend server is leaving by the server list or
     /// by its own responses.
     fn is_leaving(&self) -> bool {
-        self.leaving.get() || self.server_draining.get() || self.notices.is_leaving()
+        self.leaving.get() || self.server_leaving.get() || self.notices.is_leaving()
     }
 
     /// Opens the gate, unless the node or its backend server is leaving.
     fn reopen(&self) {
         self.health.log_up(&self.server.borrow());
-        match self.is_leaving() {
-            true => self.close_leaving(),
-            false => self.scheduler.borrow_mut().close(None),
+        if self.is_leaving() {
+            return self.close_leaving();
         }
+        self.scheduler.borrow_mut().close(None);
         self.send_load_change();
     }
 
@@ -447,6 +460,7 @@
         let reason = RefusalReason::Leaving;
         self.scheduler.borrow_mut().close(Some(reason));
         self.process_events();
+        self.send_load_change();
     }
 
     fn handle_connect_error(&self, e: &ExchangeError) {
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -375,7 +375,7 @@
             .filter(|(_, gate)| matches!(gate, GateRef::Local));
         let ready = local.max_by_key(|(r, _)| (r.state == ServerState::Ready, r.born));
         let Some((record, _)) = ready else {
-            return;
+            return self.gate.remove_server();
         };
         let routes = self.routes();
         let service = routes
--- a/crates/mesh/tests/data_path/changes.rs
+++ b/crates/mesh/tests/data_path/changes.rs
@@ -98,6 +98,8 @@
 enum Departure {
     /// The entry of the backend server says that it is draining.
     Draining,
+    /// The entry of the backend server is removed.
+    Removed,
     /// The responses of the backend server say that it is leaving.
     Announced,
     /// The node is told to stop.
@@ -108,6 +110,7 @@
 // ends; it runs once, elsewhere.
 #[rstest]
 #[case::draining(Departure::Draining)]
+#[case::removed(Departure::Removed)]
 #[case::announced(Departure::Announced)]
 #[case::stopped(Departure::Stopped)]
 fn a_request_that_waits_for_a_leaving_backend_server_runs_elsewhere(#[case] departure: Departure) {
@@ -125,6 +128,7 @@
         let leaving = fleet.instances[1].backend.clone();
         match departure {
             Departure::Draining => fleet.publish(1, "draining"),
+            Departure::Removed => fleet.unpublish(1),
             Departure::Announced => {
                 leaving.set_headers_in_health(true);
                 leaving.set_answer_headers(&[("server-leaving", "1")]);
@@ -142,6 +146,22 @@
     });
 }
 
+// An entry may be removed by mistake, such as after missed heartbeats, and come back.
+#[test]
+fn a_backend_server_that_is_listed_again_is_used_again() {
+    run(async {
+        let fleet = Fleet::serving(&["front", "s"]).await;
+        fleet.unpublish(1);
+        sleep_ms(300).await;
+        assert_eq!(fleet.call(0, &get("/get/echo")).await.status, 503);
+        fleet.publish(1, "ready");
+        let listed = Instant::now();
+        fleet
+            .wait_for_target(0, "/get/echo", listed, APPLY_WITHIN_MS)
+            .await;
+    });
+}
+
 #[test]
 fn a_node_that_the_store_rejects_learns_the_configuration_from_its_peers() {
     run(async {
