A number of slots that is too large does not overflow

What happens: an entry or a load header that names 53,687,092 slots or more ends the task of a node that is built with overflow checks; a release build goes on with a wrapped capacity (1 where 42,949,673 are meant).

Cause: slots * 80 / 100 in 32 bits in Scheduler::capacity. Ruled out: the other published numbers, which are compared, saturate or fit 64 bits. Change: the product is made in 64 bits.

Test that failed before: the_capacity_of_very_many_slots_is_a_part_of_them, "attempt to multiply with overflow" in a debug build, shares of 0.00000002 and 0.01 in a release build; passes.

--- a/crates/mesh/tests/support/mod.rs
+++ b/crates/mesh/tests/support/mod.rs
@@ -279,6 +279,12 @@
         links
     }
 
+    /// Returns whether a node was started and has not ended.
+    pub fn is_running(&self, index: usize) -> bool {
+        let node = self.instances[index].node.as_ref();
+        node.is_some_and(|node| !node.is_finished())
+    }
+
     /// Aborts a node with its connections.
     pub async fn kill(&mut self, index: usize) {
         let node = self.instances[index].node.take().expect("it runs");
--- a/crates/mesh/tests/support/store.rs
+++ b/crates/mesh/tests/support/store.rs
@@ -81,11 +81,16 @@
     }
 
     pub fn put(&self, key: &str, value: &Value) {
+        self.put_bytes(key, value.to_string().as_bytes());
+    }
+
+    /// Puts a value that need not be JSON.
+    pub fn put_bytes(&self, key: &str, value: &[u8]) {
         let mut data = self.data.borrow_mut();
         data.revision += 1;
         let item = json!({
             "key": key,
-            "value": STANDARD.encode(value.to_string()),
+            "value": STANDARD.encode(value),
             "rev": data.revision,
             "created": data.revision,
             "lease": 0,
--- a/crates/oriolering/src/scheduler.rs
+++ b/crates/oriolering/src/scheduler.rs
@@ -14,7 +14,7 @@
 use crate::{GateLoad, Millis, Rate, RateLimiter};
 
 /// The percentage of the published slots that are used; with more in use, work slows down.
-const USABLE_PERCENT: u32 = 80;
+const USABLE_PERCENT: u64 = 80;
 /// The time allowed for a response to reach its caller, in milliseconds.
 const RESPONSE_MS: u64 = 8;
 /// The maximum number of waiting requests, as a multiple of the capacity.
@@ -133,7 +133,8 @@
 
     /// Returns how many requests may run at once.
     pub fn capacity(&self) -> u32 {
-        (self.slots * USABLE_PERCENT / 100).max(1)
+        let usable = u64::from(self.slots) * USABLE_PERCENT / 100;
+        u32::try_from(usable).unwrap_or(u32::MAX).max(1)
     }
 
     /// Changes the number of published slots.
--- a/crates/oriolering/tests/scheduler/order.rs
+++ b/crates/oriolering/tests/scheduler/order.rs
@@ -1,10 +1,22 @@
 //! Capacity, and the order in which waiting requests start.
 
-use oriolering::{Admission, Job, SchedulerEvent};
+use oriolering::{Admission, Job, Scheduler, SchedulerEvent};
 use rstest::rstest;
 
 use crate::{NOW, full, job, wait};
 
+// A number that is too large must not wrap around, nor end the process.
+#[rstest]
+#[case::beyond_the_product(u32::MAX / 80 + 1)]
+#[case::largest(u32::MAX)]
+fn the_capacity_of_very_many_slots_is_a_part_of_them(#[case] slots: u32) {
+    let mut scheduler = Scheduler::new(4);
+    scheduler.resize(slots);
+    let share = f64::from(scheduler.capacity()) / f64::from(slots);
+    assert!((0.7..=1.0).contains(&share), "{share}");
+    assert_eq!(scheduler.load(NOW).capacity, scheduler.capacity());
+}
+
 #[rstest]
 #[case::none_published(0)]
 #[case::one(1)]
