An odd entry in the list of instances hides no other

What callers see (the older path): with one entry in the list that is nested deeply, holds a number beyond a double or an unpaired surrogate, no node follows the list any more, so leaving backend servers are used on.

Cause: the whole list was parsed into JSON values before the entries were checked, and such an entry fails in the parser. Ruled out: entries of another type, which were left out before, too. Change: entries stay raw text (serde_json's raw_value) and are decoded one by one.

--- a/crates/bench/tests/control/members.rs
+++ b/crates/bench/tests/control/members.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use oriolering::{AttemptStatus, CallId, Grant, Incarnation};
+use oriolering::{AttemptStatus, CallId, Grant, Incarnation, Member};
 use oriolering_bench::control_fleet::{Fleet, Node, Shape, bundle, list};
 use rstest::rstest;
 
@@ -157,3 +157,39 @@
     assert_eq!(*gate.record.fenced.lock(), [9]);
     fleet.stop().await;
 }
+
+/// Returns a list of instances with one more entry, whose zone is this JSON.
+fn list_with_odd_entry(members: &[Member], zone: &str) -> String {
+    let mut odd = members[0].clone();
+    odd.id = "odd".into();
+    odd.zone = "ODD".into();
+    let members: Vec<Member> = [&[odd], members].concat();
+    list(&members).replace("\"ODD\"", zone)
+}
+
+// Guards against an odd entry of another writer that makes the nodes stop following the list.
+#[rstest]
+#[case::nested("[".repeat(10_000) + &"]".repeat(10_000))]
+#[case::too_large_a_number("1e400".to_owned())]
+#[case::unpaired_surrogate("\"\\ud800\"".to_owned())]
+#[case::another_type("70000".to_owned())]
+#[tokio::test]
+async fn an_odd_entry_of_the_list_hides_no_other(#[case] zone: String) {
+    const NODES: usize = 8;
+    let fleet = fleet(NODES);
+    let complete = |node: &Node| node.record.members.lock().len() == NODES;
+    assert!(fleet.until(LIMIT, complete).await);
+    let mut members: Vec<Member> = fleet.nodes.iter().map(|node| node.member.clone()).collect();
+    members[3].control.set_ip([127, 0, 0, 99].into());
+    fleet.platform.list(list_with_odd_entry(&members, &zone));
+    let followed = |node: &Node| {
+        let view = node.view("node-3");
+        view.is_some_and(|member| member.control == members[3].control)
+    };
+    assert!(fleet.until(LIMIT, followed).await);
+    for node in &fleet.nodes {
+        assert!(node.view("odd").is_none());
+        assert_eq!(node.record.members.lock().len(), NODES);
+    }
+    fleet.stop().await;
+}
--- a/crates/node/src/control/list.rs
+++ b/crates/node/src/control/list.rs
@@ -5,13 +5,15 @@
 use compact_str::CompactString;
 use oriolering::{MEMBERS_MAX, Member};
 use serde::Deserialize;
-use serde_json::Value;
+use serde_json::value::RawValue;
 
 use super::message::ID_BYTES;
 
+/// The list; its entries are decoded one by one, so that an unreadable one hides no other.
 #[derive(Deserialize)]
-struct Instances {
-    instances: Vec<Value>,
+struct Instances<'a> {
+    #[serde(borrow)]
+    instances: Vec<&'a RawValue>,
 }
 
 #[derive(Deserialize)]
@@ -46,8 +48,8 @@
     Ok(list.instances.into_iter().filter_map(scan_member).collect())
 }
 
-fn scan_member(value: Value) -> Option<Member> {
-    let instance = serde_json::from_value::<Instance>(value).ok()?;
+fn scan_member(entry: &RawValue) -> Option<Member> {
+    let instance: Instance = serde_json::from_str(entry.get()).ok()?;
     if instance.id.is_empty() || instance.id.len() > ID_BYTES {
         return None;
     }
