--- a/crates/mesh/src/store_reader.rs
+++ b/crates/mesh/src/store_reader.rs
@@ -149,6 +149,7 @@
             .client
             .call("start", &path, READ_TIMEOUT_MS, parse_range)
             .await?;
+        self.log_rejected(&range.broken, range.position);
         if self.node.settings.first_start {
             self.apply_items(range.items);
             gossip::apply_list(&self.node);
--- a/crates/mesh/tests/odd_entries.rs
+++ b/crates/mesh/tests/odd_entries.rs
@@ -75,11 +75,33 @@
     entries
 }
 
-fn put_odd_entries(fleet: &Fleet) {
-    for (number, entry) in odd_entries().iter().enumerate() {
-        fleet
-            .store
-            .put_bytes(&format!("servers/odd-{number}"), entry);
+/// The key of an item that the store sends as another text.
+const ODD_KEY: &str = r#""key":"servers/odd""#;
+
+/// What is odd among the entries.
+#[derive(Clone, Debug)]
+enum Odd {
+    /// The values of many entries.
+    Values,
+    /// One item as the store sends it, whose key is replaced by this text.
+    Item(String),
+}
+
+impl Odd {
+    fn put(&self, fleet: &Fleet) {
+        match self {
+            Self::Values => {
+                for (number, entry) in odd_entries().iter().enumerate() {
+                    let key = format!("servers/odd-{number}");
+                    fleet.store.put_bytes(&key, entry);
+                }
+            }
+            Self::Item(text) => {
+                fleet.store.substitute(ODD_KEY, text);
+                let entry = entry_with("sequence", "2");
+                fleet.store.put_bytes("servers/odd", &entry);
+            }
+        }
     }
 }
 
@@ -122,17 +144,22 @@
 // Guards against an odd entry that ends the processes that read the list, or makes them stop
 // following it.
 #[rstest]
-#[case::first_start(Path::FirstStart)]
-#[case::watch(Path::Watch)]
-#[case::peers(Path::Peers)]
-#[case::restart(Path::Restart)]
-#[case::pages(Path::Pages)]
-fn odd_entries_end_no_node_and_the_others_hold(#[case] path: Path) {
+fn odd_entries_end_no_node_and_the_others_hold(
+    #[values(Path::FirstStart, Path::Watch, Path::Peers, Path::Restart, Path::Pages)] path: Path,
+    #[values(
+        Odd::Values,
+        Odd::Item(r#""key":"servers/\ud800""#.to_owned()),
+        Odd::Item(format!(r#"{ODD_KEY},"extra":{}"#, nested("[", "]"))),
+        Odd::Item(format!(r#"{ODD_KEY},"extra":1e400"#)),
+        Odd::Item(r#""key":70000"#.to_owned())
+    )]
+    odd: Odd,
+) {
     run(async move {
         let mut fleet = Fleet::new(&["front", "s", "s"]).await;
         fleet.store.put("op/config", &config(1, "s"));
         match path {
-            Path::FirstStart => put_odd_entries(&fleet),
+            Path::FirstStart => odd.put(&fleet),
             Path::Watch | Path::Peers | Path::Restart => {}
             Path::Pages => fleet.store.set_page_size(7),
         }
@@ -147,10 +174,10 @@
         fleet.wait_all_serving().await;
         match path {
             Path::FirstStart => {}
-            Path::Watch | Path::Peers => put_odd_entries(&fleet),
+            Path::Watch | Path::Peers => odd.put(&fleet),
             Path::Restart | Path::Pages => {
                 fleet.kill(0).await;
-                put_odd_entries(&fleet);
+                odd.put(&fleet);
                 fleet.start_one(0);
             }
         }
--- a/crates/mesh/tests/support/store.rs
+++ b/crates/mesh/tests/support/store.rs
@@ -53,6 +53,8 @@
     page_size: Rc<Cell<Option<usize>>>,
     /// Whether answers lack the header for the era.
     hides_era: Rc<Cell<bool>>,
+    /// A text in the bodies of answers, and what is sent in its place.
+    substitution: Rc<RefCell<Option<(String, String)>>>,
     /// The paths and queries of all requests.
     requests: Rc<RefCell<Vec<String>>>,
 }
@@ -131,6 +133,11 @@
         self.hides_era.set(true);
     }
 
+    /// Replaces a text in the bodies of all answers.
+    pub fn substitute(&self, text: &str, replacement: &str) {
+        *self.substitution.borrow_mut() = Some((text.to_owned(), replacement.to_owned()));
+    }
+
     /// Makes reads that may be stale return a copy from now on.
     pub fn serve_stale_copy(&self, copy: &StoreCopy) {
         *self.stale.borrow_mut() = Some(copy.0.clone());
@@ -164,7 +171,12 @@
 
     async fn answer(self, at: SocketAddr, request: Request) -> Answer {
         let unresponsive = Rc::clone(&self.unresponsive);
-        let answer = self.route_request(at, request).await;
+        let substitution = Rc::clone(&self.substitution);
+        let mut answer = self.route_request(at, request).await;
+        if let Some((text, replacement)) = &*substitution.borrow() {
+            let body = String::from_utf8_lossy(&answer.body).replace(text, replacement);
+            answer.body = Bytes::from(body);
+        }
         if unresponsive.borrow().contains(&at) {
             return std::future::pending().await;
         }
