--- a/crates/mesh/tests/faulty_answers.rs
+++ b/crates/mesh/tests/faulty_answers.rs
@@ -88,7 +88,8 @@
                 continue;
             }
             if target.contains("/cut") {
-                return peer.send(self.cut.borrow().replace("ID\r\n", &id)).await;
+                let cut = self.cut.borrow().replace("ID\r\n", &id);
+                return peer.send(cut).await;
             }
             if target.contains("/refused") {
                 let refusal = self.answer(self.refusal, &id, "");
