A call that a repeated shed answer could refuse gets a new connection

What callers see (the older path, with shed.not_run): a call that may not be repeated runs at two backend servers, or is told not-run while it runs, if a faulty backend server writes an earlier shed answer once more on a kept connection.

Cause: answers on this path echo no identity, so the next answer on a pooled connection counts for the next call. Ruled out: the way between nodes, where each attempt has an identity; the same play without copies passes. Change: where a shed answer counts as not run, a call that may not be repeated gets a connection on which nothing was sent before and which is closed afterwards; the price is that connection.

--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -74,7 +74,7 @@
     payload: Incoming,
 ) -> HttpResponse {
     let mut span = wire.node.traces.incoming("gate", request.headers());
-    let (outgoing, mut hop) = outgoing(&wire, &request, &span);
+    let (outgoing, mut hop) = outgoing(&wire, &job, &request, &span);
     if let Err(refusal) = permit.dispatch() {
         traces::note(&mut span, "reason", refusal.cause.as_str());
         return refuse(&wire, refusal);
@@ -91,16 +91,22 @@
     }
 }
 
-fn outgoing(wire: &Wire, request: &HttpRequest, parent: &Span) -> (ClientRequest, Span) {
+fn outgoing(wire: &Wire, job: &Job, request: &HttpRequest, parent: &Span) -> (ClientRequest, Span) {
     let target = request
         .uri()
         .path_and_query()
         .map_or("/", |target| target.as_str());
     let uri = format!("http://{}{target}", wire.node.card.backend);
+    // A faulty backend server may repeat an earlier shed answer, which must not count for a call
+    // that runs.
+    let alone = job.settings.shed.not_run && !job.idempotent;
     let mut outgoing = wire
-        .backend
+        .backend_client(alone)
         .request(request.method().clone(), uri)
         .no_decompress();
+    if alone {
+        outgoing = outgoing.force_close();
+    }
     let mut headers = headers::end_to_end(request.headers());
     let span = wire.node.traces.outgoing("backend", parent, &mut headers);
     *outgoing.headers_mut() = headers;
--- a/crates/node/src/wire.rs
+++ b/crates/node/src/wire.rs
@@ -67,6 +67,15 @@
         (wire, receiver)
     }
 
+    /// Returns the client for a call to the local backend server; `alone` asks for a connection on
+    /// which nothing was sent before.
+    pub(crate) fn backend_client(&self, alone: bool) -> Client {
+        match alone {
+            true => pooled(),
+            false => self.backend.clone(),
+        }
+    }
+
     /// Returns the client whose connections lead to one gate.
     pub(crate) fn gate(&self, address: SocketAddr) -> Client {
         let mut gates = self.gates.borrow_mut();
