--- a/crates/mesh/tests/data_path/changes.rs
+++ b/crates/mesh/tests/data_path/changes.rs
@@ -6,7 +6,7 @@
 
 use crate::responding_service;
 use crate::support::raw::{run, sleep_ms};
-use crate::support::{Fleet, config, get, request, until};
+use crate::support::{Fleet, config, config_with_calls, get, request, until};
 
 /// The time by which a change in the store is in force, in milliseconds.
 const APPLY_WITHIN_MS: u64 = 2_000;
@@ -146,6 +146,46 @@
     });
 }
 
+#[test]
+fn a_retry_is_not_sent_to_a_leaving_backend_server() {
+    run(async {
+        let fleet = Fleet::serving(&["front", "s", "s"]).await;
+        fleet.publish(2, "draining");
+        sleep_ms(300).await;
+        for number in 0..10 {
+            let target = format!("/get/reset-once?{number}");
+            assert_eq!(fleet.call(0, &get(&target)).await.status, 502);
+        }
+        assert_eq!(fleet.instances[1].backend.total_requests(), 10);
+        assert_eq!(fleet.instances[2].backend.total_requests(), 0);
+    });
+}
+
+// The gate of a leaving backend server is closed, but its calls go through the ingress beside it.
+#[test]
+fn a_leaving_backend_server_makes_the_calls_of_its_running_requests() {
+    const CALLS: usize = 200;
+    run(async {
+        let fleet = Fleet::serving(&["front", "s", "t"]).await;
+        fleet.store.put("op/config", &config_with_calls(2));
+        let now = Instant::now();
+        fleet
+            .wait_for_target(1, "/inner/echo", now, APPLY_WITHIN_MS)
+            .await;
+        let called = &fleet.instances[2].backend;
+        called.clear_requests();
+        let mut caller = fleet.caller(0).await;
+        let target = format!("/post/call/{CALLS}?leaves");
+        caller.send(request("POST", &target, "", "")).await;
+        until(|| called.total_requests() > 0).await;
+        fleet.publish(1, "draining");
+        assert_eq!(caller.reply().await.status, 200);
+        assert_eq!(called.request_count_by_prefix("/inner/echo"), CALLS);
+        let states = fleet.events(1, "server_listed").await;
+        assert!(states.iter().any(|line| line["state"] == "draining"));
+    });
+}
+
 // An entry may be removed by mistake, such as after missed heartbeats, and come back.
 #[test]
 fn a_backend_server_that_is_listed_again_is_used_again() {
