--- a/crates/mesh/tests/odd_entries.rs
+++ b/crates/mesh/tests/odd_entries.rs
@@ -79,28 +79,42 @@
 const ODD_KEY: &str = r#""key":"servers/odd""#;
 
 /// What is odd among the entries.
-#[derive(Clone, Debug)]
+#[derive(Clone, Copy, Debug)]
 enum Odd {
     /// The values of many entries.
     Values,
-    /// One item as the store sends it, whose key is replaced by this text.
-    Item(String),
+    /// The key of an item is no Unicode text.
+    SurrogateKey,
+    /// The key of an item is a number.
+    NumericKey,
+    /// An item has a deeply nested field.
+    NestedField,
+    /// An item has a field with a number that is too large.
+    LargeNumber,
 }
 
 impl Odd {
-    fn put(&self, fleet: &Fleet) {
+    /// Returns what the store sends in place of the key of the odd item, or none if only the values
+    /// are odd.
+    fn key(self) -> Option<String> {
         match self {
-            Self::Values => {
-                for (number, entry) in odd_entries().iter().enumerate() {
-                    let key = format!("servers/odd-{number}");
-                    fleet.store.put_bytes(&key, entry);
-                }
-            }
-            Self::Item(text) => {
-                fleet.store.substitute(ODD_KEY, text);
-                let entry = entry_with("sequence", "2");
-                fleet.store.put_bytes("servers/odd", &entry);
-            }
+            Self::Values => None,
+            Self::SurrogateKey => Some(r#""key":"servers/\ud800""#.to_owned()),
+            Self::NumericKey => Some(r#""key":70000"#.to_owned()),
+            Self::NestedField => Some(format!(r#"{ODD_KEY},"extra":{}"#, nested("[", "]"))),
+            Self::LargeNumber => Some(format!(r#"{ODD_KEY},"extra":1e400"#)),
+        }
+    }
+
+    fn put(self, fleet: &Fleet) {
+        if let Some(key) = self.key() {
+            fleet.store.substitute(ODD_KEY, &key);
+            let entry = entry_with("sequence", "2");
+            return fleet.store.put_bytes("servers/odd", &entry);
+        }
+        for (number, entry) in odd_entries().iter().enumerate() {
+            let key = format!("servers/odd-{number}");
+            fleet.store.put_bytes(&key, entry);
         }
     }
 }
@@ -148,10 +162,10 @@
     #[values(Path::FirstStart, Path::Watch, Path::Peers, Path::Restart, Path::Pages)] path: Path,
     #[values(
         Odd::Values,
-        Odd::Item(r#""key":"servers/\ud800""#.to_owned()),
-        Odd::Item(format!(r#"{ODD_KEY},"extra":{}"#, nested("[", "]"))),
-        Odd::Item(format!(r#"{ODD_KEY},"extra":1e400"#)),
-        Odd::Item(r#""key":70000"#.to_owned())
+        Odd::SurrogateKey,
+        Odd::NumericKey,
+        Odd::NestedField,
+        Odd::LargeNumber
     )]
     odd: Odd,
 ) {
