Tests of cut heads cut within the id, too

The faulty backend server of the tests cut its answer before the id was put in, so no cut fell within that field. It cuts what is sent now, at each length of the head, and its steps are functions of their own. 96 cases pass.

--- a/crates/mesh/tests/faulty_answers.rs
+++ b/crates/mesh/tests/faulty_answers.rs
@@ -15,6 +15,9 @@
 /// The request header that carries the id.
 const ID: &str = "Oriolering-Request-Id: ";
 
+/// The line of an answer in place of which the id of the request is sent.
+const ID_LINE: &str = "ID\r\n";
+
 /// When an earlier refusal is written once more.
 #[derive(Clone, Copy, Debug)]
 enum Moment {
@@ -38,8 +41,9 @@
     refusal: &'static str,
     /// How many times an earlier refusal is written once more.
     copies: usize,
-    /// How a request for `/cut` is answered before the connection ends.
-    cut: Rc<RefCell<String>>,
+    /// The answer to a request for `/cut`, and after how many bytes the connection ends.
+    whole: Rc<RefCell<String>>,
+    cut_at: Rc<Cell<usize>>,
     /// The requests that ran: id and target.
     runs: Rc<RefCell<Vec<String>>>,
     copied: Rc<Cell<usize>>,
@@ -63,7 +67,8 @@
             moment,
             refusal,
             copies,
-            cut: Rc::default(),
+            whole: Rc::default(),
+            cut_at: Rc::default(),
             runs: Rc::default(),
             copied: Rc::default(),
         };
@@ -85,36 +90,49 @@
             peer.bytes(content_length(&head)).await;
             if target.starts_with("/health") {
                 peer.send(self.answer("200 OK", "", "")).await;
-                continue;
-            }
-            if target.contains("/cut") {
-                let cut = self.cut.borrow().replace("ID\r\n", &id);
-                return peer.send(cut).await;
+            } else if target.contains("/cut") {
+                return peer.send(self.cut_answer(&id)).await;
+            } else if target.contains("/refused") {
+                refused = self.refuse(&mut peer, &id).await;
+            } else {
+                self.run(&mut peer, &id, refused.take()).await;
             }
-            if target.contains("/refused") {
-                let refusal = self.answer(self.refusal, &id, "");
-                peer.send(&refusal).await;
-                match self.moment {
-                    Moment::AtOnce => self.send_copies(&mut peer, &refusal).await,
-                    Moment::Idle => {
-                        sleep_ms(5).await;
-                        self.send_copies(&mut peer, &refusal).await;
-                    }
-                    Moment::NextRequest | Moment::Running => refused = Some(refusal),
-                }
-                continue;
+        }
+    }
+
+    /// Refuses a request; returns the refusal if it is to be written again later.
+    async fn refuse(&self, peer: &mut RawPeer, id: &str) -> Option<String> {
+        let refusal = self.answer(self.refusal, id, "");
+        peer.send(&refusal).await;
+        match self.moment {
+            Moment::AtOnce => self.send_copies(peer, &refusal).await,
+            Moment::Idle => {
+                sleep_ms(5).await;
+                self.send_copies(peer, &refusal).await;
             }
-            self.runs.borrow_mut().push(id.clone());
-            if let Some(refusal) = refused.take() {
-                if matches!(self.moment, Moment::Running) {
-                    sleep_ms(5).await;
-                }
-                self.send_copies(&mut peer, &refusal).await;
+            Moment::NextRequest | Moment::Running => return Some(refusal),
+        }
+        None
+    }
+
+    /// Runs a request, after or while an earlier refusal is written again.
+    async fn run(&self, peer: &mut RawPeer, id: &str, refused: Option<String>) {
+        self.runs.borrow_mut().push(id.to_owned());
+        if let Some(refusal) = refused {
+            if matches!(self.moment, Moment::Running) {
+                sleep_ms(5).await;
             }
-            sleep_ms(10).await;
-            let fields = format!("Oriolering-Response-Signature: {SIGNATURE}\r\n{id}");
-            peer.send(self.answer("200 OK", &fields, "ran")).await;
+            self.send_copies(peer, &refusal).await;
         }
+        sleep_ms(10).await;
+        let fields = format!("Oriolering-Response-Signature: {SIGNATURE}\r\n{id}");
+        peer.send(self.answer("200 OK", &fields, "ran")).await;
+    }
+
+    /// Returns the part of an answer before the end of the connection.
+    fn cut_answer(&self, id: &str) -> String {
+        let whole = self.whole.borrow().replace(ID_LINE, id);
+        whole[..self.cut_at.get()].to_owned()
     }
 
     async fn send_copies(&self, peer: &mut RawPeer, refusal: &str) {
@@ -264,10 +282,12 @@
         let faulty = Faulty::replace(&fleet, 1, Moment::AtOnce, FULL, 0).await;
         let node = if remote { 0 } else { 1 };
         let whole = &cut_answers()[framing];
-        let head = whole.find("\r\n\r\n").expect("a head") + 4;
+        *faulty.whole.borrow_mut() = whole.clone();
+        let sent = whole.replace(ID_LINE, &format!("{ID}cut-000\r\n"));
+        let head = sent.find("\r\n\r\n").expect("a head") + 4;
         for length in 0..head {
-            *faulty.cut.borrow_mut() = whole[..length].to_owned();
-            let id = format!("cut-{length}");
+            faulty.cut_at.set(length);
+            let id = format!("cut-{length:03}");
             let reply = call(&fleet, node, &method, "/cut", Some(&id)).await;
             assert_eq!(reply.status, 502, "{length} of {head}: {reply:?}");
         }
