Tests of repeated refusals allow a hedge, and check the gate's lines

Change: a POST still runs exactly once and is answered 200; a GET may run a second time; and for both the gate's lines must show no request but the refused ones as not run, which the test did not check before.

--- a/crates/mesh/tests/faulty_answers.rs
+++ b/crates/mesh/tests/faulty_answers.rs
@@ -7,9 +7,11 @@
 use std::rc::Rc;
 
 use rstest::rstest;
+use serde_json::Value;
 use support::backend::SIGNATURE;
 use support::raw::{RawPeer, Reply, run, sleep_ms};
 use support::{Fleet, request};
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 
 /// The request header that carries the id.
@@ -89,9 +91,9 @@
             let (target, id) = (target(&head), id_field(&head));
             peer.bytes(content_length(&head)).await;
             if target.starts_with("/health") {
-                peer.send(self.answer("200 OK", "", "")).await;
+                send(&mut peer, &self.answer("200 OK", "", "")).await;
             } else if target.contains("/cut") {
-                return peer.send(self.cut_answer(&id)).await;
+                return send(&mut peer, &self.cut_answer(&id)).await;
             } else if target.contains("/refused") {
                 refused = self.refuse(&mut peer, &id).await;
             } else {
@@ -103,7 +105,7 @@
     /// Refuses a request; returns the refusal if it is to be written again later.
     async fn refuse(&self, peer: &mut RawPeer, id: &str) -> Option<String> {
         let refusal = self.answer(self.refusal, id, "");
-        peer.send(&refusal).await;
+        send(peer, &refusal).await;
         match self.moment {
             Moment::AtOnce => self.send_copies(peer, &refusal).await,
             Moment::Idle => {
@@ -126,7 +128,7 @@
         }
         sleep_ms(10).await;
         let fields = format!("Oriolering-Response-Signature: {SIGNATURE}\r\n{id}");
-        peer.send(self.answer("200 OK", &fields, "ran")).await;
+        send(peer, &self.answer("200 OK", &fields, "ran")).await;
     }
 
     /// Returns the part of an answer before the end of the connection.
@@ -137,7 +139,7 @@
 
     async fn send_copies(&self, peer: &mut RawPeer, refusal: &str) {
         for _ in 0..self.copies {
-            peer.send(refusal).await;
+            send(peer, refusal).await;
             self.copied.set(self.copied.get() + 1);
         }
     }
@@ -157,6 +159,11 @@
     }
 }
 
+/// Writes to a node, which may have closed the connection.
+async fn send(peer: &mut RawPeer, text: &str) {
+    let _ = peer.stream.write_all(text.as_bytes()).await;
+}
+
 fn target(head: &str) -> &str {
     head.split(' ').nth(1).expect("a target")
 }
@@ -187,6 +194,8 @@
     fleet.call(node, &text.replace(&old, &new)).await
 }
 
+/// How often a request is refused and another one run until a refusal has been written again.
+const ROUNDS_MAX: usize = 200;
 const FULL: &str = "503 No\r\nOriolering-Not-Executed: 1";
 const BUSY: &str = "429 No\r\nOriolering-Not-Executed: 1";
 const MALFORMED: &str = "400 No\r\nOriolering-Not-Executed: 1";
@@ -195,6 +204,18 @@
 /// milliseconds.
 const MISDIRECTED_PAUSE_MS: u64 = 2_100;
 
+/// Checks that the gate of an instance took no other request for refused by its backend server.
+async fn assert_refused_only_the_refused(fleet: &Fleet, index: usize) {
+    sleep_ms(100).await;
+    let ran = fleet.events(index, "ran").await;
+    let mut refused = ran.iter().filter(|line| line["outcome"] == "unexecuted");
+    let is_refused = |line: &Value| {
+        let id = line["request"].as_str();
+        id.is_some_and(|id| id.starts_with("refused"))
+    };
+    assert!(refused.all(is_refused), "{ran:?}");
+}
+
 // Guards against a repeated refusal that is taken for the answer to the next request: its caller would
 // be told that it did not run, or it would run at a second backend server.
 #[rstest]
@@ -217,7 +238,15 @@
         let index = services.len() - 1;
         let node = if remote { 0 } else { index };
         let faulty = Faulty::replace(&fleet, index, moment, refusal, copies).await;
-        for round in 0..rounds {
+        let shown = || faulty.copied.get() > 0 && faulty.runs_of("run") > 0;
+        for round in 0..ROUNDS_MAX {
+            if round >= rounds {
+                if shown() {
+                    break;
+                }
+                // Its refusals make the nodes avoid the faulty one for a while.
+                sleep_ms(50).await;
+            }
             for method in ["POST", "GET"] {
                 let refused = format!("refused-{method}-{round}");
                 call(&fleet, node, method, "/refused", Some(&refused)).await;
@@ -227,11 +256,14 @@
                 let reply = call(&fleet, node, method, &path, Some(&id)).await;
                 let target = format!("/{}{path}", method.to_ascii_lowercase());
                 let runs = faulty.runs_of(&id) + fleet.request_count(&target);
-                assert_eq!((reply.status, runs), (200, 1), "{id}: {reply:?}");
+                assert_eq!(reply.status, 200, "{id}: {reply:?}");
+                // A slow run of a GET may be hedged; that no refusal counted for it is checked below.
+                let hedged = method == "GET" && runs == 2;
+                assert!(runs == 1 || hedged, "{id} ran {runs} times");
             }
         }
-        assert!(faulty.copied.get() > 0, "no refusal was written again");
-        assert!(faulty.runs_of("run") > 0, "the faulty one ran nothing");
+        assert_refused_only_the_refused(&fleet, index).await;
+        assert!(shown(), "no refusal was written again, or nothing ran");
     });
 }
 
