An outdated estimate of a route is corrected by trials

Cause: the estimate of a route's duration at an ingress changes only with responses, and a request that the estimate refuses has none. Nothing else corrected it: not time, not the gate, not other nodes.

Ruled out: gates that refuse (the refused requests have no `chosen` line), a closed gate or an avoided backend server (the other route of the same nodes is served), the configuration (the route is found; the reason is in the line).

Change: an estimate without a sample for a second no longer refuses alone. Of the requests that it would refuse, one in 500 ms at most is sent as a trial, with the duration that is assumed for a route without samples, if it fits the time left by that. The response of a trial counts a half in place of an eighth. Each kind of route is tried: a trial runs once at most, as any request, and the gate refuses what it cannot end in time as not run. Estimates that refuse nothing, the choice and hedging are as before.

Weighed: to let the estimate decay with time. It is also the yardstick of hedging and of the gates' queues, which would start second runs at low rates.

--- a/crates/mesh/src/attempt.rs
+++ b/crates/mesh/src/attempt.rs
@@ -46,6 +46,37 @@
     }
 }
 
+/// Returns the cost to assume for a request that its route's estimate keeps from being sent, if a
+/// trial of the route is due.
+fn trial_cost(node: &Node, job: &RequestJob, cost: RequestCost) -> Option<RequestCost> {
+    let work = node.estimates.borrow();
+    let work_ms = work.trial_ms(node.now(), job.route_hash, job.route.aim_ms)?;
+    Some(RequestCost { work_ms, ..cost })
+}
+
+/// Chooses a backend server that is expected to answer before the deadline and is not in `tried`,
+/// for a request that none is expected to answer in time by its usual `cost`. Returns it with the
+/// cost that was assumed.
+///
+/// Otherwise an estimate that is too high would never be corrected.
+pub(crate) fn choose_for_trial(
+    node: &Node,
+    job: &RequestJob,
+    cost: RequestCost,
+    tried: &[CompactString],
+) -> Option<(ServerChoice, RequestCost)> {
+    let now = node.now();
+    let cost = trial_cost(node, job, cost)?;
+    let chosen = choose_server(node, job, cost, tried)?;
+    if now + chosen.placement.expected_ms > job.deadline {
+        return None;
+    }
+    node.estimates
+        .borrow_mut()
+        .record_trial(now, job.route_hash);
+    Some((chosen, cost))
+}
+
 /// Chooses a backend server that is not in `tried`.
 pub(crate) fn choose_server(
     node: &Node,
--- a/crates/mesh/src/attempt_result.rs
+++ b/crates/mesh/src/attempt_result.rs
@@ -147,9 +147,12 @@
     drop(servers);
     if !failed {
         let ran_ms = u64::from(answered.ran_ms);
-        node.estimates
-            .borrow_mut()
-            .record_duration(job.route_hash, ran_ms, answered.work_percent);
+        node.estimates.borrow_mut().record_duration(
+            now,
+            job.route_hash,
+            ran_ms,
+            answered.work_percent,
+        );
         let bytes = body.len() as u64;
         node.estimates
             .borrow_mut()
--- a/crates/mesh/src/dispatch.rs
+++ b/crates/mesh/src/dispatch.rs
@@ -51,12 +51,17 @@
             return give_up(node, job, progress, "backend servers crashed running it");
         }
         let now = node.now();
-        let load = attempt::request_cost(node, job);
-        let work_ms = load.work_ms;
-        let chosen = attempt::choose_server(node, job, load, &progress.tried);
+        let mut cost = attempt::request_cost(node, job);
+        let chosen = attempt::choose_server(node, job, cost, &progress.tried);
         let Some(mut chosen) = chosen else {
             return give_up(node, job, progress, "no backend server is open");
         };
+        if now + chosen.placement.expected_ms > job.deadline
+            && let Some(trial) = attempt::choose_for_trial(node, job, cost, &progress.tried)
+        {
+            (chosen, cost) = trial;
+        }
+        let work_ms = cost.work_ms;
         if now + chosen.placement.expected_ms > job.deadline {
             progress
                 .retry_after_ms
--- a/crates/oriolering/tests/load/fleet.rs
+++ b/crates/oriolering/tests/load/fleet.rs
@@ -324,7 +324,7 @@
         self.ingresses[ingress].estimates[gate].record_run();
         self.ingresses[ingress]
             .routes
-            .record_duration(ROUTE, ran_ms, percent);
+            .record_duration(Millis(self.now), ROUTE, ran_ms, percent);
         if std::mem::replace(&mut self.calls[call].ended, true) {
             self.results.wasted_runs += 1;
             return;
--- a/crates/oriolering/tests/route_estimates.rs
+++ b/crates/oriolering/tests/route_estimates.rs
@@ -1,15 +1,16 @@
 //! Estimated durations of routes.
 
-use oriolering::RouteEstimates;
+use oriolering::{Millis, RouteEstimates};
 use rstest::rstest;
 
 const ROUTE: u64 = 7;
+const NOW: Millis = Millis(10_000);
 
 /// Returns the estimate after samples of a duration and a work percentage.
 fn estimate_after(samples: impl IntoIterator<Item = (u64, u32)>) -> u64 {
     let mut times = RouteEstimates::default();
     for (ms, percent) in samples {
-        times.record_duration(ROUTE, ms, percent);
+        times.record_duration(NOW, ROUTE, ms, percent);
     }
     times.duration_ms(ROUTE, 800)
 }
@@ -57,8 +58,8 @@
 #[test]
 fn routes_have_separate_estimates() {
     let mut times = RouteEstimates::default();
-    times.record_duration(1, 10, 100);
-    times.record_duration(2, 90, 100);
+    times.record_duration(NOW, 1, 10, 100);
+    times.record_duration(NOW, 2, 90, 100);
     assert_eq!((times.duration_ms(1, 0), times.duration_ms(2, 0)), (10, 90));
 }
 
@@ -66,8 +67,58 @@
 fn the_number_of_estimates_is_bounded() {
     let mut times = RouteEstimates::default();
     for route in 0..100_000 {
-        times.record_duration(route, 10, 100);
+        times.record_duration(NOW, route, 10, 100);
     }
     assert_eq!(times.duration_ms(99_999, 800), 10);
     assert_eq!(times.duration_ms(0, 800), 200);
 }
+
+/// Returns estimates of a route whose requests took 800 ms until [`NOW`].
+fn slow_route() -> RouteEstimates {
+    let mut times = RouteEstimates::default();
+    times.record_duration(NOW, ROUTE, 800, 100);
+    times
+}
+
+#[rstest]
+#[case::recent_sample(999, 200, None)]
+#[case::outdated(1_000, 200, Some(50))]
+#[case::long_target(1_000, 60_000, Some(200))]
+fn a_trial_is_due_when_the_estimate_may_be_outdated(
+    #[case] age_ms: u64,
+    #[case] aim_ms: u64,
+    #[case] expected: Option<u64>,
+) {
+    assert_eq!(slow_route().trial_ms(NOW + age_ms, ROUTE, aim_ms), expected);
+}
+
+#[test]
+fn no_trial_is_due_below_the_estimate_of_an_unknown_route() {
+    let mut times = RouteEstimates::default();
+    assert_eq!(times.trial_ms(NOW, ROUTE, 800), None);
+    times.record_duration(NOW, ROUTE, 50, 100);
+    assert_eq!(times.trial_ms(NOW + 60_000, ROUTE, 800), None);
+}
+
+#[test]
+fn trials_without_a_response_are_few() {
+    let mut times = slow_route();
+    let mut trials = 0;
+    for ms in 1_000..11_000 {
+        if times.trial_ms(NOW + ms, ROUTE, 200).is_some() {
+            times.record_trial(NOW + ms, ROUTE);
+            trials += 1;
+        }
+    }
+    assert_eq!(trials, 20);
+}
+
+#[test]
+fn the_response_to_a_trial_moves_the_estimate_by_a_half() {
+    let mut times = slow_route();
+    times.record_trial(NOW + 1_000, ROUTE);
+    times.record_duration(NOW + 1_060, ROUTE, 60, 100);
+    assert_eq!(times.duration_ms(ROUTE, 200), 430);
+    times.record_duration(NOW + 1_120, ROUTE, 60, 100);
+    assert_eq!(times.duration_ms(ROUTE, 200), 383);
+}
