A request is not refused because the load of the gates is unknown

Cause: without a report in the last 600 ms an ingress takes work to last 1.6 times as long as usual, and running and waiting requests to be those of the last report. That is right for a choice among several. But it also refused by it, and reports come with the replies to requests: at less than a request in 600 ms, nothing corrects it.

Change: a request that no backend server is expected to answer in time is offered to one without a recent report, if it can be in time there when nothing waits and work takes its usual time. The gate knows its load and decides; a refusal brings the report. Each backend server is asked so once in 100 ms at most by a node, so a silent gate gets no queue by it.

Test: a_route_with_rare_long_requests_is_served (mesh). Units: placement tests of choose_unreported.

--- a/crates/mesh/src/attempt.rs
+++ b/crates/mesh/src/attempt.rs
@@ -54,11 +54,11 @@
     Some(RequestCost { work_ms, ..cost })
 }
 
-/// Chooses a backend server that is expected to answer before the deadline and is not in `tried`,
-/// for a request that none is expected to answer in time by its usual `cost`. Returns it with the
-/// cost that was assumed.
+/// Chooses a backend server that is not in `tried` for a request that none is expected to answer in
+/// time by its usual `cost`, if that may be due to an outdated estimate. Returns it with the cost
+/// that was assumed.
 ///
-/// Otherwise an estimate that is too high would never be corrected.
+/// Estimates are corrected by the replies to requests, so one that refuses all of them would stay.
 pub(crate) fn choose_for_trial(
     node: &Node,
     job: &RequestJob,
@@ -66,15 +66,30 @@
     tried: &[CompactString],
 ) -> Option<(ServerChoice, RequestCost)> {
     let now = node.now();
-    let cost = trial_cost(node, job, cost)?;
-    let chosen = choose_server(node, job, cost, tried)?;
-    if now + chosen.placement.expected_ms > job.deadline {
-        return None;
+    if let Some(trial) = trial_cost(node, job, cost) {
+        let chosen = choose_server(node, job, trial, tried)
+            .filter(|chosen| now + chosen.placement.expected_ms <= job.deadline)
+            .or_else(|| choose_unreported(node, job, trial, tried));
+        if let Some(chosen) = chosen {
+            let mut estimates = node.estimates.borrow_mut();
+            estimates.record_trial(now, job.route_hash);
+            return Some((chosen, trial));
+        }
     }
-    node.estimates
-        .borrow_mut()
-        .record_trial(now, job.route_hash);
-    Some((chosen, cost))
+    Some((choose_unreported(node, job, cost, tried)?, cost))
+}
+
+/// Chooses a backend server without a recent report of its load that is not in `tried`.
+fn choose_unreported(
+    node: &Node,
+    job: &RequestJob,
+    cost: RequestCost,
+    tried: &[CompactString],
+) -> Option<ServerChoice> {
+    let now = node.now();
+    let left_ms = job.deadline.since(now);
+    let mut servers = node.server_table.borrow_mut();
+    servers.choose_unreported(now, &job.service, cost, left_ms, tried)
 }
 
 /// Chooses a backend server that is not in `tried`.
--- a/crates/mesh/src/server_table.rs
+++ b/crates/mesh/src/server_table.rs
@@ -7,7 +7,7 @@
 use compact_str::CompactString;
 use oriolering::{
     CrossZoneCost, GateLoad, Millis, Placement, RequestCost, ServerEstimate, ServerRecord,
-    ServerState, choose_server,
+    ServerState, choose_server, choose_unreported,
 };
 use rand::Rng;
 use smallvec::SmallVec;
@@ -51,6 +51,9 @@
 /// that one run takes to leave.
 const LEAVING_MAX: usize = 1_024;
 
+/// The backend servers that may be chosen, by their index in the table.
+type Candidates<'a> = SmallVec<[(usize, &'a ServerEstimate); 16]>;
+
 /// The identity of a backend server and the start time of one run of it.
 type Run = (CompactString, Option<u64>);
 
@@ -131,21 +134,47 @@
         tried: &[CompactString],
         rng: &mut impl Rng,
     ) -> Option<ServerChoice> {
-        let indices = self.services.get(service)?;
-        let candidates: SmallVec<[(usize, &ServerEstimate); 16]> = indices
-            .iter()
-            .filter(|i| self.is_usable(**i) && !tried.contains(&self.entries[**i].record.id))
-            .map(|i| (*i, &self.entries[*i].estimate))
-            .collect();
+        let candidates = self.candidates(service, tried);
         let placement = choose_server(now, load, cross_zone_cost, candidates.iter().copied(), rng)?;
+        Some(self.choice(placement, candidates.len()))
+    }
+
+    /// Chooses a backend server of `service` without a recent report that may complete a request
+    /// within `left_ms` milliseconds and is not in `tried`.
+    pub(crate) fn choose_unreported(
+        &mut self,
+        now: Millis,
+        service: &str,
+        load: RequestCost,
+        left_ms: u64,
+        tried: &[CompactString],
+    ) -> Option<ServerChoice> {
+        let candidates = self.candidates(service, tried);
+        let count = candidates.len();
+        let placement = choose_unreported(now, load, left_ms, candidates.into_iter())?;
+        let choice = self.choice(placement, count);
+        self.entries[placement.index].estimate.record_asked(now);
+        Some(choice)
+    }
+
+    /// Returns the backend servers of `service` that accept requests and are not in `tried`.
+    fn candidates(&self, service: &str, tried: &[CompactString]) -> Candidates<'_> {
+        let indices = self.services.get(service).map_or(&[][..], Vec::as_slice);
+        let usable =
+            |i: &&usize| self.is_usable(**i) && !tried.contains(&self.entries[**i].record.id);
+        let usable = indices.iter().filter(usable);
+        usable.map(|i| (*i, &self.entries[*i].estimate)).collect()
+    }
+
+    fn choice(&self, placement: Placement, candidates: usize) -> ServerChoice {
         let entry = &self.entries[placement.index];
-        Some(ServerChoice {
+        ServerChoice {
             server: entry.record.id.clone(),
             gate: entry.gate.clone(),
             placement,
             estimate: entry.estimate,
-            candidates: candidates.len(),
-        })
+            candidates,
+        }
     }
 
     fn is_usable(&self, index: usize) -> bool {
--- a/crates/mesh/tests/outdated_estimates.rs
+++ b/crates/mesh/tests/outdated_estimates.rs
@@ -75,3 +75,30 @@
         }
     });
 }
+
+/// Guards against refusals because the load of the backend servers is unknown: reports come with
+/// replies, so at a low rate none is recent, and a route whose requests take most of their time was
+/// never served.
+#[rstest]
+#[case::idempotent("GET", "get", 950, 1_500, 700)]
+#[case::not_idempotent("POST", "post", 950, 1_500, 850)]
+#[case::shorter("GET", "get", 520, 800, 800)]
+#[case::rare("GET", "get", 520, 800, 1_600)]
+fn a_route_with_rare_long_requests_is_served(
+    #[case] method: &str,
+    #[case] route: &str,
+    #[case] work_ms: u64,
+    #[case] deadline_ms: u64,
+    #[case] interval_ms: u64,
+) {
+    run(async {
+        let fleet = Fleet::serving(&["front", "s"]).await;
+        send_slow(&fleet, method, route, work_ms).await;
+        for number in 0..LATER_REQUESTS {
+            sleep_ms(interval_ms).await;
+            let target = format!("/{route}/slow/{work_ms}?later-{number}");
+            let call = request_within(method, &target, deadline_ms);
+            assert_eq!(fleet.call(0, &call).await.status, 200, "request {number}");
+        }
+    });
+}
--- a/crates/oriolering/src/lib.rs
+++ b/crates/oriolering/src/lib.rs
@@ -117,7 +117,7 @@
 pub use offer::{Decision, Finish, GateEvent, GateSettings, Offer};
 pub use outcome::{Cause, Outcome, Refusal};
 pub use pause_detector::{PauseDetector, SETTLE_MS, TICK_MAX_MS};
-pub use placement::{Placement, RequestCost, ServerEstimate, choose_server};
+pub use placement::{Placement, RequestCost, ServerEstimate, choose_server, choose_unreported};
 pub use policy::{ChoiceSettings, Policy};
 pub use quarantine::{Crash, Quarantine, QuarantineEntry, QuarantineSettings, Verdict};
 pub use quarantine_table::{QUARANTINE_MAX_MS, QUARANTINES_MAX, QuarantineTable};
--- a/crates/oriolering/src/placement.rs
+++ b/crates/oriolering/src/placement.rs
@@ -16,6 +16,9 @@
 const STALE_MS: u64 = 600;
 /// The work percentage assumed for a backend server without a recent report.
 const UNKNOWN_WORK_PERCENT: u64 = 160;
+/// The shortest time between two requests that are sent to a backend server only because it has no
+/// recent report, in milliseconds: longer than a reply with a report takes on the way.
+const ASK_INTERVAL_MS: u64 = 100;
 /// The time that a request to another availability zone adds, in milliseconds.
 const OTHER_ZONE_MS: u64 = 2;
 /// The largest random increase of a score, in percent, which spreads requests over backend
@@ -54,6 +57,8 @@
     pub avoid_until: Millis,
     /// The rate limit in the last response of the backend server through this ingress.
     pub rate_limit: Option<Rate>,
+    /// When a request was last sent there only because there was no recent report.
+    asked: Option<Millis>,
     /// The failure rate at `last_result`, in units of [`FAILURE_SCALE`].
     failures: u32,
     /// The time of the last result.
@@ -83,6 +88,7 @@
             other_zone: far,
             avoid_until: Millis(0),
             rate_limit: None,
+            asked: None,
             failures: 0,
             last_result: now,
             competing_nodes: 1,
@@ -147,6 +153,26 @@
         (reported * (span - decayed) + UNKNOWN_WORK_PERCENT * decayed) / span
     }
 
+    /// Returns whether the last report is too old to tell anything about the present, and no
+    /// request was sent in the last moment to bring another.
+    fn needs_report(&self, now: Millis) -> bool {
+        let outdated = now.since(self.reported) >= STALE_MS;
+        let asked = self.asked.is_some_and(|at| now.since(at) < ASK_INTERVAL_MS);
+        outdated && !asked
+    }
+
+    /// Records that a request was sent because there is no recent report.
+    pub fn record_asked(&mut self, now: Millis) {
+        self.asked = Some(now);
+    }
+
+    /// Returns the shortest duration of a request that is likely at this backend server without a
+    /// recent report, in milliseconds: work takes its usual time, and nothing waits.
+    fn least_ms(&self, now: Millis, cost: RequestCost) -> u64 {
+        let run = cost.work_ms + self.turn_ms(now);
+        self.with_failures(now, run + self.zone_ms())
+    }
+
     /// Returns the expected duration of a request at this backend server, in milliseconds.
     pub fn expected_ms(&self, now: Millis, cost: RequestCost) -> u64 {
         let work_ms = cost.work_ms;
@@ -158,10 +184,19 @@
         let wait = (ahead * run / capacity).max(self.turn_ms(now));
         // Concurrent requests share the processor of the instance.
         let contention = run * busy.min(capacity) / capacity / 8;
-        let zone_ms = if self.other_zone { OTHER_ZONE_MS } else { 0 };
+        self.with_failures(now, run + wait + contention + self.zone_ms())
+    }
+
+    fn zone_ms(&self) -> u64 {
+        if self.other_zone { OTHER_ZONE_MS } else { 0 }
+    }
+
+    /// Returns how long a request takes that is repeated until it succeeds, if one attempt takes
+    /// `ms` milliseconds.
+    fn with_failures(&self, now: Millis, ms: u64) -> u64 {
         let success_rate =
             u64::from(FAILURE_SCALE - self.failure_rate(now).min(FAILURE_SCALE - 50));
-        (run + wait + contention + zone_ms) * u64::from(FAILURE_SCALE) / success_rate
+        ms * u64::from(FAILURE_SCALE) / success_rate
     }
 
     /// Returns how long a request waits because of the backend server's rate limit, in
@@ -263,6 +298,28 @@
     })
 }
 
+/// Chooses a backend server without a recent report that may complete a request within `left_ms`
+/// milliseconds, for a request that none is expected to complete in time.
+///
+/// The estimate for a backend server without a recent report is pessimistic, which is right for a
+/// choice among several. To refuse a request by it would keep the estimate as it is, since reports
+/// come with the replies to requests. The gate knows the present load, and decides.
+pub fn choose_unreported<'a>(
+    now: Millis,
+    cost: RequestCost,
+    left_ms: u64,
+    servers: impl Iterator<Item = (usize, &'a ServerEstimate)>,
+) -> Option<Placement> {
+    let unreported = servers.filter(|(_, s)| s.is_open(now) && s.needs_report(now));
+    let estimated = unreported.map(|(index, server)| (server.least_ms(now, cost), index));
+    let (expected_ms, index) = estimated.filter(|(ms, _)| *ms <= left_ms).min()?;
+    Some(Placement {
+        index,
+        expected_ms,
+        next_best_ms: None,
+    })
+}
+
 /// A backend server that may be chosen, with its expected duration.
 #[derive(Clone, Copy)]
 struct ScoredServer {
--- a/crates/oriolering/tests/placement.rs
+++ b/crates/oriolering/tests/placement.rs
@@ -2,7 +2,7 @@
 
 use oriolering::{
     Admission, CrossZoneCost, GateLoad, Job, Millis, Placement, RefusalReason, RequestCost,
-    Scheduler, ServerEstimate, choose_server,
+    Scheduler, ServerEstimate, choose_server, choose_unreported,
 };
 use proptest::prelude::*;
 use rand::SeedableRng;
@@ -347,3 +347,51 @@
         );
     }
 }
+
+/// The estimate of a backend server that was full and slow when it last reported, long ago.
+fn outdated() -> ServerEstimate {
+    let mut server = estimate(load(SLOTS, 2 * SLOTS, 400));
+    server.reported = Millis(NOW.0 - EXPIRED_MS);
+    server
+}
+
+#[test]
+fn an_outdated_report_refuses_no_request_that_may_be_in_time() {
+    let servers = [outdated()];
+    let chosen = choose_unreported(NOW, COST, COST.work_ms, servers.iter().enumerate());
+    let expected = Placement {
+        index: 0,
+        expected_ms: COST.work_ms,
+        next_best_ms: None,
+    };
+    assert_eq!(chosen, Some(expected));
+    let chosen = choose_unreported(NOW, COST, COST.work_ms - 1, servers.iter().enumerate());
+    assert_eq!(chosen, None);
+}
+
+#[rstest]
+#[case::recent_report(|server: &mut ServerEstimate| server.reported = NOW)]
+#[case::closed(|server: &mut ServerEstimate| server.load.closed = true)]
+#[case::avoided(|server: &mut ServerEstimate| server.avoid_until = NOW + 1)]
+fn a_backend_server_whose_state_is_known_is_not_asked(#[case] change: fn(&mut ServerEstimate)) {
+    let mut server = outdated();
+    change(&mut server);
+    assert_eq!(
+        choose_unreported(NOW, COST, 60_000, [(0, &server)].into_iter()),
+        None
+    );
+}
+
+#[test]
+fn a_backend_server_without_a_report_is_asked_by_few_requests_at_once() {
+    let mut server = outdated();
+    let mut asked = 0;
+    for ms in 0..1_000 {
+        let now = NOW + ms;
+        if choose_unreported(now, COST, 60_000, [(0, &server)].into_iter()).is_some() {
+            server.record_asked(now);
+            asked += 1;
+        }
+    }
+    assert_eq!(asked, 10);
+}
