A gate opens again beside a backend server that reports no load

What callers saw: after its backend server was down for a moment, a gate refused all requests for good, until the entry of the backend server changed.

Cause: a gate that is closed as down opened only with a load report, and some backend servers never send one. Its probes were answered, and ignored; requests that would have shown that it is up were refused.

Ruled out: that the gate does not probe (a closed gate does, with any health path), and the ingress (it follows what the gate says over the link).

Change: any response of the backend server opens the gate and counts as an answered probe; a load is applied if there is one.

Test: a_backend_server_that_was_down_is_used_again (mesh), connections refused or closed at once, with and without load reports.

--- a/crates/mesh/src/gate/responses.rs
+++ b/crates/mesh/src/gate/responses.rs
@@ -11,7 +11,8 @@
 use crate::notice::Notice;
 
 impl Gate {
-    /// Applies the load that a response of the backend server reports.
+    /// Applies the load that a response of the backend server reports. Any response shows that the
+    /// backend server is up; some never report a load.
     pub(super) fn apply_load_report(&self, map: &HeaderMap) {
         if let Some(id) = headers::text(map, HEADERS.server) {
             let previous = self.responding_id.replace(Some(id.into()));
@@ -20,12 +21,11 @@
                     .broadcast(self.suspects.record_replacement(&previous));
             }
         }
-        let Some(load) = headers::text(map, HEADERS.load).and_then(parse_load) else {
-            return;
-        };
         self.health.record_report();
         self.reopen();
-        self.apply_load(load);
+        if let Some(load) = headers::text(map, HEADERS.load).and_then(parse_load) {
+            self.apply_load(load);
+        }
     }
 
     fn apply_load(&self, load: ServerLoad) {
--- /dev/null
+++ b/crates/mesh/tests/return_to_use.rs
@@ -0,0 +1,78 @@
+//! Backend servers that were out of use, and must be used again without a change of the server list.
+
+mod support;
+
+use std::time::Instant;
+
+use rstest::rstest;
+use support::raw::{run, sleep_ms};
+use support::{Fleet, config, get, request};
+
+/// The time within which a backend server that is up again must be used, in milliseconds
+/// (`stable_window_ms`).
+const RETURN_MS: u64 = 3_000;
+/// How long a backend server is out of use, in milliseconds: longer than it takes to lose the
+/// probes that close its gate.
+const OUTAGE_MS: u64 = 1_500;
+
+/// How a backend server goes out of use.
+#[derive(Clone, Copy)]
+enum Outage {
+    /// New connections are refused.
+    Refuses,
+    /// New connections are closed at once.
+    Closes,
+}
+
+impl Outage {
+    async fn begin(self, fleet: &Fleet, index: usize) {
+        let backend = &fleet.instances[index].backend;
+        match self {
+            Self::Refuses => backend.crash(),
+            Self::Closes => {
+                backend.set_accepting(false);
+                // Makes the backend server reset the idle connection of its gate.
+                let reset = request("POST", "/post/reset", "", "x");
+                fleet.call(index, &reset).await;
+            }
+        }
+    }
+
+    async fn end(self, fleet: &Fleet, index: usize) {
+        let backend = &fleet.instances[index].backend;
+        match self {
+            Self::Refuses => backend.listen().await,
+            Self::Closes => backend.set_accepting(true),
+        }
+    }
+}
+
+/// Sends requests to a node until the backend server has been out of use for long.
+async fn send_through_outage(fleet: &Fleet, ingress: usize) {
+    let begun = Instant::now();
+    while begun.elapsed().as_millis() < u128::from(OUTAGE_MS) {
+        fleet.call(ingress, &get("/get/echo")).await;
+        sleep_ms(50).await;
+    }
+}
+
+/// Guards against a gate that stays closed beside a backend server which reports no load: only a
+/// report opened it again.
+#[rstest]
+#[case::refuses(Outage::Refuses, true)]
+#[case::refuses_and_reports_no_load(Outage::Refuses, false)]
+#[case::closes(Outage::Closes, true)]
+#[case::closes_and_reports_no_load(Outage::Closes, false)]
+fn a_backend_server_that_was_down_is_used_again(#[case] outage: Outage, #[case] tells_load: bool) {
+    run(async {
+        let fleet = Fleet::serving(&["front", "s"]).await;
+        fleet.instances[1].backend.set_tells_load(tells_load);
+        outage.begin(&fleet, 1).await;
+        send_through_outage(&fleet, 0).await;
+        outage.end(&fleet, 1).await;
+        let ended = Instant::now();
+        fleet
+            .wait_for_target(0, "/get/echo", ended, RETURN_MS)
+            .await;
+    });
+}
--- a/crates/mesh/tests/support/backend.rs
+++ b/crates/mesh/tests/support/backend.rs
@@ -83,6 +83,8 @@
     misdirected_headers: Rc<RefCell<Vec<(&'static str, String)>>>,
     /// Whether health answers have the additional headers, too.
     headers_in_health: Rc<Cell<bool>>,
+    /// Whether its answers report its load.
+    tells_load: Rc<Cell<bool>>,
     /// The times of health probes.
     probe_times: Rc<RefCell<Vec<Instant>>>,
 }
@@ -118,6 +120,7 @@
             extra_headers: Rc::default(),
             misdirected_headers: Rc::default(),
             headers_in_health: Rc::default(),
+            tells_load: Rc::new(Cell::new(true)),
             probe_times: Rc::default(),
         };
         backend.listen().await;
@@ -210,6 +213,11 @@
         self.headers_in_health.set(enabled);
     }
 
+    /// Sets whether its answers report its load.
+    pub fn set_tells_load(&self, enabled: bool) {
+        self.tells_load.set(enabled);
+    }
+
     /// Returns the maximum number of requests and probes in any interval of length `span` that ends
     /// at `from` or later.
     pub fn max_requests_in(&self, span: Duration, from: Instant) -> usize {
@@ -369,7 +377,9 @@
             let name = HeaderName::from_static("oriolering-request-id");
             answer.headers.insert(name, id.clone());
         }
-        set(&mut answer, "oriolering-server-load", "0,0,8,100");
+        if self.tells_load.get() {
+            set(&mut answer, "oriolering-server-load", "0,0,8,100");
+        }
         set(
             &mut answer,
             "oriolering-instance-id",
