An ingress knows whether the gate of its own node is closed

What callers saw: after its backend server was down for a moment, a node never sent it a request of its own callers again. Where it was the only backend server of its service they got 503 "no backend server is open" for good; otherwise it got no share of the node's callers.

Cause: the ingress learned the state of the local gate only after an offer to it, and a closed gate gets no offer. Other nodes are told over their links.

Ruled out: the gate (it opens, and other nodes use it: the first test of the file passes through another node).

Change: each choice reads from the local gate whether it is closed. The rest of its load stays as of the last offer: the work percentage has an age that only the report knows.

Tests (mesh): a_node_uses_its_own_backend_server_again (refused, closed at once), a_node_prefers_no_other_backend_server_for_good.

--- a/crates/mesh/src/attempt.rs
+++ b/crates/mesh/src/attempt.rs
@@ -101,7 +101,8 @@
 ) -> Option<ServerChoice> {
     let now = node.now();
     let crossing = node.options.crossing;
-    let servers = node.server_table.borrow();
+    let mut servers = node.server_table.borrow_mut();
+    servers.update_local_closed(node.gate.load().closed);
     servers.choose(now, &job.service, load, crossing, tried, &mut rand::rng())
 }
 
--- a/crates/mesh/src/server_table.rs
+++ b/crates/mesh/src/server_table.rs
@@ -216,6 +216,15 @@
         behind.for_each(|entry| change(&mut entry.estimate));
     }
 
+    /// Updates whether the local gate accepts requests. No message announces that to this node.
+    pub(crate) fn update_local_closed(&mut self, closed: bool) {
+        let local = self
+            .entries
+            .iter_mut()
+            .filter(|s| matches!(s.gate, GateRef::Local));
+        local.for_each(|entry| entry.estimate.load.closed = closed);
+    }
+
     /// Applies the load of the local gate.
     pub(crate) fn update_local_load(&mut self, now: Millis, load: GateLoad) {
         let local = self
--- a/crates/mesh/tests/return_to_use.rs
+++ b/crates/mesh/tests/return_to_use.rs
@@ -76,3 +76,40 @@
             .await;
     });
 }
+
+/// Guards against an ingress that never uses the gate of its own node again: it learned only from
+/// offers to it whether it was closed.
+#[rstest]
+#[case::refuses(Outage::Refuses)]
+#[case::closes(Outage::Closes)]
+fn a_node_uses_its_own_backend_server_again(#[case] outage: Outage) {
+    run(async {
+        let fleet = Fleet::serving(&["s"]).await;
+        outage.begin(&fleet, 0).await;
+        send_through_outage(&fleet, 0).await;
+        outage.end(&fleet, 0).await;
+        let ended = Instant::now();
+        fleet
+            .wait_for_target(0, "/get/echo", ended, RETURN_MS)
+            .await;
+    });
+}
+
+/// Guards against a share of nothing for a node's own backend server that was down while there are
+/// others.
+#[test]
+fn a_node_prefers_no_other_backend_server_for_good() {
+    run(async {
+        let fleet = Fleet::serving(&["s", "s"]).await;
+        Outage::Refuses.begin(&fleet, 0).await;
+        send_through_outage(&fleet, 0).await;
+        Outage::Refuses.end(&fleet, 0).await;
+        sleep_ms(RETURN_MS).await;
+        fleet.instances[0].backend.clear_requests();
+        for _ in 0..40 {
+            fleet.call(0, &get("/get/echo")).await;
+            sleep_ms(10).await;
+        }
+        assert!(fleet.instances[0].backend.total_requests() > 0);
+    });
+}
