A closed gate without a health path tries connections

What callers saw: a service that the configuration does not describe, or describes without a health path, was refused for good after its backend server was down for a moment.

Cause: a gate that is closed as down opens by a probe, and without a health path there is none.

Change: such a gate tries a connection at each tick until one is accepted.

Test: a_backend_server_without_a_health_path_is_used_again (mesh); failed before, passes now. The stand-in's report of load can be set for each case.

--- a/crates/mesh/src/gate/probing.rs
+++ b/crates/mesh/src/gate/probing.rs
@@ -19,14 +19,16 @@
 
 impl Gate {
     /// Probes the backend server if its last load report is old.
+    ///
+    /// Without a health path, only a backend server that is down is probed, by a connection.
     pub(crate) fn probe(self: &Rc<Self>) {
         let now = self.clock.now();
         let fresh = self.health.age_ms() < PROBE_INTERVAL_MS;
-        if fresh
-            || !self.wants_probe(now)
-            || self.probing.get()
-            || self.health_path.borrow().is_empty()
-        {
+        if fresh || !self.wants_probe(now) || self.probing.get() {
+            return;
+        }
+        let connect_only = self.health_path.borrow().is_empty();
+        if connect_only && !self.load().closed {
             return;
         }
         if !self.scheduler.borrow_mut().try_probe(now) {
@@ -36,7 +38,10 @@
         self.trail.counts.probes.add(1);
         let gate = Rc::clone(self);
         tokio::task::spawn_local(async move {
-            gate.send_probe().await;
+            match connect_only {
+                true => gate.probe_connection().await,
+                false => gate.send_probe().await,
+            }
             gate.probing.set(false);
         });
     }
@@ -52,6 +57,17 @@
         in_use || self.load().closed || self.responding_id.borrow().is_none()
     }
 
+    /// Opens the gate if the backend server accepts a connection.
+    async fn probe_connection(&self) {
+        match self.pool.connect().await {
+            Ok(conn) => {
+                self.pool.put(self.clock.now(), conn);
+                self.reopen();
+            }
+            Err(e) => self.handle_connect_error(&e),
+        }
+    }
+
     async fn send_probe(&self) {
         let now = self.clock.now();
         let Some(request) = backend_request::probe(&self.health_path.borrow()) else {
--- a/crates/mesh/tests/return_to_use.rs
+++ b/crates/mesh/tests/return_to_use.rs
@@ -5,6 +5,8 @@
 use std::time::Instant;
 
 use rstest::rstest;
+use serde_json::json;
+use support::backend::USUAL_LOAD;
 use support::raw::{run, sleep_ms};
 use support::{Fleet, config, get, request};
 
@@ -66,7 +68,9 @@
 fn a_backend_server_that_was_down_is_used_again(#[case] outage: Outage, #[case] tells_load: bool) {
     run(async {
         let fleet = Fleet::serving(&["front", "s"]).await;
-        fleet.instances[1].backend.set_tells_load(tells_load);
+        fleet.instances[1]
+            .backend
+            .set_load(tells_load.then_some(USUAL_LOAD));
         outage.begin(&fleet, 1).await;
         send_through_outage(&fleet, 0).await;
         outage.end(&fleet, 1).await;
@@ -77,6 +81,27 @@
     });
 }
 
+/// Guards against a closed gate that never asks its backend server whether it is up: a service that
+/// the configuration does not describe has no health path.
+#[test]
+fn a_backend_server_without_a_health_path_is_used_again() {
+    run(async {
+        let mut fleet = Fleet::new(&["front", "s"]).await;
+        let mut config = config(1, "s");
+        config["services"] = json!([]);
+        fleet.store.put("op/config", &config);
+        fleet.start_all();
+        fleet.wait_all_serving().await;
+        Outage::Refuses.begin(&fleet, 1).await;
+        send_through_outage(&fleet, 0).await;
+        Outage::Refuses.end(&fleet, 1).await;
+        let ended = Instant::now();
+        fleet
+            .wait_for_target(0, "/get/echo", ended, RETURN_MS)
+            .await;
+    });
+}
+
 /// Guards against an ingress that never uses the gate of its own node again: it learned only from
 /// offers to it whether it was closed.
 #[rstest]
--- a/crates/mesh/tests/support/backend.rs
+++ b/crates/mesh/tests/support/backend.rs
@@ -36,6 +36,8 @@
 };
 /// The health path of all services in the configurations.
 const HEALTH_PATH: &str = "/health";
+/// The load that answers report: nothing runs or waits on eight slots, at the usual speed.
+pub const USUAL_LOAD: &str = "0,0,8,100";
 pub const SIGNATURE: &str = "3e1b.07.5a2";
 
 thread_local! {
@@ -83,8 +85,8 @@
     misdirected_headers: Rc<RefCell<Vec<(&'static str, String)>>>,
     /// Whether health answers have the additional headers, too.
     headers_in_health: Rc<Cell<bool>>,
-    /// Whether its answers report its load.
-    tells_load: Rc<Cell<bool>>,
+    /// The load that its answers report, if they do.
+    load: Rc<Cell<Option<&'static str>>>,
     /// The times of health probes.
     probe_times: Rc<RefCell<Vec<Instant>>>,
 }
@@ -120,7 +122,7 @@
             extra_headers: Rc::default(),
             misdirected_headers: Rc::default(),
             headers_in_health: Rc::default(),
-            tells_load: Rc::new(Cell::new(true)),
+            load: Rc::new(Cell::new(Some(USUAL_LOAD))),
             probe_times: Rc::default(),
         };
         backend.listen().await;
@@ -213,9 +215,9 @@
         self.headers_in_health.set(enabled);
     }
 
-    /// Sets whether its answers report its load.
-    pub fn set_tells_load(&self, enabled: bool) {
-        self.tells_load.set(enabled);
+    /// Sets the load that its answers report, or that they report none.
+    pub fn set_load(&self, load: Option<&'static str>) {
+        self.load.set(load);
     }
 
     /// Returns the maximum number of requests and probes in any interval of length `span` that ends
@@ -377,8 +379,8 @@
             let name = HeaderName::from_static("oriolering-request-id");
             answer.headers.insert(name, id.clone());
         }
-        if self.tells_load.get() {
-            set(&mut answer, "oriolering-server-load", "0,0,8,100");
+        if let Some(load) = self.load.get() {
+            set(&mut answer, "oriolering-server-load", load);
         }
         set(
             &mut answer,
