A new backend server at an address is not refused for the previous one

What callers saw: where a backend server took over the address of another one of a service without a health path, all requests for it were refused as down.

Cause: a gate refuses offers for another identity than that of the last response, as an address may pass on before the list says so. It kept the previous identity when the list named the new one, and only a probe or a request could correct it.

Change: the identity counts from the first response since the list named the present run. The request names its target, so a backend server that is not yet there answers 421 and runs nothing. Crashes are still told by the change of the identity, which is kept.

--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -79,6 +79,8 @@
     notices: Notices,
     /// The identity that the backend server named in its last response.
     responding_id: RefCell<Option<CompactString>>,
+    /// Whether that was since the server list named the present run of the backend server.
+    responded: Cell<bool>,
     /// Whether the server list says that the backend server is draining, or no longer contains it.
     server_leaving: Cell<bool>,
     server: RefCell<CompactString>,
@@ -116,6 +118,7 @@
             probing: Cell::new(false),
             leaving: Cell::new(false),
             responding_id: RefCell::default(),
+            responded: Cell::new(false),
             server_leaving: Cell::new(false),
             server: RefCell::default(),
             born: Cell::new(None),
@@ -161,6 +164,7 @@
         self.pool.clear();
         self.scheduler.borrow_mut().resize(record.slots);
         self.health.reset();
+        self.responded.set(false);
         self.reset_run();
         self.reopen();
     }
@@ -491,7 +495,8 @@
     fn check_unservable(&self, offer: &Offer) -> Option<(RefusalReason, u64)> {
         // An address may pass to another backend server before the server list says so.
         let responding_id = self.responding_id.borrow();
-        if responding_id.as_ref().is_some_and(|id| *id != offer.server) {
+        let is_other = |id: &CompactString| *id != offer.server;
+        if self.responded.get() && responding_id.as_ref().is_some_and(is_other) {
             return Some((RefusalReason::Down, 0));
         }
         let left = self.suspects.remaining_ms(offer.fingerprint)?;
--- a/crates/mesh/src/gate/responses.rs
+++ b/crates/mesh/src/gate/responses.rs
@@ -16,6 +16,7 @@
     pub(super) fn apply_load_report(&self, map: &HeaderMap) {
         if let Some(id) = headers::text(map, HEADERS.server) {
             let previous = self.responding_id.replace(Some(id.into()));
+            self.responded.set(true);
             if let Some(previous) = previous.filter(|previous| previous != id) {
                 self.listeners
                     .broadcast(self.suspects.record_replacement(&previous));
--- a/crates/mesh/tests/return_to_use.rs
+++ b/crates/mesh/tests/return_to_use.rs
@@ -5,7 +5,7 @@
 use std::time::Instant;
 
 use rstest::rstest;
-use serde_json::json;
+use serde_json::{Value, json};
 use support::backend::USUAL_LOAD;
 use support::raw::{run, sleep_ms};
 use support::{Fleet, config, get, request};
@@ -17,6 +17,9 @@
 /// probes that close its gate.
 const OUTAGE_MS: u64 = 1_500;
 
+/// The time by which a removed entry is out of use at all nodes, in milliseconds.
+const REMOVED_MS: u64 = 3_000;
+
 /// How a backend server goes out of use.
 #[derive(Clone, Copy)]
 enum Outage {
@@ -102,6 +105,30 @@
     });
 }
 
+/// Guards against a gate that refuses the new backend server at an address because the previous one
+/// was the last to respond: without a health path, no probe asks who is there.
+#[rstest]
+#[case::without_health_path(json!([]))]
+#[case::with_health_path(json!([{"name": "s", "health_path": "/health", "max_connections": 64}]))]
+fn a_new_backend_server_at_an_address_is_used(#[case] services: Value) {
+    run(async {
+        let mut fleet = Fleet::new(&["front", "s"]).await;
+        let mut config = config(1, "s");
+        config["services"] = services;
+        fleet.store.put("op/config", &config);
+        fleet.start_all();
+        fleet.wait_all_serving().await;
+        fleet.unpublish(1);
+        sleep_ms(REMOVED_MS).await;
+        fleet.instances[1].backend.set_id("i-new");
+        fleet.publish_as(1, "i-new");
+        let listed = Instant::now();
+        fleet
+            .wait_for_target(0, "/get/echo", listed, RETURN_MS)
+            .await;
+    });
+}
+
 /// Guards against an ingress that never uses the gate of its own node again: it learned only from
 /// offers to it whether it was closed.
 #[rstest]
