A gate refuses nothing by a report of long ago

What callers saw: a first request after a pause was refused as late although its backend server was idle and as fast as usual.

Cause: a gate keeps the last work percentage. A backend server that is not in use for three seconds is not probed, so the percentage of that moment stayed, up to four times the usual, and refused what came next.

Change: at an offer, a report that is older than 600 ms no longer counts: work takes its usual time. While the backend server is in use, probes keep the report younger than that.

--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -49,6 +49,11 @@
 /// By how much the number of running and waiting requests must change before the load is sent to
 /// other nodes.
 const LOAD_STEP: u32 = 3;
+/// The age from which a report of the work percentage says nothing about the present, in
+/// milliseconds: twice the time for which a noisy neighbour slows a backend server down.
+const REPORT_MAX_AGE_MS: u64 = 600;
+/// The work percentage of a backend server at its usual speed.
+const USUAL_WORK_PERCENT: u32 = 100;
 /// How long an exchange may outlast the deadline that was sent to the backend server, in
 /// milliseconds.
 const DEADLINE_GRACE_MS: u64 = 60;
@@ -198,6 +203,7 @@
     pub(crate) async fn run(self: Rc<Self>, mut offer: Offer, body: Bytes) -> (Outcome, Bytes) {
         let arrived = self.clock.now();
         self.last_offer.set(Some(arrived));
+        self.discard_outdated_load();
         let work_ms = u64::from(offer.work_ms);
         let mut record = GateRecord::new(&self.trail, &mut offer, arrived);
         self.apply_passed_limit(&offer);
@@ -245,6 +251,16 @@
         (ending, body)
     }
 
+    /// Takes work to last its usual time if the last report is too old, so that no request is
+    /// refused by it. A backend server that is not in use is not probed.
+    fn discard_outdated_load(&self) {
+        if self.health.age_ms() >= REPORT_MAX_AGE_MS {
+            self.scheduler
+                .borrow_mut()
+                .set_work_percent(USUAL_WORK_PERCENT);
+        }
+    }
+
     /// Reserves budget for the calls that a request will make, if it is a repeat.
     fn reserve_calls(&self, offer: &Offer) -> Result<Option<CallReservations>, RefusalReason> {
         if !offer.repeat {
--- a/crates/mesh/tests/return_to_use.rs
+++ b/crates/mesh/tests/return_to_use.rs
@@ -17,6 +17,16 @@
 /// probes that close its gate.
 const OUTAGE_MS: u64 = 1_500;
 
+/// The duration of long requests, in milliseconds: at a quarter of the speed they would not end
+/// before the timeout of their route.
+const WORK_MS: u64 = 850;
+/// The number of long requests from which a node learns their duration.
+const WARM_REQUESTS: usize = 8;
+/// How long after its last request a backend server is still probed, and a longer time, in
+/// milliseconds.
+const PROBED_MS: u64 = 3_200;
+const IDLE_MS: u64 = 4_500;
+
 /// The time by which a removed entry is out of use at all nodes, in milliseconds.
 const REMOVED_MS: u64 = 3_000;
 
@@ -129,6 +139,26 @@
     });
 }
 
+/// Guards against a request that is refused because the backend server was slow when it was last
+/// in use, long ago.
+#[test]
+fn a_gate_refuses_nothing_by_a_report_of_long_ago() {
+    run(async {
+        let fleet = Fleet::serving(&["front", "s"]).await;
+        let backend = &fleet.instances[1].backend;
+        for number in 0..WARM_REQUESTS {
+            let target = format!("/get/slow/{WORK_MS}?{number}");
+            fleet.call(0, &get(&target)).await;
+        }
+        backend.set_load(Some("0,0,8,400"));
+        sleep_ms(PROBED_MS).await;
+        backend.set_load(Some(USUAL_LOAD));
+        sleep_ms(IDLE_MS - PROBED_MS).await;
+        let reply = fleet.call(0, &get(&format!("/get/slow/{WORK_MS}"))).await;
+        assert_eq!(reply.status, 200);
+    });
+}
+
 /// Guards against an ingress that never uses the gate of its own node again: it learned only from
 /// offers to it whether it was closed.
 #[rstest]
