A stopping node serves the calls of its running requests to the end

What callers saw: a request that a gate had accepted before its node was told to stop failed with 500 late in the grace period, as the node refused the calls that its backend server made for it.

Cause: from three seconds after SIGTERM on, a node refuses requests whose deadline is beyond its end. A call has the deadline of its run, which may be far away although the run, and so the call, ends soon.

Change: a call of a run at the node's own gate is not refused for the stop. If the run outlasts the process, the call ends with it, and nothing more is lost.

Test: a_stopping_node_serves_the_calls_of_its_running_requests_to_the_end (mesh); 503 before, 200 now, and another request is refused as before.

--- a/crates/mesh/src/ingress.rs
+++ b/crates/mesh/src/ingress.rs
@@ -131,11 +131,10 @@
     let part = node.splitter.borrow_mut().choose(route, &mut rand::rng());
     let requested = headers::text(map, HEADERS.deadline).and_then(parse_deadline);
     let limit = requested.unwrap_or(route.timeout_ms).min(route.timeout_ms);
-    if node
-        .shutdown
-        .get()
-        .is_some_and(|stop| stop.refuses(now, limit))
-    {
+    let stop = node.shutdown.get();
+    // A call ends with its run, which the node has accepted before.
+    let is_call = parse_parent(id).is_some_and(|parent| node.gate.runs.contains(parent));
+    if stop.is_some_and(|stop| !is_call && stop.refuses(now, limit)) {
         record.given_up("the node is about to end", AttemptTotals::default(), limit);
         let answer = dispatch::unavailable(STOPPING_RETRY_AFTER_MS);
         record.answered(&answer);
--- a/crates/mesh/src/runs.rs
+++ b/crates/mesh/src/runs.rs
@@ -63,6 +63,12 @@
         RunGuard { runs: self, key }
     }
 
+    /// Returns whether the backend server runs this request.
+    pub(crate) fn contains(&self, request: &str) -> bool {
+        let state = self.state.borrow();
+        state.runs.iter().any(|run| run.request == request)
+    }
+
     /// Records a call to a service by a run of the request `parent`; returns its reserved budget if
     /// the run is a repeat.
     pub(crate) fn record_call(&self, parent: &str, service: &str) -> Option<Reservation> {
--- a/crates/mesh/tests/data_path/stopping.rs
+++ b/crates/mesh/tests/data_path/stopping.rs
@@ -4,7 +4,10 @@
 
 use crate::responding_service;
 use crate::support::raw::{run, sleep_ms};
-use crate::support::{Fleet, GRACE_MS, get, request, until};
+use crate::support::{Fleet, GRACE_MS, config_with_calls, get, request, until};
+
+/// The time after which callers know that a node is not ready, in milliseconds, and some more.
+const NOTICE_MS: u64 = 3_100;
 
 #[test]
 fn a_stopping_node_is_not_ready_and_finishes_running_requests() {
@@ -62,3 +65,31 @@
         assert_eq!(fleet.request_count("/post/slow/900"), 8);
     });
 }
+
+/// Guards against a run that fails late in the grace period because the stopping node refuses its
+/// calls, although it has accepted the run and waits for it.
+#[test]
+fn a_stopping_node_serves_the_calls_of_its_running_requests_to_the_end() {
+    run(async {
+        let mut fleet = Fleet::new(&["front", "s", "t"]).await;
+        let mut config = config_with_calls(1);
+        for route in config["routes"].as_array_mut().expect("a list") {
+            route["timeout_ms"] = 8_000.into();
+        }
+        fleet.store.put("op/config", &config);
+        fleet.start_all();
+        fleet.wait_all_serving().await;
+        let mut caller = fleet.caller(0).await;
+        let path = "/post/slow/3300";
+        let long = request("POST", path, "", "x").replace(": 3000", ": 6000");
+        caller.send(&long).await;
+        until(|| fleet.request_count(path) == 1).await;
+        fleet.stop(1);
+        sleep_ms(NOTICE_MS).await;
+        let call = get("/inner/echo").replace("id-1", "id-1.call");
+        assert_eq!(fleet.call(1, &call).await.status, 200);
+        // Another request may outlast the process.
+        assert_eq!(fleet.call(1, &get("/inner/echo")).await.status, 503);
+        assert_eq!(caller.reply().await.status, 200);
+    });
+}
