A stopping node answers all that it has taken before it ends

What callers saw, played on real processes (four nodes, one of them stopped alone under load): requests that came late in the grace period were taken and passed on, and their connections closed without an answer as the process ended; some had run, some waited at the gate of another node, some may not be repeated.

Cause, three parts. (1) For three seconds a request was taken however little time was left: its deadline at the gates was that of its caller. (2) The node ended 0.7 s before the end of the grace period, which for one below 4.2 s is before the last sixth of it, in which alone a run may be cut. (3) At its end it closed the connections of all that was still under way, also of what waited elsewhere and had not run.

Ruled out: the links (the gate of a stopping node refuses what is offered, and what waits at it) and connections that are closed early (the lines of the lost requests have `chosen`, and the process had not ended by itself).

Change: a request that a stopping node takes has its deadline at the end of the process, so that gates refuse in time, as not run, what they cannot end by then. The node stays for seven eighths of a short grace period. What is still under way at the end gets 502, and the answers have up to 100 ms to be written.

Tests: a_planned_stop_cuts_no_request (bench, real processes; seven cases of grace, work, deadline and rate), a_node_that_ends_answers_what_it_has_read (mesh), and units of the schedule. Before, four of the seven cases and the test of the mesh failed; now none.

--- a/crates/bench/src/soak/machine.rs
+++ b/crates/bench/src/soak/machine.rs
@@ -250,6 +250,11 @@
             .is_some_and(Process::is_running)
     }
 
+    /// Returns whether a node was started and not killed; it may have ended by itself.
+    pub(crate) fn has_node(&self) -> bool {
+        self.now.node.borrow().is_some()
+    }
+
     pub(crate) fn is_app_running(&self) -> bool {
         self.now
             .app
--- a/crates/bench/src/soak/mod.rs
+++ b/crates/bench/src/soak/mod.rs
@@ -15,6 +15,7 @@
 mod judge_notices;
 mod machine;
 mod plan;
+mod planned_stop;
 pub mod record;
 mod run;
 pub mod seal;
@@ -26,4 +27,5 @@
 
 pub use app_settings::{AppFault, AppSettings, Flaw, WhenFull};
 pub use judge::{Breach, Rule, judge};
+pub use planned_stop::{StopOutcome, StopPlan, run_planned_stop};
 pub use run::{Outcome, Soak, run_soak};
--- a/crates/bench/src/soak/run.rs
+++ b/crates/bench/src/soak/run.rs
@@ -81,7 +81,7 @@
     Ok(outcome)
 }
 
-async fn start(world: &Rc<World>) -> io::Result<()> {
+pub(super) async fn start(world: &Rc<World>) -> io::Result<()> {
     world.configure();
     for machine in &world.machines {
         world.start_app(machine, false)?;
--- a/crates/mesh/src/dispatch.rs
+++ b/crates/mesh/src/dispatch.rs
@@ -21,6 +21,14 @@
 /// The retry time when no gate named one, in milliseconds.
 const DEFAULT_RETRY_AFTER_MS: u64 = 100;
 
+/// Why the attempts of a request were ended before one had a result.
+enum Interruption {
+    /// The deadline has passed.
+    Deadline,
+    /// The process is about to end.
+    Exit,
+}
+
 /// Sends a request to backend servers until one responds or no further attempt is possible.
 pub(crate) async fn dispatch(node: Rc<Node>, mut job: RequestJob) -> Answer {
     let hold = job.hold.take();
@@ -34,12 +42,24 @@
     };
     let left = job.deadline.since(node.now());
     let attempts = run_attempts(&node, &job, &mut progress);
-    let answer = match timeout(Duration::from_millis(left), attempts).await {
+    let attempts = timeout(Duration::from_millis(left), attempts);
+    let result = tokio::select! {
+        biased;
+        result = attempts => result.map_err(|_| Interruption::Deadline),
+        () = node.ending.notified() => Err(Interruption::Exit),
+    };
+    let answer = match result {
         Ok(answer) => answer,
-        Err(_) => {
+        Err(Interruption::Deadline) => {
             job.record.deadline(progress.totals());
             Answer::new(StatusCode::GATEWAY_TIMEOUT)
         }
+        Err(Interruption::Exit) => {
+            let left = job.deadline.since(node.now());
+            job.record
+                .given_up("the node ends", progress.totals(), left);
+            Answer::new(StatusCode::BAD_GATEWAY)
+        }
     };
     job.record.answered(&answer);
     answer
--- a/crates/mesh/src/ingress.rs
+++ b/crates/mesh/src/ingress.rs
@@ -155,7 +155,7 @@
         route_hash: xxh3_64(route.name.as_bytes()),
         route,
         arrived: now,
-        deadline: now + limit,
+        deadline: stop.map_or(now + limit, |stop| stop.limit_deadline(now + limit)),
         method: request.method.as_str().into(),
         target: target(request),
         headers,
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -11,6 +11,7 @@
     TrafficSplitter,
 };
 use oriolering_platform::{Bounds, Settings};
+use tokio::sync::Notify;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::budgets::Budgets;
@@ -115,6 +116,8 @@
     pub(crate) stopping: Cell<bool>,
     /// The shutdown in progress, once the process was told to stop.
     pub(crate) shutdown: Cell<Option<Shutdown>>,
+    /// Notified when the process is about to end, so that all callers get an answer before.
+    pub(crate) ending: Notify,
     /// The current bounds, which may change while the node runs.
     pub(crate) bounds: Cell<Bounds>,
     /// The number of caller requests in progress.
@@ -169,6 +172,7 @@
             gossip: Gossip::default(),
             stopping: Cell::new(false),
             shutdown: Cell::new(None),
+            ending: Notify::new(),
             active: Cell::new(0),
         })
     }
--- a/crates/mesh/src/start.rs
+++ b/crates/mesh/src/start.rs
@@ -25,6 +25,8 @@
 const TICK_MS: u64 = 25;
 /// The time between two checks whether a stopping node is idle, in milliseconds.
 const STOP_TICK_MS: u64 = 50;
+/// How long a node that ends in any case waits for its last answers to be written, in milliseconds.
+const LAST_ANSWERS_MS: u64 = 100;
 /// The limits of connections for readiness checks.
 const READY_LIMITS: oriolering_http::ConnLimits = oriolering_http::ConnLimits {
     header_bytes: 4_096,
@@ -167,8 +169,14 @@
         node.trail.tick(node.now());
         sleep(Duration::from_millis(STOP_TICK_MS)).await;
     }
+    let cut = node.active.get();
+    node.ending.notify_waiters();
+    let end = node.now() + LAST_ANSWERS_MS;
+    while !node.is_idle() && node.now() < end {
+        sleep(Duration::from_millis(1)).await;
+    }
     node.trail.note(Event::Stopped {
-        active: node.active.get() as u64,
+        active: cut as u64,
         after_ms: node.now().since(begun),
     });
 }
--- a/crates/mesh/tests/data_path/stopping.rs
+++ b/crates/mesh/tests/data_path/stopping.rs
@@ -93,3 +93,34 @@
         assert_eq!(caller.reply().await.status, 200);
     });
 }
+
+/// Guards against a request that waits at another gate when the process ends, and whose connection
+/// is closed without an answer.
+#[test]
+fn a_node_that_ends_answers_what_it_has_read() {
+    run(async {
+        let mut fleet = Fleet::new(&["front", "s"]).await;
+        let mut config = config_with_calls(1);
+        for route in config["routes"].as_array_mut().expect("a list") {
+            route["timeout_ms"] = 8_000.into();
+        }
+        fleet.store.put("op/config", &config);
+        fleet.start_all();
+        fleet.wait_all_serving().await;
+        let mut callers = Vec::new();
+        for number in 0..12 {
+            let mut caller = fleet.caller(0).await;
+            let path = format!("/post/slow/4500?{number}");
+            let long = request("POST", &path, "", "x").replace(": 3000", ": 8000");
+            caller.send(&long).await;
+            callers.push(caller);
+        }
+        until(|| fleet.request_count_by_prefix("/post/slow") > 0).await;
+        fleet.stop(0);
+        for caller in &mut callers {
+            let status = caller.reply().await.status;
+            assert!(matches!(status, 502 | 503), "{status}");
+        }
+        fleet.wait_ended(0).await;
+    });
+}
--- a/crates/oriolering/tests/shutdown.rs
+++ b/crates/oriolering/tests/shutdown.rs
@@ -22,6 +22,37 @@
     assert_eq!(shutdown.refuses(requested + after_ms, limit_ms), refused);
 }
 
+/// Guards against a node that is gone before the last sixth of its grace period, when a request may
+/// still run that must not be cut off.
+#[rstest]
+#[case::long(10_000)]
+#[case::usual(6_000)]
+#[case::short(3_000)]
+#[case::very_short(1_000)]
+fn a_busy_node_stays_until_the_last_sixth_of_the_grace_period(#[case] grace_ms: u64) {
+    let requested = Millis(10_000);
+    let shutdown = Shutdown::new(requested, grace_ms);
+    assert!(!shutdown.is_over(requested + grace_ms * 5 / 6, false));
+    assert!(shutdown.is_over(requested + (grace_ms - 100), false));
+}
+
+#[rstest]
+#[case::first(0, false)]
+#[case::last_moment(2_600, false)]
+#[case::at_the_end(2_625, true)]
+fn a_short_grace_period_refuses_requests_at_its_end(#[case] after_ms: u64, #[case] refused: bool) {
+    let requested = Millis(10_000);
+    let shutdown = Shutdown::new(requested, 3_000);
+    assert_eq!(shutdown.refuses(requested + after_ms, 1_500), refused);
+}
+
+#[test]
+fn a_request_has_its_deadline_before_the_node_exits() {
+    let shutdown = Shutdown::new(Millis(10_000), GRACE_MS);
+    assert_eq!(shutdown.limit_deadline(Millis(12_000)), Millis(12_000));
+    assert_eq!(shutdown.limit_deadline(Millis(18_000)), Millis(15_300));
+}
+
 #[rstest]
 #[case::idle_before_callers_notice(1_000, true, false)]
 #[case::idle(3_000, true, true)]
