A stopped node of the older path answers the calls that it takes

What callers saw: calls that came within the drain were taken and passed on, and were cut without an answer as the process ended, though `drain_ms` and the server's own shutdown time had passed: 10 of 15 at a drain of 1.5 s with work of 2.5 s, 10 of 30 at 3 s with 6 s; half of them may not be repeated.

Cause: a call had the deadline of its service, whatever was left of the drain.

The drain of a test fleet can be set.

--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -18,6 +18,9 @@
 const READY_LIMIT: Duration = Duration::from_secs(20);
 const POLL: Duration = Duration::from_millis(20);
 
+/// The default of the setting `drain_ms` of a node.
+const DRAIN_MS: u64 = 30_000;
+
 /// What a fleet is made of.
 #[derive(Clone, Debug)]
 pub struct FleetPlan {
@@ -29,6 +32,8 @@
     pub settings: Value,
     /// Further arguments of each backend server.
     pub backend_args: Vec<String>,
+    /// The time that running calls have to end when a node is stopped, in milliseconds.
+    pub drain_ms: u64,
     /// Whether a relay stands before each gate.
     pub relay_gates: bool,
     /// Whether a relay stands between each node and its backend server.
@@ -43,6 +48,7 @@
             zones: vec!["huaraz".into()],
             settings: json!({}),
             backend_args: Vec::new(),
+            drain_ms: DRAIN_MS,
             relay_gates: false,
             relay_backends: false,
         }
@@ -106,6 +112,7 @@
                     zone,
                     platform: address,
                     backend_args: plan.backend_args.clone(),
+                    drain_ms: plan.drain_ms,
                     relay_gate: plan.relay_gates,
                     relay_backend: plan.relay_backends,
                 };
--- a/crates/bench/src/member.rs
+++ b/crates/bench/src/member.rs
@@ -22,6 +22,7 @@
     pub(crate) zone: CompactString,
     pub(crate) platform: SocketAddr,
     pub(crate) backend_args: Vec<String>,
+    pub(crate) drain_ms: u64,
     pub(crate) relay_gate: bool,
     pub(crate) relay_backend: bool,
 }
@@ -72,7 +73,7 @@
             "id": plan.id, "service": plan.service, "zone": plan.zone, "region": "region-1",
             "ingress": ingress, "gate": listen, "control": control, "admin": admin,
             "backend": backend_relay.as_ref().map_or(backend, |relay| relay.address),
-            "platform": plan.platform,
+            "platform": plan.platform, "drain_ms": plan.drain_ms,
         });
         let settings_path = dir.join(format!("{}.jsonc", plan.id));
         fs::write(&settings_path, settings.to_string())?;
--- a/crates/bench/tests/proofs_drain.rs
+++ b/crates/bench/tests/proofs_drain.rs
@@ -7,11 +7,15 @@
 use oriolering_bench::{
     Call, Caller, Fleet, FleetPlan, Mix, Request, Signal, Told, Trial, Upload, Verdict, seed_or,
 };
+use rstest::rstest;
 use serde_json::json;
+use tokio::time::sleep;
 
 const LATE_MS: u64 = 500;
 const EXIT_LIMIT: Duration = Duration::from_secs(15);
 const LEAVE_MS: u64 = 3_000;
+/// The time between two calls to a node that has been stopped, in milliseconds.
+const LATE_CALLS_MS: u64 = 100;
 const PART_BYTES: usize = 20_000;
 const PART_PAUSE: Duration = Duration::from_millis(50);
 
@@ -116,6 +120,37 @@
     assert_eq!(after, before, "new work after {LEAVE_MS} ms");
 }
 
+/// Guards against calls that come late in the drain, are passed on, and are cut when the process
+/// ends.
+#[rstest]
+#[case::short_drain(1_500, 2_500)]
+#[case::long_work(3_000, 6_000)]
+fn a_stopped_node_answers_all_calls_that_it_takes(#[case] drain_ms: u64, #[case] work_ms: u64) {
+    ntex::rt::System::new("late calls").block_on(async move {
+        let service_us = (work_ms * 1_000).to_string();
+        let mut plan = plan(2).backend_args(&["--service-us", &service_us]);
+        plan.drain_ms = drain_ms;
+        let mut fleet = Fleet::start(&plan).await.unwrap();
+        assert!(fleet.members[0].node.signal(Signal::Terminate));
+        let caller = Caller::new(Instant::now());
+        let mut calls = Vec::new();
+        for number in 0..drain_ms / LATE_CALLS_MS {
+            let method = if number % 2 == 0 { "GET" } else { "POST" };
+            let nonce = format_compact!("late-{number}");
+            let request = Request::new(fleet.members[0].ingress, "bitacora", method, &nonce);
+            let caller = caller.clone();
+            calls.push(ntex::rt::spawn(async move { caller.send(&request).await }));
+            sleep(Duration::from_millis(LATE_CALLS_MS)).await;
+        }
+        let ended = fleet.members[0].node.wait(EXIT_LIMIT).await;
+        assert_eq!(ended, Some(0));
+        let calls = finish_uploads(calls).await;
+        let cut = |call: &&Call| matches!(call.told, Told::Cut | Told::Broken);
+        let cut: Vec<&Call> = calls.iter().filter(cut).collect();
+        assert!(cut.is_empty(), "{} of {}: {cut:?}", cut.len(), calls.len());
+    });
+}
+
 #[ntex::main]
 #[test]
 async fn a_caller_that_comes_as_the_listener_closes_is_refused() {
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -31,7 +31,7 @@
 /// When to come back to a node that has no configuration yet.
 const UNREADY_RETRY_MS: u32 = 500;
 /// When to come back after a refusal that names no time.
-const NOT_RUN_RETRY_MS: u32 = 100;
+pub(crate) const NOT_RUN_RETRY_MS: u32 = 100;
 /// The time before the deadline in which no further attempt is made.
 const LAST_MS: u64 = 10;
 /// When to come back after a call with an unknown outcome.
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -28,7 +28,7 @@
 const IDLE_TICK_MS: u64 = 50;
 const KEEP_ALIVE: Seconds = Seconds(60);
 /// The time in which peers learn that the node is leaving before its listeners close.
-const LEAVE_MS: u64 = 1_000;
+pub(crate) const LEAVE_MS: u64 = 1_000;
 /// The time in which connections that have begun are accepted: a round trip between availability
 /// zones takes at most 2 ms.
 const LAST_MS: u64 = 3;
@@ -68,7 +68,9 @@
         () = stopped() => {}
     }
     node.drain();
-    let end = node.clock.now() + node.card.drain_ms;
+    let begun = node.clock.now();
+    let end = begun + node.card.drain_ms;
+    node.begin_stop(begun, end);
     sleep(LEAVE_MS.min(node.card.drain_ms)).await;
     finish(&node, &listeners, end).await;
     server.stop(true).await;
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -49,6 +49,8 @@
     own: Mutex<Arc<ServiceSettings>>,
     revision: Mutex<Option<u64>>,
     draining: AtomicBool,
+    /// When the process was told to stop, and when its calls must have ended.
+    stop: OnceLock<(Millis, Millis)>,
 }
 
 impl Node {
@@ -76,6 +78,7 @@
             own: Mutex::new(Arc::new(own)),
             revision: Mutex::new(None),
             draining: AtomicBool::new(false),
+            stop: OnceLock::new(),
             clock,
             card,
         })
@@ -148,6 +151,17 @@
         self.draining.load(Ordering::Relaxed)
     }
 
+    /// Records that the process was told to stop, and when its calls must have ended.
+    pub(crate) fn begin_stop(&self, now: Millis, end: Millis) {
+        // Only the first signal counts.
+        let _ = self.stop.set((now, end));
+    }
+
+    /// Returns when the process was told to stop, and when its calls must have ended, if it was.
+    pub(crate) fn stop(&self) -> Option<(Millis, Millis)> {
+        self.stop.get().copied()
+    }
+
     /// Stops taking new work for the local backend server and tells the peers.
     pub(crate) fn drain(&self) {
         if self.draining.swap(true, Ordering::Relaxed) {
