A stopping node waits until its answers are written

Cause: a request counted as under way until its answer was handed to the connection. The bytes that the socket had not taken were no reason to stay.

Change: an answer can hold something until it is written; the ingress lets it hold the count of requests under way. The node still ends at the end of its grace period in any case.

Test: a_stopping_node_waits_for_a_caller_that_reads_slowly (mesh): 7.5 MB that are read 3.1 s after the stop; cut before, whole now.

--- a/crates/http/src/answer.rs
+++ b/crates/http/src/answer.rs
@@ -1,5 +1,7 @@
 //! The response that a handler returns to a caller.
 
+use std::any::Any;
+
 use ntex::http::{HeaderMap, StatusCode};
 use ntex::util::Bytes;
 
@@ -14,6 +16,8 @@
     pub body: Bytes,
     /// Whether the connection is closed after this response.
     pub close: bool,
+    /// Dropped when the response is written to the socket, or its connection has ended.
+    pub held: Option<Box<dyn Any>>,
 }
 
 impl Answer {
@@ -24,6 +28,7 @@
             headers: HeaderMap::new(),
             body: Bytes::new(),
             close: false,
+            held: None,
         }
     }
 }
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -1,5 +1,6 @@
 //! A server connection: concurrent pipelined requests, responses in request order.
 
+use std::any::Any;
 use std::collections::VecDeque;
 use std::io;
 use std::time::Duration;
@@ -71,6 +72,8 @@
     stream: TcpStream,
     buf: BytesMut,
     out: BytesMut,
+    /// What the responses in `out` hold until they are written.
+    held: Vec<Box<dyn Any>>,
     codec: Codec,
     reading: Reading,
     pending: VecDeque<Pending>,
@@ -114,6 +117,7 @@
         stream,
         buf: BytesMut::new(),
         out: BytesMut::new(),
+        held: Vec::new(),
         codec: Codec::new(date, true),
         reading: Reading::Head,
         pending: VecDeque::new(),
@@ -161,7 +165,12 @@
             (context, answer) = next_response(&mut self.pending), if !self.pending.is_empty() => {
                 self.write_response(context, answer);
             }
-            result = flush(&self.stream, &mut self.out), if !self.out.is_empty() => result?,
+            result = flush(&self.stream, &mut self.out), if !self.out.is_empty() => {
+                result?;
+                if self.out.is_empty() {
+                    self.held.clear();
+                }
+            }
             result = fill(&self.stream, &mut self.buf), if may_read => self.handle_read(result?)?,
             () = sleep_until(deadline), if idle => {}
         }
@@ -382,6 +391,7 @@
         let ResponseContext { codec, keep_alive } = context;
         let last = self.pending.is_empty();
         let close = answer.close || !keep_alive || (last && (self.closing)());
+        self.held.extend(answer.held);
         let mut head = Response::new(answer.status);
         *head.headers_mut() = answer.headers;
         if close {
--- a/crates/mesh/src/attempt_result.rs
+++ b/crates/mesh/src/attempt_result.rs
@@ -178,5 +178,6 @@
         headers,
         body: Bytes::from(body),
         close: false,
+        held: None,
     }
 }
--- a/crates/mesh/src/ingress.rs
+++ b/crates/mesh/src/ingress.rs
@@ -1,6 +1,5 @@
 //! Accepts requests from callers, and from the local backend server to other services.
 
-use std::cell::Cell;
 use std::rc::Rc;
 
 use oriolering::Route;
@@ -70,26 +69,25 @@
     }
 }
 
-/// Counts a request as active until it is dropped.
-struct ActiveGuard<'a>(&'a Cell<usize>);
+/// Counts a request as active until it is dropped, which is when its answer is written.
+struct ActiveGuard(Rc<Node>);
 
-impl<'a> ActiveGuard<'a> {
-    fn new(count: &'a Cell<usize>) -> Self {
-        count.set(count.get() + 1);
-        Self(count)
+impl ActiveGuard {
+    fn new(node: &Rc<Node>) -> Self {
+        node.active.set(node.active.get() + 1);
+        Self(Rc::clone(node))
     }
 }
 
-impl Drop for ActiveGuard<'_> {
+impl Drop for ActiveGuard {
     fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
+        self.0.active.set(self.0.active.get() - 1);
     }
 }
 
 /// Answers one request.
 async fn handle(node: Rc<Node>, request: Request) -> Answer {
-    let counted = Rc::clone(&node);
-    let _active = ActiveGuard::new(&counted.active);
+    let active = ActiveGuard::new(&node);
     let id = headers::text(&request.headers, HEADERS.request).map(compact_str::CompactString::from);
     let mut answer = match prepare(&node, &request) {
         Ok(job) => dispatch::dispatch(node, job).await,
@@ -100,6 +98,7 @@
     {
         headers::set(&mut answer.headers, HEADERS.request, &id);
     }
+    answer.held = Some(Box::new(active));
     answer
 }
 
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -120,7 +120,7 @@
     pub(crate) ending: Notify,
     /// The current bounds, which may change while the node runs.
     pub(crate) bounds: Cell<Bounds>,
-    /// The number of caller requests in progress.
+    /// The number of caller requests whose answers are not yet written.
     pub(crate) active: Cell<usize>,
 }
 
--- a/crates/mesh/tests/data_path/stopping.rs
+++ b/crates/mesh/tests/data_path/stopping.rs
@@ -9,6 +9,9 @@
 /// The time after which callers know that a node is not ready, in milliseconds, and some more.
 const NOTICE_MS: u64 = 3_100;
 
+/// The size of a long answer, in bytes: more than the buffers of a socket hold.
+const ANSWER_BYTES: usize = 7_500_000;
+
 #[test]
 fn a_stopping_node_is_not_ready_and_finishes_running_requests() {
     run(async {
@@ -94,6 +97,31 @@
     });
 }
 
+/// Guards against a node that ends while a slow caller still reads an answer: it took the answer for
+/// delivered once it was encoded.
+#[test]
+fn a_stopping_node_waits_for_a_caller_that_reads_slowly() {
+    run(async {
+        let mut fleet = Fleet::new(&["front", "s"]).await;
+        let mut config = config_with_calls(1);
+        config["limits"]["max_body_bytes"] = 16_000_000.into();
+        fleet.store.put("op/config", &config);
+        fleet.start_all();
+        fleet.wait_all_serving().await;
+        let mut caller = fleet.caller(0).await;
+        // The backend server sends the body back.
+        let body = "x".repeat(ANSWER_BYTES);
+        caller.send(request("POST", "/post/echo", "", &body)).await;
+        until(|| fleet.request_count("/post/echo") == 1).await;
+        fleet.stop(0);
+        sleep_ms(NOTICE_MS).await;
+        let reply = caller.reply().await;
+        assert_eq!(reply.status, 200);
+        assert!(reply.body.len() > ANSWER_BYTES);
+        fleet.wait_ended(0).await;
+    });
+}
+
 /// Guards against a request that waits at another gate when the process ends, and whose connection
 /// is closed without an answer.
 #[test]
