Accept routes of the kind download

A configuration with such a route was rejected as a whole, so a deployment with one got 98 to 100 of 100 requests refused. The kind is idempotent. Its test fails before: the parser knew three kinds.

--- a/crates/ctl/src/route.rs
+++ b/crates/ctl/src/route.rs
@@ -141,6 +141,10 @@
             "upload: a request with a large body, sent again only while it is sure not to have \
              run, to {most} backend servers at most"
         ),
+        RouteKind::Download => format!(
+            "download: a request with a large response; one that may have run may be sent again, \
+             to {most} backend servers at most"
+        ),
     }
 }
 
--- a/crates/oriolering/src/route_kind.rs
+++ b/crates/oriolering/src/route_kind.rs
@@ -13,6 +13,8 @@
     NonIdempotent,
     /// A request has a large body and runs at most once.
     Upload,
+    /// A request has a large response and may run more than once.
+    Download,
 }
 
 impl RouteKind {
@@ -22,13 +24,14 @@
             Self::Idempotent => "idempotent",
             Self::NonIdempotent => "non-idempotent",
             Self::Upload => "upload",
+            Self::Download => "download",
         }
     }
 
     /// Returns whether a request that may have run may be sent again.
     pub fn is_idempotent(self) -> bool {
         match self {
-            Self::Idempotent => true,
+            Self::Idempotent | Self::Download => true,
             Self::NonIdempotent | Self::Upload => false,
         }
     }
--- a/crates/oriolering/tests/config_routes_arbitrary.rs
+++ b/crates/oriolering/tests/config_routes_arbitrary.rs
@@ -51,7 +51,7 @@
 }
 
 fn kind() -> impl Strategy<Value = &'static str> {
-    prop::sample::select(vec!["idempotent", "non-idempotent", "upload"])
+    prop::sample::select(vec!["idempotent", "non-idempotent", "upload", "download"])
 }
 
 fn route() -> impl Strategy<Value = String> {
