Evacuate an availability zone at the operator's request

Change: the evacuations travel with the server list and are merged by position in the store. An ingress does not choose backend servers of an evacuated zone, and their gates refuse new and waiting requests as not run. A complete read takes the pages of all keys in place of a call for the list and one for the routes.

Tests: oriolering evacuations (4) and oriolering-mesh evacuation (7) pass; they do not compile on the code before.

--- a/crates/mesh/src/attempt_result.rs
+++ b/crates/mesh/src/attempt_result.rs
@@ -70,6 +70,7 @@
                 | RefusalReason::Late
                 | RefusalReason::Full
                 | RefusalReason::Leaving
+                | RefusalReason::Evacuated
                 | RefusalReason::Down
                 | RefusalReason::Budget
                 | RefusalReason::Limit => progress.retry_after_ms = retry_after_ms,
--- a/crates/mesh/src/counts.rs
+++ b/crates/mesh/src/counts.rs
@@ -34,11 +34,12 @@
 /// The kinds of repeats: a second try, a second run, a call made by a repeated run.
 pub(crate) const REPEATS: [&str; 3] = ["try", "run", "call"];
 /// The reasons why gates refuse requests.
-pub(crate) const REFUSALS: [&str; 8] = [
+pub(crate) const REFUSALS: [&str; 9] = [
     "elsewhere",
     "late",
     "full",
     "leaving",
+    "evacuated",
     "down",
     "quarantined",
     "budget",
@@ -51,9 +52,9 @@
     "offer", "repeat", "answer", "refusal", "body", "cancel", "load", "question", "news",
 ];
 /// The causes of calls to the store.
-pub(crate) const CALLS: [&str; 4] = ["start", "list", "routes", "watch"];
+pub(crate) const CALLS: [&str; 3] = ["start", "list", "watch"];
 /// The changes of a node's state that are counted.
-pub(crate) const CHANGES: [&str; 18] = [
+pub(crate) const CHANGES: [&str; 20] = [
     "store_lost",
     "store_back",
     "store_returned",
@@ -67,6 +68,8 @@
     "server_limited",
     "server_unlimited",
     "server_leaves",
+    "zone_evacuated",
+    "zone_restored",
     "routes_taken",
     "routes_rejected",
     "settings_reloaded",
--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -88,6 +88,8 @@
     responded: Cell<bool>,
     /// Whether the server list says that the backend server is draining, or no longer contains it.
     server_leaving: Cell<bool>,
+    /// Whether the availability zone of the backend server is evacuated.
+    evacuated: Cell<bool>,
     server: RefCell<CompactString>,
     /// The start time of the backend server, by the server list.
     born: Cell<Option<u64>>,
@@ -125,6 +127,7 @@
             responding_id: RefCell::default(),
             responded: Cell::new(false),
             server_leaving: Cell::new(false),
+            evacuated: Cell::new(false),
             server: RefCell::default(),
             born: Cell::new(None),
         }
@@ -154,7 +157,15 @@
     /// Refuses new and waiting requests from now on; running requests are still served.
     pub(crate) fn leave(&self) {
         self.leaving.set(true);
-        self.close_leaving();
+        self.reopen();
+    }
+
+    /// Applies whether the availability zone of the backend server is evacuated. Meanwhile requests
+    /// are refused and run elsewhere, and the backend server is still probed.
+    pub(crate) fn set_evacuated(&self, evacuated: bool) {
+        if self.evacuated.replace(evacuated) != evacuated {
+            self.reopen();
+        }
     }
 
     /// Applies the record of the local backend server in the server list.
@@ -185,10 +196,7 @@
         if self.server_leaving.replace(leaving) == leaving {
             return;
         }
-        match leaving {
-            true => self.close_leaving(),
-            false => self.reopen(),
-        }
+        self.reopen();
     }
 
     /// Resets what the previous run of the backend server reported of itself.
@@ -473,22 +481,23 @@
         self.leaving.get() || self.server_leaving.get() || self.notices.is_leaving()
     }
 
-    /// Opens the gate, unless the node or its backend server is leaving.
+    /// Opens the gate, unless it drains; a gate that drains refuses the requests that wait at it.
     fn reopen(&self) {
-        self.health.log_up(&self.server.borrow());
-        if self.is_leaving() {
-            return self.close_leaving();
+        let reason = self.drain_reason();
+        self.scheduler.borrow_mut().close(reason);
+        match reason {
+            Some(_) => self.process_events(),
+            None => self.health.log_up(&self.server.borrow()),
         }
-        self.scheduler.borrow_mut().close(None);
         self.send_load_change();
     }
 
-    /// Closes the gate, and refuses the requests that wait at it.
-    fn close_leaving(&self) {
-        let reason = RefusalReason::Leaving;
-        self.scheduler.borrow_mut().close(Some(reason));
-        self.process_events();
-        self.send_load_change();
+    /// Returns why requests are refused although the backend server is up, if they are.
+    fn drain_reason(&self) -> Option<RefusalReason> {
+        if self.is_leaving() {
+            return Some(RefusalReason::Leaving);
+        }
+        self.evacuated.get().then_some(RefusalReason::Evacuated)
     }
 
     fn handle_connect_error(&self, e: &ExchangeError) {
--- a/crates/mesh/src/gate/probing.rs
+++ b/crates/mesh/src/gate/probing.rs
@@ -14,6 +14,9 @@
 
 /// How long the response to a probe may take, in milliseconds.
 const PROBE_TIMEOUT_MS: u64 = 400;
+/// The age of the last report after which the backend server of an evacuated zone is probed, in
+/// milliseconds; it gets no requests, so only whether it is up matters.
+const EVACUATED_INTERVAL_MS: u64 = 500;
 /// How long after its last request a backend server is still probed, in milliseconds.
 const IN_USE_MS: u64 = 3_000;
 
@@ -23,7 +26,11 @@
     /// Without a health path, only a backend server that is down is probed, by a connection.
     pub(crate) fn probe(self: &Rc<Self>) {
         let now = self.clock.now();
-        let fresh = self.health.age_ms() < PROBE_INTERVAL_MS;
+        let interval_ms = match self.evacuated.get() {
+            true => EVACUATED_INTERVAL_MS,
+            false => PROBE_INTERVAL_MS,
+        };
+        let fresh = self.health.age_ms() < interval_ms;
         if fresh || !self.wants_probe(now) || self.probing.get() {
             return;
         }
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -5,10 +5,11 @@
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 
+use compact_str::CompactString;
 use ntex::http::DateService;
 use oriolering::{
     Clock, Millis, RouteEstimates, RouteTable, ServerList, ServerRecord, ServerState, Shutdown,
-    TrafficSplitter,
+    StorePosition, TrafficSplitter,
 };
 use oriolering_platform::{Bounds, Settings};
 use tokio::sync::Notify;
@@ -96,6 +97,8 @@
     pub(crate) published: RefCell<Option<Rc<Published>>>,
     pub(crate) list: RefCell<ServerList>,
     pub(crate) server_table: RefCell<ServerTable>,
+    /// The evacuated availability zones by the list that was last applied.
+    evacuated_zones: RefCell<Vec<CompactString>>,
     pub(crate) peers: RefCell<HashMap<SocketAddr, Rc<Peer>>>,
     pub(crate) gate: Rc<Gate>,
     pub(crate) suspects: Rc<Suspects>,
@@ -160,6 +163,7 @@
             published: RefCell::default(),
             list: RefCell::default(),
             server_table: RefCell::default(),
+            evacuated_zones: RefCell::default(),
             peers: RefCell::default(),
             gate: Rc::new(gate),
             suspects,
@@ -238,13 +242,37 @@
         if !self.confirmed.get() {
             return added;
         }
+        self.log_evacuations(position, source);
         self.update_gate(&choices);
+        let list = self.list.borrow();
+        let evacuated = |zone: &str| list.is_evacuated(zone);
         self.server_table
             .borrow_mut()
-            .replace(now, &self.settings.zone, choices);
+            .replace(now, &self.settings.zone, choices, evacuated);
         added
     }
 
+    /// Logs which evacuations have begun and ended since the list was last applied.
+    fn log_evacuations(&self, list_position: StorePosition, source: Origin) {
+        let list = self.list.borrow();
+        let current: Vec<CompactString> = list.evacuated_zones().cloned().collect();
+        let previous = self.evacuated_zones.replace(current.clone());
+        for zone in current.iter().filter(|zone| !previous.contains(zone)) {
+            self.trail.note(Event::ZoneEvacuated {
+                zone: zone.clone(),
+                list_position,
+                source,
+            });
+        }
+        for zone in previous.into_iter().filter(|zone| !current.contains(zone)) {
+            self.trail.note(Event::ZoneRestored {
+                zone,
+                list_position,
+                source,
+            });
+        }
+    }
+
     /// Adds the nodes on the instances of these backend servers as peers, and returns the new
     /// ones. The backend servers get no requests by this.
     pub(crate) fn add_peers(&self, records: &[ServerRecord]) -> Vec<Rc<Peer>> {
@@ -378,6 +406,9 @@
             .iter()
             .filter(|(_, gate)| matches!(gate, GateRef::Local));
         let ready = local.max_by_key(|(r, _)| (r.state == ServerState::Ready, r.born));
+        let zone = ready.map_or(&self.settings.zone, |(record, _)| &record.zone);
+        self.gate
+            .set_evacuated(self.list.borrow().is_evacuated(zone));
         let Some((record, _)) = ready else {
             return self.gate.remove_server();
         };
--- a/crates/mesh/src/server_table.rs
+++ b/crates/mesh/src/server_table.rs
@@ -63,6 +63,8 @@
     gate: GateRef,
     /// Whether a response of the backend server said that it is leaving.
     leaving: bool,
+    /// Whether its availability zone is evacuated.
+    evacuated: bool,
 }
 
 /// The backend server chosen for a request.
@@ -96,6 +98,7 @@
         now: Millis,
         zone: &str,
         records: Vec<(ServerRecord, GateRef)>,
+        is_evacuated: impl Fn(&str) -> bool,
     ) {
         let mut previous: HashMap<Run, ServerEntry> = std::mem::take(&mut self.entries)
             .into_iter()
@@ -110,6 +113,7 @@
                 || ServerEstimate::new(now, record.slots, record.zone != zone),
                 |entry| entry.estimate,
             );
+            let evacuated = is_evacuated(&record.zone);
             let index = self.entries.len();
             self.services
                 .entry(record.service.clone())
@@ -120,6 +124,7 @@
                 estimate,
                 gate,
                 leaving,
+                evacuated,
             });
         }
     }
@@ -179,7 +184,8 @@
 
     fn is_usable(&self, index: usize) -> bool {
         let entry = &self.entries[index];
-        entry.record.state == ServerState::Ready && entry.gate.is_up() && !entry.leaving
+        let in_use = entry.record.state == ServerState::Ready && !entry.leaving;
+        in_use && !entry.evacuated && entry.gate.is_up()
     }
 
     /// Records that a response of a backend server said that it is leaving; no more requests are
--- a/crates/mesh/src/store_reader.rs
+++ b/crates/mesh/src/store_reader.rs
@@ -4,10 +4,10 @@
 use std::time::Duration;
 
 use compact_str::CompactString;
-use oriolering::{Millis, ServerRecord, ServerUpdate, StorePosition};
+use oriolering::{Millis, ServerRecord, ServerUpdate, StorePosition, ZoneUpdate};
 use oriolering_platform::{
     ALL_KEYS, CONFIG_KEY, Change, Event, InvalidItem, Item, Range, SERVERS_PREFIX, StoreError,
-    Watch, key_path, parse_entry, parse_item, parse_range, parse_watch, range_path, watch_path,
+    Watch, parse_entry, parse_evacuated_zone, parse_range, parse_watch, range_path, watch_path,
 };
 use rand::Rng;
 use snafu::ensure;
@@ -195,6 +195,8 @@
         for item in items {
             if item.key == CONFIG_KEY {
                 gossip::apply_routes(&self.node, item.value);
+            } else if let Some(update) = zone_update(&item.key, true, item.position) {
+                self.node.list.borrow_mut().apply_zone(update);
             } else if let Some(update) = item_update(&self.node.trail, item) {
                 let now = self.node.now();
                 self.node.list.borrow_mut().apply(now, update);
@@ -261,7 +263,7 @@
     /// A stale read costs a tenth of a current one, and a watch from its position brings the
     /// changes since then. A stale read of an earlier era is of no use.
     async fn read_all(&mut self) -> Result<StorePosition, StoreReadError> {
-        match self.read_stale().await {
+        match self.read_pages("start", true).await {
             Ok((items, position)) => self.catch_up(items, position).await,
             Err(StoreReadError::Outdated { .. } | StoreReadError::Returned) => {
                 self.read_current().await
@@ -287,44 +289,52 @@
         if changes.position.era != position.era {
             return self.read_current().await;
         }
-        let mut updates = Vec::new();
-        for item in items {
-            if item.key == CONFIG_KEY {
-                gossip::apply_routes(&self.node, item.value);
-            } else {
-                updates.extend(item_update(&self.node.trail, item));
-            }
-        }
         self.record_success();
-        self.replace_list(updates, position);
+        self.replace_list(items, position);
         let position = changes.position;
         self.apply_watch(changes);
         Ok(self.finish_read(position))
     }
 
-    /// Puts a complete list in effect.
-    fn replace_list(&self, updates: Vec<ServerUpdate>, position: StorePosition) {
+    /// Puts a complete read of the store in effect.
+    fn replace_list(&self, items: Vec<Item>, position: StorePosition) {
+        let mut servers = Vec::new();
+        let mut zones = Vec::new();
+        for item in items {
+            if item.key == CONFIG_KEY {
+                gossip::apply_routes(&self.node, item.value);
+            } else if let Some(update) = zone_update(&item.key, true, item.position) {
+                zones.push(update);
+            } else {
+                servers.extend(item_update(&self.node.trail, item));
+            }
+        }
         let lapsed = self.may_be_lapsed();
         let now = self.node.now();
         let mut list = self.node.list.borrow_mut();
-        let returned = list.replace(now, updates, position, lapsed);
+        list.replace_zones(&zones, position);
+        let returned = list.replace(now, servers, position, lapsed);
         drop(list);
         if let Some(returned) = returned {
             gossip::note_return(&self.node, returned, Origin::Store);
         }
     }
 
-    /// Reads all pages with stale reads, and returns their items with the oldest position of the
-    /// pages; later changes may be missing.
-    async fn read_stale(&mut self) -> Result<(Vec<Item>, StorePosition), StoreReadError> {
+    /// Reads all pages, and returns their items with the oldest position of the pages; later changes
+    /// may be missing, as pages are not a snapshot. A stale read may lack more of them.
+    async fn read_pages(
+        &mut self,
+        cause: &'static str,
+        stale: bool,
+    ) -> Result<(Vec<Item>, StorePosition), StoreReadError> {
         let mut items = Vec::new();
         let mut after: Option<CompactString> = None;
         let mut oldest: Option<StorePosition> = None;
         loop {
-            let path = range_path(ALL_KEYS, after.as_deref(), true);
+            let path = range_path(ALL_KEYS, after.as_deref(), stale);
             let range: Range = self
                 .client
-                .call("start", &path, READ_TIMEOUT_MS, parse_range)
+                .call(cause, &path, READ_TIMEOUT_MS, parse_range)
                 .await?;
             self.log_rejected(&range.broken, range.position);
             let known = *oldest.get_or_insert(range.position);
@@ -339,12 +349,11 @@
         }
     }
 
-    /// Reads the current routes and the whole current list.
+    /// Reads the current routes, evacuations and the whole current list.
     async fn read_current(&mut self) -> Result<StorePosition, StoreReadError> {
-        let (updates, position) = self.read_servers().await?;
-        self.read_routes().await?;
+        let (items, position) = self.read_pages("list", false).await?;
         self.record_success();
-        self.replace_list(updates, position);
+        self.replace_list(items, position);
         Ok(self.finish_read(position))
     }
 
@@ -374,48 +383,6 @@
         }
     }
 
-    async fn read_servers(&mut self) -> Result<(Vec<ServerUpdate>, StorePosition), StoreReadError> {
-        let mut updates = Vec::new();
-        let mut after: Option<CompactString> = None;
-        let mut first = None;
-        loop {
-            let path = range_path(SERVERS_PREFIX, after.as_deref(), false);
-            let range: Range = self
-                .client
-                .call("list", &path, READ_TIMEOUT_MS, parse_range)
-                .await?;
-            // Pages are not a snapshot, so the watch starts from the position of the first page.
-            let position = *first.get_or_insert(range.position);
-            ensure!(position.era == range.position.era, ReturnedSnafu);
-            self.log_rejected(&range.broken, position);
-            let trail = &self.node.trail;
-            let items = range.items.into_iter();
-            updates.extend(items.filter_map(|item| item_update(trail, item)));
-            match range.more {
-                Some(key) => after = Some(key),
-                None => return Ok((updates, position)),
-            }
-        }
-    }
-
-    async fn read_routes(&mut self) -> Result<(), StoreReadError> {
-        let path = key_path(CONFIG_KEY);
-        match self
-            .client
-            .call("routes", &path, READ_TIMEOUT_MS, parse_item)
-            .await
-        {
-            Ok(item) => {
-                gossip::apply_routes(&self.node, item.value);
-                Ok(())
-            }
-            Err(StoreReadError::Store {
-                source: StoreError::Missing,
-            }) => Ok(()),
-            Err(e) => Err(e),
-        }
-    }
-
     /// Waits for the changes after a position.
     async fn watch(
         &mut self,
@@ -451,6 +418,10 @@
                 Change::Put(value) => Some(value.as_slice()),
                 Change::Deleted => None,
             };
+            if let Some(update) = zone_update(&key, value.is_some(), position) {
+                changed |= self.node.list.borrow_mut().apply_zone(update);
+                continue;
+            }
             if let Some(update) = key_update(&self.node.trail, &key, value, position, lapsed) {
                 changed |= self.node.list.borrow_mut().apply(now, update);
             }
@@ -493,6 +464,15 @@
     }
 }
 
+/// Returns the start or the end of an evacuation, or none if the key is not that of one.
+fn zone_update(key: &str, evacuated: bool, position: StorePosition) -> Option<ZoneUpdate> {
+    Some(ZoneUpdate {
+        zone: parse_evacuated_zone(key)?.into(),
+        position,
+        evacuated,
+    })
+}
+
 /// Returns the update of an item of the server list, or none for other items.
 fn item_update(trail: &Trail, item: Item) -> Option<ServerUpdate> {
     key_update(trail, &item.key, Some(&item.value), item.position, false)
--- a/crates/mesh/src/trail/event.rs
+++ b/crates/mesh/src/trail/event.rs
@@ -346,6 +346,18 @@
     },
     /// The local backend server announced in an answer that it is leaving.
     ServerLeaves { server: CompactString },
+    /// The operator evacuates an availability zone; its backend servers get no requests.
+    ZoneEvacuated {
+        zone: CompactString,
+        list_position: StorePosition,
+        source: Origin,
+    },
+    /// The evacuation of an availability zone has ended.
+    ZoneRestored {
+        zone: CompactString,
+        list_position: StorePosition,
+        source: Origin,
+    },
     /// A request was in flight when the local backend server crashed.
     Suspected {
         request: CompactString,
@@ -419,6 +431,8 @@
             | Self::ServerLimited { .. }
             | Self::ServerUnlimited { .. }
             | Self::ServerLeaves { .. }
+            | Self::ZoneEvacuated { .. }
+            | Self::ZoneRestored { .. }
             | Self::RequestCleared { .. } => Rank::Change,
             Self::SettingsRejected { .. }
             | Self::StoreLost { .. }
--- a/crates/mesh/tests/support/mod.rs
+++ b/crates/mesh/tests/support/mod.rs
@@ -77,6 +77,8 @@
     pub backend: Backend,
     /// The bandwidth of the link, in megabits per second.
     link_mbps: u32,
+    /// The availability zone.
+    zone: String,
     pub log: Log,
     /// Whether a node has run on this instance before.
     has_run: bool,
@@ -127,6 +129,7 @@
             ip,
             backend,
             link_mbps: DEFAULT_LINK_MBPS,
+            zone: "z".to_owned(),
             log: Log::default(),
             has_run: false,
             stop: None,
@@ -163,7 +166,7 @@
         let entry = json!({
             "service": service,
             "address": backend.address.to_string(),
-            "zone": "z",
+            "zone": self.instances[index].zone,
             "version": "1",
             "slots": 8,
             "state": state,
@@ -190,6 +193,11 @@
         self.instances[index].link_mbps = link_mbps;
     }
 
+    /// Sets the availability zone of an instance whose node is not started yet.
+    pub fn set_zone(&mut self, index: usize, zone: &str) {
+        self.instances[index].zone = zone.to_owned();
+    }
+
     /// Starts a node with a separate address of the store, and returns that address.
     pub async fn start_at_own_store(&mut self, index: usize) -> SocketAddr {
         let address = SocketAddr::new(ip(self.network, 100 + index as u8), STORE_PORT);
@@ -400,14 +408,19 @@
 }
 
 fn settings(instance: &Instance, store: SocketAddr) -> Settings {
-    let Instance { ip, link_mbps, .. } = instance;
+    let Instance {
+        ip,
+        link_mbps,
+        zone,
+        ..
+    } = instance;
     let first = !instance.has_run;
     let service = &instance.backend.service;
     let last = LINKS_PORT + 15;
     let text = format!(
         r#"
         node = "{ip}"
-        zone = "z"
+        zone = "{zone}"
         ip = "{ip}"
         internal_ports = [{LINKS_PORT}, {last}]
         app_addr = "{ip}:{BACKEND_PORT}"
--- a/crates/oriolering/src/scheduler.rs
+++ b/crates/oriolering/src/scheduler.rs
@@ -59,6 +59,8 @@
     Full,
     /// The node or its backend server is shutting down.
     Leaving,
+    /// The availability zone of the backend server is evacuated.
+    Evacuated,
     /// The backend server does not accept connections.
     Down,
     /// It is quarantined, since backend servers crashed while running it.
@@ -77,6 +79,7 @@
             Self::Late => "late",
             Self::Full => "full",
             Self::Leaving => "leaving",
+            Self::Evacuated => "evacuated",
             Self::Down => "down",
             Self::Quarantined => "quarantined",
             Self::Budget => "budget",
@@ -151,8 +154,9 @@
 
     /// Refuses new requests for this reason, or accepts them again when it is `None`.
     ///
-    /// When the reason is [`RefusalReason::Leaving`], [`Self::next_event`] refuses the waiting
-    /// requests too: the backend server may exit before they end.
+    /// When the reason is [`RefusalReason::Leaving`] or [`RefusalReason::Evacuated`],
+    /// [`Self::next_event`] refuses the waiting requests too: the backend server may exit before they
+    /// end, or must get no more requests.
     pub fn close(&mut self, reason: Option<RefusalReason>) {
         self.closed = reason;
     }
@@ -228,7 +232,7 @@
     ///
     /// The caller repeats the call until it returns `None`.
     pub fn next_event(&mut self, now: Millis) -> Option<SchedulerEvent> {
-        if let Some(event) = self.refuse_leaving() {
+        if let Some(event) = self.refuse_drained() {
             return Some(event);
         }
         if let Some(event) = self.refuse_late(now) {
@@ -329,13 +333,14 @@
         self.rate_limiter.wait_ms(now, ahead.count())
     }
 
-    /// Refuses a waiting request if the node or its backend server is shutting down.
-    fn refuse_leaving(&mut self) -> Option<SchedulerEvent> {
-        if self.closed != Some(RefusalReason::Leaving) {
-            return None;
-        }
+    /// Refuses a waiting request if the node or its backend server is shutting down, or if its
+    /// availability zone is evacuated.
+    fn refuse_drained(&mut self) -> Option<SchedulerEvent> {
+        let drains =
+            |why: &RefusalReason| matches!(why, RefusalReason::Leaving | RefusalReason::Evacuated);
+        let reason = self.closed.filter(drains)?;
         let (key, _) = self.waiting.pop_front()?;
-        Some(SchedulerEvent::Refuse(key, RefusalReason::Leaving))
+        Some(SchedulerEvent::Refuse(key, reason))
     }
 
     /// Refuses a waiting request that is expected to end sooner at another backend server.
--- a/crates/oriolering/src/server_list.rs
+++ b/crates/oriolering/src/server_list.rs
@@ -5,8 +5,9 @@
 
 use compact_str::CompactString;
 
+use crate::evacuations::Evacuations;
 use crate::server_entry::ServerEntry;
-use crate::{ListUpdate, Millis, ServerRecord, ServerUpdate, StorePosition};
+use crate::{ListUpdate, Millis, ServerRecord, ServerUpdate, StorePosition, ZoneUpdate};
 
 /// How long a tombstone is kept, in milliseconds; longer than any update takes to arrive.
 const TOMBSTONE_MS: u64 = 60_000;
@@ -26,13 +27,15 @@
     pub dropped: usize,
 }
 
-/// The backend servers listed in the platform's store.
+/// The backend servers listed in the platform's store, and the availability zones that the operator
+/// evacuates.
 ///
 /// Of two updates of one entry the one with the later position wins, so the order in which
 /// updates arrive does not matter.
 #[derive(Clone, Debug, Default)]
 pub struct ServerList {
     entries: HashMap<CompactString, ServerEntry>,
+    evacuations: Evacuations,
     position: StorePosition,
     /// The position after which each removal is known, also of entries that were never listed here.
     removals_from: StorePosition,
@@ -83,6 +86,30 @@
         true
     }
 
+    /// Applies the start or the end of an evacuation; returns whether it changed the list.
+    ///
+    /// An update of an earlier era than that of the list is ignored.
+    pub fn apply_zone(&mut self, update: ZoneUpdate) -> bool {
+        if update.position.era < self.era {
+            return false;
+        }
+        self.era = self.era.max(update.position.era);
+        let changed = self.evacuations.apply(update);
+        self.changes += u64::from(changed);
+        changed
+    }
+
+    /// Returns whether the operator evacuates an availability zone, so that its backend servers get
+    /// no requests.
+    pub fn is_evacuated(&self, zone: &str) -> bool {
+        self.evacuations.contains(zone)
+    }
+
+    /// Returns the evacuated availability zones.
+    pub fn evacuated_zones(&self) -> impl Iterator<Item = &CompactString> {
+        self.evacuations.active()
+    }
+
     /// Returns the listed backend servers; of those with the same address, only the one that
     /// started last, since the earlier one must have ended.
     ///
@@ -138,6 +165,18 @@
         returned.then(|| self.describe_return(before, &in_use))
     }
 
+    /// Applies the evacuations of a complete read at `position`; those missing from it have ended.
+    ///
+    /// After the store came back from a copy, the evacuations that it holds are in force: an
+    /// operator looks there for them.
+    pub fn replace_zones(&mut self, updates: &[ZoneUpdate], position: StorePosition) {
+        if position.era < self.era {
+            return;
+        }
+        let changed = self.evacuations.replace(updates, position);
+        self.changes += u64::from(changed);
+    }
+
     /// Returns whether the list holds anything of an era before this one.
     fn is_of_earlier_era(&self, era: u64) -> bool {
         let mut listed = self.entries.values().filter(|e| e.record.is_some());
@@ -231,6 +270,7 @@
             position: self.position,
             whole,
             updates: newer.map(|(id, e)| e.to_update(now, id)).collect(),
+            zones: self.evacuations.updates_since(position, whole),
         }
     }
 
@@ -241,13 +281,18 @@
             position,
             whole,
             updates,
+            zones,
         } = update;
         if whole {
+            self.replace_zones(&zones, position);
             return self.replace(now, updates, position, false);
         }
         for update in updates {
             self.apply(now, update);
         }
+        for zone in zones {
+            self.apply_zone(zone);
+        }
         self.advance(position);
         None
     }
--- a/crates/oriolering/src/server_update.rs
+++ b/crates/oriolering/src/server_update.rs
@@ -3,7 +3,7 @@
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
-use crate::{ServerRecord, StorePosition};
+use crate::{ServerRecord, StorePosition, ZoneUpdate};
 
 /// What a node goes on believing of a backend server although the store says otherwise.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -40,4 +40,6 @@
     pub whole: bool,
     /// The changed entries.
     pub updates: Vec<ServerUpdate>,
+    /// The evacuations that began or ended.
+    pub zones: Vec<ZoneUpdate>,
 }
