Limit the rate of requests to cold backend servers

Cause: cold_remaining_ms was read and used nowhere, and cold_per_s was not read.

Change: the gate limits the rate while its backend server is cold or was not checked for a second, and counts what it sent in the last second. Services without the setting are served as before.

--- a/crates/bench/tests/docs.rs
+++ b/crates/bench/tests/docs.rs
@@ -343,7 +343,13 @@
 /// Returns the pages, each with its path and its text.
 fn pages() -> Vec<(String, String)> {
     let mut paths = vec!["README.md".to_owned()];
-    for dir in ["docs", "docs/parts", "docs/incidents", "docs/plots"] {
+    for dir in [
+        "docs",
+        "docs/design",
+        "docs/parts",
+        "docs/incidents",
+        "docs/plots",
+    ] {
         let entries = fs::read_dir(root().join(dir)).unwrap();
         let names = entries.map(|entry| entry.unwrap().file_name().into_string().unwrap());
         let names = names.filter(|name| name.ends_with(".md"));
--- a/crates/mesh/src/counts.rs
+++ b/crates/mesh/src/counts.rs
@@ -54,7 +54,7 @@
 /// The causes of calls to the store.
 pub(crate) const CALLS: [&str; 3] = ["start", "list", "watch"];
 /// The changes of a node's state that are counted.
-pub(crate) const CHANGES: [&str; 20] = [
+pub(crate) const CHANGES: [&str; 22] = [
     "store_lost",
     "store_back",
     "store_returned",
@@ -68,6 +68,8 @@
     "server_limited",
     "server_unlimited",
     "server_leaves",
+    "server_cold",
+    "server_warm",
     "zone_evacuated",
     "zone_restored",
     "routes_taken",
--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -6,6 +6,7 @@
 mod probing;
 mod responses;
 mod waiting;
+mod warm_up;
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -16,8 +17,8 @@
 use compact_str::CompactString;
 use ntex::http::{DateService, ResponseHead};
 use oriolering::{
-    Admission, Clock, GateLoad, Job, JobKey, Millis, QuarantineEntry, RefusalReason, Scheduler,
-    SchedulerEvent, ServerRecord, ServerState,
+    Admission, Clock, GateLoad, Job, JobKey, Millis, QuarantineEntry, Rate, RefusalReason,
+    RoutedService, Scheduler, SchedulerEvent, ServerRecord, ServerState, WarmUp,
 };
 use oriolering_http::{Bytes, ExchangeError, Response};
 use oriolering_platform::HEADERS;
@@ -90,6 +91,15 @@
     server_leaving: Cell<bool>,
     /// Whether the availability zone of the backend server is evacuated.
     evacuated: Cell<bool>,
+    warm_up: RefCell<WarmUp>,
+    /// The limit in force because the backend server is cold or may be.
+    cold_limit: Cell<Option<Rate>>,
+    /// Since when that limit is in force.
+    cold_since: Cell<Millis>,
+    /// When the last health check was sent.
+    check_sent: Cell<Millis>,
+    /// The report of the backend server that the server list last named.
+    sequence: Cell<u64>,
     server: RefCell<CompactString>,
     /// The start time of the backend server, by the server list.
     born: Cell<Option<u64>>,
@@ -107,6 +117,7 @@
         suspects: Rc<Suspects>,
         budgets: Rc<Budgets>,
     ) -> Self {
+        let now = clock.now();
         Self {
             health: BackendHealth::new(clock.clone(), Rc::clone(&trail)),
             notices: Notices::new(clock.clone(), Rc::clone(&trail)),
@@ -128,6 +139,11 @@
             responded: Cell::new(false),
             server_leaving: Cell::new(false),
             evacuated: Cell::new(false),
+            warm_up: RefCell::new(WarmUp::new(now)),
+            cold_limit: Cell::new(None),
+            cold_since: Cell::new(now),
+            check_sent: Cell::new(now),
+            sequence: Cell::new(0),
             server: RefCell::default(),
             born: Cell::new(None),
         }
@@ -164,17 +180,28 @@
     /// are refused and run elsewhere, and the backend server is still probed.
     pub(crate) fn set_evacuated(&self, evacuated: bool) {
         if self.evacuated.replace(evacuated) != evacuated {
+            // The backend servers of a zone may be cold when its evacuation ends.
+            self.warm_up.borrow_mut().require_check();
+            self.update_limit();
             self.reopen();
         }
     }
 
     /// Applies the record of the local backend server in the server list.
-    pub(crate) fn update_server(&self, record: &ServerRecord, health_path: &str) {
-        *self.health_path.borrow_mut() = health_path.into();
+    pub(crate) fn update_server(&self, record: &ServerRecord, service: Option<&RoutedService>) {
+        let now = self.clock.now();
+        let health_path = service.map(|service| service.health_path.clone());
+        *self.health_path.borrow_mut() = health_path.unwrap_or_default();
+        let slow_start = service.and_then(|service| service.slow_start);
+        self.warm_up.borrow_mut().configure(now, slow_start);
         self.set_server_leaving(record.state == ServerState::Draining);
         let born = self.born.replace(record.born);
+        let sequence = self.sequence.replace(record.sequence);
         if *self.server.borrow() == record.id && born == record.born {
-            return;
+            if sequence != record.sequence {
+                self.warm_up.borrow_mut().record_entry(now, record.cold_ms);
+            }
+            return self.update_limit();
         }
         *self.server.borrow_mut() = record.id.clone();
         self.pool.clear();
@@ -182,6 +209,8 @@
         self.health.reset();
         self.responded.set(false);
         self.reset_run();
+        self.warm_up.borrow_mut().record_entry(now, record.cold_ms);
+        self.update_limit();
         self.reopen();
     }
 
@@ -202,7 +231,7 @@
     /// Resets what the previous run of the backend server reported of itself.
     fn reset_run(&self) {
         self.notices.reset(&self.server.borrow());
-        self.set_limit(None);
+        self.forget_warm_up();
     }
 
     /// Runs a request; returns how it ended, and the body of a response.
@@ -380,6 +409,7 @@
         calls: Option<CallReservations>,
     ) -> (Outcome, Bytes) {
         let started = self.clock.now();
+        self.warm_up.borrow_mut().record_sent(started);
         let Some(request) = backend_request::build(&offer, body, left) else {
             return (Outcome::Unsent, Bytes::new());
         };
@@ -410,7 +440,7 @@
                 if !id.is_empty() {
                     self.pool.put(now, conn);
                 }
-                self.handle_response(&offer, response, now.since(started))
+                self.handle_response(&offer, response, started)
             }
             Err(e) => {
                 self.trail.exchange_broke(id, &e.to_string());
@@ -441,7 +471,13 @@
         *last_check = Some(now);
     }
 
-    fn handle_response(&self, offer: &Offer, response: Response, ran_ms: u64) -> (Outcome, Bytes) {
+    fn handle_response(
+        &self,
+        offer: &Offer,
+        response: Response,
+        started: Millis,
+    ) -> (Outcome, Bytes) {
+        let ran_ms = self.clock.now().since(started);
         let percent_before = self.load().work_percent;
         self.apply_load_report(&response.headers);
         let percent_after = self.load().work_percent;
@@ -453,6 +489,9 @@
             false if unexecuted => self.apply_notice(&response.headers, ResponseKind::NotRun),
             false => self.apply_notice(&response.headers, ResponseKind::Run),
         };
+        if !misdirected {
+            self.apply_warm_up(&response.headers, started, ResponseKind::Run);
+        }
         if unexecuted || misdirected {
             let status = response.status.as_u16();
             return (Outcome::Unexecuted { status }, Bytes::new());
@@ -502,6 +541,7 @@
 
     fn handle_connect_error(&self, e: &ExchangeError) {
         *self.responding_id.borrow_mut() = None;
+        self.forget_warm_up();
         if self.leaving.get() || self.load().closed {
             return;
         }
--- a/crates/mesh/src/gate/probing.rs
+++ b/crates/mesh/src/gate/probing.rs
@@ -30,7 +30,8 @@
             true => EVACUATED_INTERVAL_MS,
             false => PROBE_INTERVAL_MS,
         };
-        let fresh = self.health.age_ms() < interval_ms;
+        self.update_limit();
+        let fresh = self.health.age_ms() < interval_ms && !self.needs_check(now);
         if fresh || !self.wants_probe(now) || self.probing.get() {
             return;
         }
@@ -38,9 +39,10 @@
         if connect_only && !self.load().closed {
             return;
         }
-        if !self.scheduler.borrow_mut().try_probe(now) {
+        if !self.may_check(now) {
             return;
         }
+        self.check_sent.set(now);
         self.probing.set(true);
         self.trail.counts.probes.add(1);
         let gate = Rc::clone(self);
@@ -91,6 +93,7 @@
                 self.apply_load_report(&response.headers);
                 if self.responding_id.borrow().as_ref() == Some(&*self.server.borrow()) {
                     self.apply_notice(&response.headers, ResponseKind::Probe);
+                    self.apply_warm_up(&response.headers, now, ResponseKind::Probe);
                 }
                 self.pool.put(self.clock.now(), conn);
             }
@@ -98,6 +101,7 @@
                 if self.health.record_lost_probe() {
                     let error = "the probes have no answer";
                     self.health.log_down(&self.server.borrow(), error);
+                    self.forget_warm_up();
                     self.scheduler.borrow_mut().close(Some(RefusalReason::Down));
                     self.send_load();
                 }
--- a/crates/mesh/src/gate/responses.rs
+++ b/crates/mesh/src/gate/responses.rs
@@ -1,6 +1,6 @@
 //! Applies the load and the notices in responses of the backend server to the gate.
 
-use oriolering::{Rate, ServerLoad};
+use oriolering::ServerLoad;
 use oriolering_http::HeaderMap;
 use oriolering_platform::{HEADERS, parse_load};
 
@@ -20,6 +20,7 @@
             if let Some(previous) = previous.filter(|previous| previous != id) {
                 self.listeners
                     .broadcast(self.suspects.record_replacement(&previous));
+                self.forget_warm_up();
             }
         }
         self.health.record_report();
@@ -44,7 +45,7 @@
     /// Applies the limit and the leaving notice that a response carries.
     pub(super) fn apply_notice(&self, map: &HeaderMap, kind: ResponseKind) -> Notice {
         let notice = self.notices.apply(map, kind);
-        self.set_limit(self.notices.limit());
+        self.update_limit();
         if notice.leaving {
             self.reopen();
         }
@@ -55,19 +56,7 @@
     /// backend server itself.
     pub(super) fn apply_passed_limit(&self, offer: &Offer) {
         if offer.limit.is_some() && self.notices.apply_passed_limit(offer.limit) {
-            self.set_limit(offer.limit);
-        }
-    }
-
-    /// Sets the rate limit of the backend server.
-    pub(super) fn set_limit(&self, limit: Option<Rate>) {
-        if self
-            .scheduler
-            .borrow_mut()
-            .set_limit(self.clock.now(), limit)
-        {
-            self.process_events();
-            self.send_load_change();
+            self.update_limit();
         }
     }
 }
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -416,8 +416,7 @@
         let service = routes
             .as_ref()
             .and_then(|p| p.table.service(&record.service));
-        let path = service.map_or("", |s| s.health_path.as_str());
-        self.gate.update_server(record, path);
+        self.gate.update_server(record, service);
     }
 
     /// Applies routes that a node read from the store `age_ms` ago, unless they are not newer than
--- a/crates/mesh/src/trail/count_events.rs
+++ b/crates/mesh/src/trail/count_events.rs
@@ -33,6 +33,8 @@
             Event::ServerLimited { .. } => self.changes.add("server_limited"),
             Event::ServerUnlimited { .. } => self.changes.add("server_unlimited"),
             Event::ServerLeaves { .. } => self.changes.add("server_leaves"),
+            Event::ServerCold { .. } => self.changes.add("server_cold"),
+            Event::ServerWarm { .. } => self.changes.add("server_warm"),
             Event::ZoneEvacuated { .. } => self.changes.add("zone_evacuated"),
             Event::ZoneRestored { .. } => self.changes.add("zone_restored"),
             // Events of successful requests are created only if they are logged, so they are
--- a/crates/mesh/src/trail/event.rs
+++ b/crates/mesh/src/trail/event.rs
@@ -346,6 +346,18 @@
     },
     /// The local backend server announced in an answer that it is leaving.
     ServerLeaves { server: CompactString },
+    /// The local backend server is cold, or may be, so that the rate of requests to it is limited.
+    ServerCold {
+        server: CompactString,
+        per_s: f64,
+        /// Whether it said so or has just started; otherwise the last health check is too old.
+        known: bool,
+    },
+    /// The local backend server is no longer limited for being cold.
+    ServerWarm {
+        server: CompactString,
+        limited_ms: u64,
+    },
     /// The operator evacuates an availability zone; its backend servers get no requests.
     ZoneEvacuated {
         zone: CompactString,
@@ -431,6 +443,8 @@
             | Self::ServerLimited { .. }
             | Self::ServerUnlimited { .. }
             | Self::ServerLeaves { .. }
+            | Self::ServerCold { .. }
+            | Self::ServerWarm { .. }
             | Self::ZoneEvacuated { .. }
             | Self::ZoneRestored { .. }
             | Self::RequestCleared { .. } => Rank::Change,
--- a/crates/oriolering/src/config/site_settings.rs
+++ b/crates/oriolering/src/config/site_settings.rs
@@ -49,5 +49,6 @@
         name: service.name.clone(),
         health_path: service.measure.health_path.clone(),
         connections: service.connections,
+        slow_start: None,
     }
 }
--- a/crates/oriolering/src/lib.rs
+++ b/crates/oriolering/src/lib.rs
@@ -82,6 +82,7 @@
 mod subset;
 mod text_delta;
 mod tracked_server;
+mod warm_up;
 
 #[cfg(feature = "config")]
 pub mod config;
@@ -151,3 +152,4 @@
 pub use store_position::StorePosition;
 pub use text_delta::{DeltaError, DeltaSection, SectionedText, TextDelta};
 pub use tracked_server::Candidate;
+pub use warm_up::{LimitStart, SlowStart, WarmUp};
--- a/crates/oriolering/src/rate_limiter.rs
+++ b/crates/oriolering/src/rate_limiter.rs
@@ -5,7 +5,7 @@
 //! server, so the gate enforces the limit. Shares per node would have to follow where requests
 //! enter, and would be wrong whenever nodes see different fleets.
 
-use crate::{Millis, Rate};
+use crate::{LimitStart, Millis, Rate};
 
 /// The tokens that one request costs; a token is a millionth of a request.
 const REQUEST_TOKENS: u64 = 1_000_000;
@@ -28,6 +28,7 @@
     rate: Option<Rate>,
     /// The tokens at the last update.
     tokens: u64,
+    /// When the tokens were last updated, or when they begin to be earned.
     updated: Millis,
 }
 
@@ -36,13 +37,25 @@
     pub fn set_limit(&mut self, now: Millis, rate: Option<Rate>) -> bool {
         let rate = rate.map(|r| r.max(Rate::from_thousandths(MIN_RATE)));
         let before = self.rate;
-        self.tokens = match before {
-            Some(_) => self.tokens_at(now).min(capacity(rate)),
-            None => 0,
+        if before == rate {
+            return false;
+        }
+        (self.tokens, self.updated) = match before {
+            Some(_) => (
+                self.tokens_at(now).min(capacity(rate)),
+                self.updated.max(now),
+            ),
+            None => (0, now),
         };
-        self.updated = now;
         self.rate = rate;
-        before != rate
+        true
+    }
+
+    /// Sets how the limit starts that has just been set, where what was sent before is known.
+    pub fn set_start(&mut self, start: LimitStart) {
+        let tokens = start.requests.saturating_mul(REQUEST_TOKENS);
+        self.tokens = tokens.min(capacity(self.rate));
+        self.updated = start.resume;
     }
 
     /// Returns the limit in force.
@@ -82,7 +95,11 @@
         let wanted = (ahead as u64 + 1) * REQUEST_TOKENS;
         let lacking = wanted.saturating_sub(self.tokens_at(now));
         let wait = lacking.div_ceil(u64::from(rate.thousandths()));
-        wait.min(MAX_WAIT_MS)
+        let paused = match lacking {
+            0 => 0,
+            _ => self.updated.since(now),
+        };
+        (paused + wait).min(MAX_WAIT_MS)
     }
 
     /// Returns the interval between requests at the limit, in microseconds; zero without a limit.
--- a/crates/oriolering/src/route_table.rs
+++ b/crates/oriolering/src/route_table.rs
@@ -5,7 +5,7 @@
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
-use crate::{CallerLimits, Route};
+use crate::{CallerLimits, Route, SlowStart};
 
 /// A service that is the destination of routes.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -16,6 +16,8 @@
     pub health_path: CompactString,
     /// The maximum number of connections to one of its backend servers.
     pub connections: u32,
+    /// The slow start of its backend servers, if they have one.
+    pub slow_start: Option<SlowStart>,
 }
 
 /// One version of the routes, as published by an operator.
--- a/crates/oriolering/src/scheduler.rs
+++ b/crates/oriolering/src/scheduler.rs
@@ -11,7 +11,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{GateLoad, Millis, Rate, RateLimiter};
+use crate::{GateLoad, LimitStart, Millis, Rate, RateLimiter};
 
 /// The percentage of the published slots that are used; with more in use, work slows down.
 const USABLE_PERCENT: u64 = 80;
@@ -166,6 +166,11 @@
         self.rate_limiter.set_limit(now, rate)
     }
 
+    /// Sets how the rate limit starts that has just been set.
+    pub fn set_limit_start(&mut self, start: LimitStart) {
+        self.rate_limiter.set_start(start);
+    }
+
     /// Returns whether a load probe may be sent now, and counts it against the rate limit if so.
     pub fn try_probe(&mut self, now: Millis) -> bool {
         self.rate_limiter.rate().is_none() || self.rate_limiter.try_take_spare(now)
--- a/crates/oriolering/tests/route_table.rs
+++ b/crates/oriolering/tests/route_table.rs
@@ -39,6 +39,7 @@
             name: "s".into(),
             health_path: "/health".into(),
             connections: 9,
+            slow_start: None,
         }],
         limits: LIMITS,
     })
