Check a cold backend server only where its load calls for it

Change: without a recent health check the rate limit holds only once half of the rate was sent in the last second.

--- a/crates/oriolering/src/warm_up.rs
+++ b/crates/oriolering/src/warm_up.rs
@@ -140,12 +140,13 @@
 
     /// Returns the rate to which requests are limited now, if they are.
     ///
-    /// Without a recent health check the backend server may have become cold, which `has_checks`
-    /// tells: there are none without a health path.
+    /// Without a recent health check it may have become cold. That matters only if it gets a
+    /// considerable part of the rate, and is ignored without `has_checks`, that is a health path.
     pub fn limit(&self, now: Millis, has_checks: bool) -> Option<Rate> {
         let start = self.slow_start?;
         let is_recent = |at| now.since(at) < CHECK_MAX_AGE_MS;
-        let unchecked = has_checks && !self.checked.is_some_and(is_recent);
+        let unchecked =
+            has_checks && !self.checked.is_some_and(is_recent) && self.is_busy(now, start.rate);
         (self.is_cold(now) || unchecked).then_some(start.rate)
     }
 
@@ -176,6 +177,14 @@
         }
     }
 
+    /// Returns whether at least half of what a cold backend server accepts was sent in the last
+    /// second.
+    fn is_busy(&self, now: Millis, rate: Rate) -> bool {
+        let recent = self.sent.iter().rev();
+        let recent = recent.take_while(|at| now.since(**at) < RATE_WINDOW_MS);
+        recent.count() as u64 * 2_000 >= u64::from(rate.thousandths())
+    }
+
     fn set_cold(&mut self, now: Millis, until: Millis) {
         self.state = State::Cold { until };
         self.cold_since = now;
