--- a/crates/mesh/src/gate/probing.rs
+++ b/crates/mesh/src/gate/probing.rs
@@ -14,6 +14,9 @@
 
 /// How long the response to a probe may take, in milliseconds.
 const PROBE_TIMEOUT_MS: u64 = 400;
+/// The age of the last report after which the backend server of an evacuated zone is probed, in
+/// milliseconds; it gets no requests, so only whether it is up matters.
+const EVACUATED_INTERVAL_MS: u64 = 500;
 /// How long after its last request a backend server is still probed, in milliseconds.
 const IN_USE_MS: u64 = 3_000;
 
@@ -23,7 +26,12 @@
     /// Without a health path, only a backend server that is down is probed, by a connection.
     pub(crate) fn probe(self: &Rc<Self>) {
         let now = self.clock.now();
-        let fresh = self.health.age_ms() < PROBE_INTERVAL_MS;
+        let interval_ms = match self.evacuated.get() {
+            true => EVACUATED_INTERVAL_MS,
+            false => PROBE_INTERVAL_MS,
+        };
+        self.update_limit();
+        let fresh = self.health.age_ms() < interval_ms && !self.needs_check(now);
         if fresh || !self.wants_probe(now) || self.probing.get() {
             return;
         }
@@ -31,9 +39,10 @@
         if connect_only && !self.load().closed {
             return;
         }
-        if !self.scheduler.borrow_mut().try_probe(now) {
+        if !self.may_check(now) {
             return;
         }
+        self.check_sent.set(now);
         self.probing.set(true);
         self.trail.counts.probes.add(1);
         let gate = Rc::clone(self);
@@ -84,6 +93,7 @@
                 self.apply_load_report(&response.headers);
                 if self.responding_id.borrow().as_ref() == Some(&*self.server.borrow()) {
                     self.apply_notice(&response.headers, ResponseKind::Probe);
+                    self.apply_warm_up(&response.headers, now, ResponseKind::Probe);
                 }
                 self.pool.put(self.clock.now(), conn);
             }
@@ -91,6 +101,7 @@
                 if self.health.record_lost_probe() {
                     let error = "the probes have no answer";
                     self.health.log_down(&self.server.borrow(), error);
+                    self.forget_warm_up();
                     self.scheduler.borrow_mut().close(Some(RefusalReason::Down));
                     self.send_load();
                 }
--- a/crates/oriolering/src/lib.rs
+++ b/crates/oriolering/src/lib.rs
@@ -26,6 +26,7 @@
 mod control_budget;
 mod cross_zone;
 mod document;
+mod evacuations;
 mod explain;
 mod fair_queue;
 mod fan_out;
@@ -81,6 +82,7 @@
 mod subset;
 mod text_delta;
 mod tracked_server;
+mod warm_up;
 
 #[cfg(feature = "config")]
 pub mod config;
@@ -96,6 +98,7 @@
 pub use control_budget::{ControlBudget, ControlWork, TokenBucket};
 pub use cross_zone::CrossZoneCost;
 pub use document::{Assembly, Document, DocumentError, DocumentStore};
+pub use evacuations::ZoneUpdate;
 pub use explain::{Explanation, ServerClass};
 pub use fair_queue::{FairQueue, PushResult};
 pub use fan_out::{FAN_OUT_MAX, FanOut};
@@ -149,3 +152,4 @@
 pub use store_position::StorePosition;
 pub use text_delta::{DeltaError, DeltaSection, SectionedText, TextDelta};
 pub use tracked_server::Candidate;
+pub use warm_up::{LimitStart, SlowStart, WarmUp};
--- a/crates/oriolering/src/scheduler.rs
+++ b/crates/oriolering/src/scheduler.rs
@@ -11,7 +11,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{GateLoad, Millis, Rate, RateLimiter};
+use crate::{GateLoad, LimitStart, Millis, Rate, RateLimiter};
 
 /// The percentage of the published slots that are used; with more in use, work slows down.
 const USABLE_PERCENT: u64 = 80;
@@ -59,6 +59,8 @@
     Full,
     /// The node or its backend server is shutting down.
     Leaving,
+    /// The availability zone of the backend server is evacuated.
+    Evacuated,
     /// The backend server does not accept connections.
     Down,
     /// It is quarantined, since backend servers crashed while running it.
@@ -77,6 +79,7 @@
             Self::Late => "late",
             Self::Full => "full",
             Self::Leaving => "leaving",
+            Self::Evacuated => "evacuated",
             Self::Down => "down",
             Self::Quarantined => "quarantined",
             Self::Budget => "budget",
@@ -151,8 +154,9 @@
 
     /// Refuses new requests for this reason, or accepts them again when it is `None`.
     ///
-    /// When the reason is [`RefusalReason::Leaving`], [`Self::next_event`] refuses the waiting
-    /// requests too: the backend server may exit before they end.
+    /// When the reason is [`RefusalReason::Leaving`] or [`RefusalReason::Evacuated`],
+    /// [`Self::next_event`] refuses the waiting requests too: the backend server may exit before they
+    /// end, or must get no more requests.
     pub fn close(&mut self, reason: Option<RefusalReason>) {
         self.closed = reason;
     }
@@ -162,6 +166,11 @@
         self.rate_limiter.set_limit(now, rate)
     }
 
+    /// Sets how the rate limit starts that has just been set.
+    pub fn set_limit_start(&mut self, start: LimitStart) {
+        self.rate_limiter.set_start(start);
+    }
+
     /// Returns whether a load probe may be sent now, and counts it against the rate limit if so.
     pub fn try_probe(&mut self, now: Millis) -> bool {
         self.rate_limiter.rate().is_none() || self.rate_limiter.try_take_spare(now)
@@ -228,7 +237,7 @@
     ///
     /// The caller repeats the call until it returns `None`.
     pub fn next_event(&mut self, now: Millis) -> Option<SchedulerEvent> {
-        if let Some(event) = self.refuse_leaving() {
+        if let Some(event) = self.refuse_drained() {
             return Some(event);
         }
         if let Some(event) = self.refuse_late(now) {
@@ -329,13 +338,14 @@
         self.rate_limiter.wait_ms(now, ahead.count())
     }
 
-    /// Refuses a waiting request if the node or its backend server is shutting down.
-    fn refuse_leaving(&mut self) -> Option<SchedulerEvent> {
-        if self.closed != Some(RefusalReason::Leaving) {
-            return None;
-        }
+    /// Refuses a waiting request if the node or its backend server is shutting down, or if its
+    /// availability zone is evacuated.
+    fn refuse_drained(&mut self) -> Option<SchedulerEvent> {
+        let drains =
+            |why: &RefusalReason| matches!(why, RefusalReason::Leaving | RefusalReason::Evacuated);
+        let reason = self.closed.filter(drains)?;
         let (key, _) = self.waiting.pop_front()?;
-        Some(SchedulerEvent::Refuse(key, RefusalReason::Leaving))
+        Some(SchedulerEvent::Refuse(key, reason))
     }
 
     /// Refuses a waiting request that is expected to end sooner at another backend server.
