Report a reset that a write of the request has seen

A backend server answered an upload with a 200 without a length, sent a part of the body and reset the connection while the upload was still written. The caller got that part as a complete response.

Cause: a socket reports its error once. When the write of the request took ConnectionReset, the next read returned 0, which ends a body without a length.

Change: the client connection keeps the error of the failed write and reports it in place of the end of the stream. A broken pipe is no such error: Linux reports it when the server had ended its side before the reset, so that the body is complete.

Ruled out: treating every failed write as truncation, which would discard complete responses of servers that end the stream and then reset it for the unread request (the cases with Close).

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -49,8 +49,8 @@
     date: DateService,
     buf: BytesMut,
     reusable: bool,
-    /// Whether the server still accepts the rest of the request.
-    writable: bool,
+    /// How writing the rest of the request failed; none while the server accepts it.
+    write_error: Option<io::ErrorKind>,
     idle_ms: u64,
     room: Rc<AnswerRoom>,
 }
@@ -79,7 +79,7 @@
             date,
             buf: BytesMut::new(),
             reusable: true,
-            writable: true,
+            write_error: None,
             idle_ms: DEFAULT_IDLE_MS,
             room: AnswerRoom::new(ANSWER_BYTES),
         })
@@ -157,14 +157,26 @@
         loop {
             tokio::select! {
                 biased;
-                result = fill(&self.stream, &mut self.buf) => return result,
-                result = flush(&self.stream, out), if !out.is_empty() && self.writable => {
-                    self.writable = result.is_ok();
+                result = fill(&self.stream, &mut self.buf) => return self.check_end(result),
+                result = flush(&self.stream, out), if !out.is_empty() && self.write_error.is_none() => {
+                    self.write_error = result.err().map(|e| e.kind());
                 }
             }
         }
     }
 
+    /// Replaces the end of the stream by the error that a failed write reported.
+    ///
+    /// A socket reports an error once: after a write has taken it, reads return the end of the
+    /// stream also where the connection was reset. The system reports a reset as a broken pipe if
+    /// the server had ended its side of the stream before; then that end is real.
+    fn check_end(&self, result: io::Result<usize>) -> io::Result<usize> {
+        match (result, self.write_error) {
+            (Ok(0), Some(kind)) if kind != io::ErrorKind::BrokenPipe => Err(kind.into()),
+            (result, _) => result,
+        }
+    }
+
     async fn read_head(
         &mut self,
         codec: &ClientCodec,
