Accept only statuses from 100 to 599 in responses

A backend server that answered with the status 600 or 999 had it passed on to the caller.

Cause: the HTTP library accepts each status of three digits from 100, and nothing else checked it.

Ruled out: 000, 99, 1000 and field names with a blank or a control byte. They are errors of the decoder already; the tests hold them.

Change: the client connection treats other statuses as malformed; the caller gets 502, as for any response that cannot be read. Health probes and the store's client use the same connection.

Tests: http client a_status_outside_the_valid_range_is_an_error failed before for 600 and 999 (4 of 24 cases); mesh faulty_answers an_answer_that_is_no_valid_response_reaches_no_caller failed before for 600 and 999 (8 of 36 cases, through one node and two).

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -14,7 +15,7 @@
     DateService, Method, RequestHead, RequestHeadType, ResponseHead, StatusCode, Version,
 };
 use ntex::util::BytesMut;
-use snafu::ResultExt;
+use snafu::{ResultExt, ensure};
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::timeout;
 
@@ -30,6 +31,8 @@
 const FRAMING_BYTES: usize = 64 * 1024;
 /// How many more framing bytes each byte of the body allows; a chunk of one byte has five.
 const FRAMING_FACTOR: usize = 8;
+/// The statuses that HTTP defines; the library accepts all of three digits from 100.
+const VALID_STATUSES: RangeInclusive<u16> = 100..=599;
 /// How many responses are discarded before the matching one: more than a faulty server sends by
 /// mistake.
 const MAX_DISCARDED: u32 = 8;
@@ -186,6 +189,7 @@
             if !self.buf.is_empty()
                 && let Some(head) = codec.decode(&mut self.buf).map_err(decode_error)?
             {
+                check_status(&head)?;
                 return Ok(head);
             }
             let reason = match self.fill(out).await {
@@ -325,6 +329,18 @@
     }
 }
 
+/// Checks that the status is one that may be passed on.
+fn check_status(head: &ResponseHead) -> Result<(), ExchangeError> {
+    let status = head.status.as_u16();
+    ensure!(
+        VALID_STATUSES.contains(&status),
+        error::MalformedSnafu {
+            reason: format!("{status} is no status of HTTP"),
+        }
+    );
+    Ok(())
+}
+
 fn payload_error(e: PayloadError) -> ExchangeError {
     ExchangeError::Malformed {
         reason: e.to_string(),
--- a/crates/http/tests/client/framing.rs
+++ b/crates/http/tests/client/framing.rs
@@ -174,3 +174,19 @@
         assert!(!result.expect_err("no answer").is_unsent());
     });
 }
+
+// Guards against a status that is not a valid one and that callers would get.
+#[rstest]
+fn a_status_outside_the_valid_range_is_an_error(
+    #[values(
+        "000", "001", "99", "099", "600", "999", "1000", "2000", "-20", "20", "+200", "2 00"
+    )]
+    status: &str,
+    #[values("1.1", "1.0")] version: &str,
+) {
+    run(async {
+        let answer = format!("HTTP/{version} {status} OK\r\nContent-Length: 1\r\n\r\na");
+        let result = exchange_then_end(get("1"), &answer, End::Close).await;
+        assert!(!result.expect_err("no valid status").is_unsent());
+    });
+}
--- a/crates/mesh/tests/faulty_answers.rs
+++ b/crates/mesh/tests/faulty_answers.rs
@@ -325,3 +325,39 @@
         }
     });
 }
+
+// Guards against bytes that are no valid response and that callers get as an answer.
+#[rstest]
+#[case::status_000("000 OK", "")]
+#[case::status_99("99 OK", "")]
+#[case::status_600("600 OK", "")]
+#[case::status_999("999 OK", "")]
+#[case::status_1000("1000 OK", "")]
+#[case::blank_in_a_name("200 OK", "X Y: 1\r\n")]
+#[case::blank_after_a_name("200 OK", "X : 1\r\n")]
+#[case::control_byte_in_a_name("200 OK", "X\x01Y: 1\r\n")]
+#[case::nul_in_a_name("200 OK", "X\0Y: 1\r\n")]
+fn an_answer_that_is_no_valid_response_reaches_no_caller(
+    #[case] status: &str,
+    #[case] fields: &str,
+    #[values("POST", "GET")] method: &str,
+    #[values(true, false)] remote: bool,
+) {
+    let method = method.to_owned();
+    let whole = format!(
+        "HTTP/1.1 {status}\r\nOriolering-Response-Signature: {SIGNATURE}\r\nID\r\n{fields}\
+         Content-Length: 4\r\n\r\nwhat"
+    );
+    run(async move {
+        let fleet = Fleet::serving(&["front", "s"]).await;
+        let faulty = Faulty::replace(&fleet, 1, Moment::AtOnce, FULL, 0).await;
+        let node = if remote { 0 } else { 1 };
+        // The whole answer, with the line of the id in place of its mark.
+        let id = "invalid-1";
+        let length = whole.len() + format!("{ID}{id}").len() + 2 - ID_LINE.len();
+        *faulty.whole.borrow_mut() = whole;
+        faulty.cut_at.set(length);
+        let reply = call(&fleet, node, &method, "/cut", Some(id)).await;
+        assert_eq!(reply.status, 502, "{reply:?}");
+    });
+}
