Limit the head of a response to what its decoder accepts

A response with a field name of more than 65,535 bytes made the client connection panic.

Cause: the HTTP library unwraps the conversion of a field name, which fails above 65,535 bytes. Its limit of 32 KiB for a head applies only while the head is incomplete, and one read adds up to 64 KiB.

Change: the decoder gets at most 65,535 bytes at once; a head that is longer is malformed.

Ruled out: blanks, tabs, control bytes, separators and bytes outside ASCII in a field name, folded lines, and NUL or a lone CR in a value. All of them are errors of the decoder already.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -31,6 +31,8 @@
 const FRAMING_BYTES: usize = 64 * 1024;
 /// How many more framing bytes each byte of the body allows; a chunk of one byte has five.
 const FRAMING_FACTOR: usize = 8;
+/// The longest response head, in bytes; the decoder panics on a longer field name.
+const HEAD_BYTES: usize = u16::MAX as usize;
 /// The statuses that HTTP defines; the library accepts all of three digits from 100.
 const VALID_STATUSES: RangeInclusive<u16> = 100..=599;
 /// How many responses are discarded before the matching one: more than a faulty server sends by
@@ -187,7 +189,7 @@
     ) -> Result<ResponseHead, ExchangeError> {
         loop {
             if !self.buf.is_empty()
-                && let Some(head) = codec.decode(&mut self.buf).map_err(decode_error)?
+                && let Some(head) = decode_head(codec, &mut self.buf)?
             {
                 check_status(&head)?;
                 return Ok(head);
@@ -323,6 +325,21 @@
     Ok(())
 }
 
+/// Takes the next head from the front of `buf`, or returns none if it is incomplete.
+fn decode_head(
+    codec: &ClientCodec,
+    buf: &mut BytesMut,
+) -> Result<Option<ResponseHead>, ExchangeError> {
+    if buf.len() <= HEAD_BYTES {
+        return codec.decode(buf).map_err(decode_error);
+    }
+    let mut start = buf.split_to(HEAD_BYTES);
+    let head = codec.decode(&mut start).map_err(decode_error)?;
+    start.extend_from_slice(buf);
+    *buf = start;
+    Ok(head)
+}
+
 fn decode_error(e: DecodeError) -> ExchangeError {
     ExchangeError::Malformed {
         reason: e.to_string(),
--- a/crates/http/tests/client/framing.rs
+++ b/crates/http/tests/client/framing.rs
@@ -2,6 +2,7 @@
 
 use oriolering_http::Method;
 use rstest::rstest;
+use tokio::io::AsyncWriteExt;
 
 use crate::support::{run, sleep_ms, within_deadline};
 use crate::{
@@ -190,3 +191,50 @@
         assert!(!result.expect_err("no valid status").is_unsent());
     });
 }
+
+// Guards against field names that are no tokens, and against a panic by one that is too long.
+#[rstest]
+#[case::blank("X Y: 1")]
+#[case::blank_before_the_colon("X : 1")]
+#[case::tab("X\tY: 1")]
+#[case::leading_blank(" X: 1")]
+#[case::only_a_blank(" : 1")]
+#[case::empty(": 1")]
+#[case::nul("X\0Y: 1")]
+#[case::escape("X\x1bY: 1")]
+#[case::delete("X\x7fY: 1")]
+#[case::carriage_return("X\rY: 1")]
+#[case::no_ascii("X\u{e9}: 1")]
+#[case::separator("X(Y): 1")]
+#[case::no_colon("X")]
+#[case::folded("X: 1\r\n 2")]
+#[case::nul_in_the_value("X: 1\x002")]
+#[case::return_in_the_value("X: 1\r2")]
+#[case::too_long(&("X".repeat(70_000) + ": 1"))]
+fn an_invalid_field_is_an_error(
+    #[case] field: &str,
+    #[values(true, false)] first: bool,
+    #[values("1.1", "1.0")] version: &str,
+) {
+    run(async {
+        let (mut conn, mut server) = connected_pair().await;
+        let length = "Content-Length: 1";
+        let fields = match first {
+            true => format!("{field}\r\n{length}"),
+            false => format!("{length}\r\n{field}"),
+        };
+        let answer = format!("HTTP/{version} 200 OK\r\n{fields}\r\n\r\na");
+        let serve = async {
+            server.head().await;
+            // A long head arrives in two reads.
+            let split = answer.len() / 3;
+            server.send(&answer[..split]).await;
+            sleep_ms(5).await;
+            let _ = server.stream.write_all(&answer.as_bytes()[split..]).await;
+            End::Close.apply(server).await;
+        };
+        let exchange = within_deadline(conn.exchange(get("1"), matches_id("1")));
+        let (result, ()) = tokio::join!(exchange, serve);
+        assert!(!result.expect_err("no valid field").is_unsent());
+    });
+}
