--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -14,7 +15,7 @@
     DateService, Method, RequestHead, RequestHeadType, ResponseHead, StatusCode, Version,
 };
 use ntex::util::BytesMut;
-use snafu::ResultExt;
+use snafu::{ResultExt, ensure};
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::timeout;
 
@@ -30,6 +31,10 @@
 const FRAMING_BYTES: usize = 64 * 1024;
 /// How many more framing bytes each byte of the body allows; a chunk of one byte has five.
 const FRAMING_FACTOR: usize = 8;
+/// The longest response head, in bytes; the decoder panics on a longer field name.
+const HEAD_BYTES: usize = u16::MAX as usize;
+/// The statuses that HTTP defines; the library accepts all of three digits from 100.
+const VALID_STATUSES: RangeInclusive<u16> = 100..=599;
 /// How many responses are discarded before the matching one: more than a faulty server sends by
 /// mistake.
 const MAX_DISCARDED: u32 = 8;
@@ -49,8 +54,8 @@
     date: DateService,
     buf: BytesMut,
     reusable: bool,
-    /// Whether the server still accepts the rest of the request.
-    writable: bool,
+    /// How writing the rest of the request failed; none while the server accepts it.
+    write_error: Option<io::ErrorKind>,
     idle_ms: u64,
     room: Rc<AnswerRoom>,
 }
@@ -79,7 +84,7 @@
             date,
             buf: BytesMut::new(),
             reusable: true,
-            writable: true,
+            write_error: None,
             idle_ms: DEFAULT_IDLE_MS,
             room: AnswerRoom::new(ANSWER_BYTES),
         })
@@ -157,14 +162,26 @@
         loop {
             tokio::select! {
                 biased;
-                result = fill(&self.stream, &mut self.buf) => return result,
-                result = flush(&self.stream, out), if !out.is_empty() && self.writable => {
-                    self.writable = result.is_ok();
+                result = fill(&self.stream, &mut self.buf) => return self.check_end(result),
+                result = flush(&self.stream, out), if !out.is_empty() && self.write_error.is_none() => {
+                    self.write_error = result.err().map(|e| e.kind());
                 }
             }
         }
     }
 
+    /// Replaces the end of the stream by the error that a failed write reported.
+    ///
+    /// A socket reports an error once: after a write has taken it, reads return the end of the
+    /// stream also where the connection was reset. The system reports a reset as a broken pipe if
+    /// the server had ended its side of the stream before; then that end is real.
+    fn check_end(&self, result: io::Result<usize>) -> io::Result<usize> {
+        match (result, self.write_error) {
+            (Ok(0), Some(kind)) if kind != io::ErrorKind::BrokenPipe => Err(kind.into()),
+            (result, _) => result,
+        }
+    }
+
     async fn read_head(
         &mut self,
         codec: &ClientCodec,
@@ -172,8 +189,9 @@
     ) -> Result<ResponseHead, ExchangeError> {
         loop {
             if !self.buf.is_empty()
-                && let Some(head) = codec.decode(&mut self.buf).map_err(decode_error)?
+                && let Some(head) = decode_head(codec, &mut self.buf)?
             {
+                check_status(&head)?;
                 return Ok(head);
             }
             let reason = match self.fill(out).await {
@@ -307,12 +325,39 @@
     Ok(())
 }
 
+/// Takes the next head from the front of `buf`, or returns none if it is incomplete.
+fn decode_head(
+    codec: &ClientCodec,
+    buf: &mut BytesMut,
+) -> Result<Option<ResponseHead>, ExchangeError> {
+    if buf.len() <= HEAD_BYTES {
+        return codec.decode(buf).map_err(decode_error);
+    }
+    let mut start = buf.split_to(HEAD_BYTES);
+    let head = codec.decode(&mut start).map_err(decode_error)?;
+    start.extend_from_slice(buf);
+    *buf = start;
+    Ok(head)
+}
+
 fn decode_error(e: DecodeError) -> ExchangeError {
     ExchangeError::Malformed {
         reason: e.to_string(),
     }
 }
 
+/// Checks that the status is one that may be passed on.
+fn check_status(head: &ResponseHead) -> Result<(), ExchangeError> {
+    let status = head.status.as_u16();
+    ensure!(
+        VALID_STATUSES.contains(&status),
+        error::MalformedSnafu {
+            reason: format!("{status} is no status of HTTP"),
+        }
+    );
+    Ok(())
+}
+
 fn payload_error(e: PayloadError) -> ExchangeError {
     ExchangeError::Malformed {
         reason: e.to_string(),
