Limit the memory of requests that callers send

Cause: a body grew up to max_body_bytes for each connection, and each chunk copied the body so far, since BytesMut reserves just what is asked for and moves to a new allocation. A caller that sent without a pause kept the thread.

Change: a budget of bytes (ByteBudget) that bodies, partial heads and responses share. A body that does not fit is not read, and gets 503 after the header time. A length above the limit gets 413 at once. While memory is short, a large body that hardly grows gets 408. Bodies grow in place in a Vec, and the connection yields after each read of a body.

Ruled out: reserving a body with a length as it arrives, since bodies that each have a part then wait for each other.

--- a/crates/http/src/answer_room.rs
+++ b/crates/http/src/answer_room.rs
@@ -7,6 +7,8 @@
 use std::cell::Cell;
 use std::rc::Rc;
 
+use crate::{ByteBudget, ByteReservation, ByteUse};
+
 /// The size up to which a response may grow even when the limit is reached, in bytes, so that
 /// endless responses do not make those of the usual size fail.
 const SMALL_BYTES: usize = 256 * 1024;
@@ -16,13 +18,22 @@
 pub struct AnswerRoom {
     limit: usize,
     used: Cell<usize>,
+    budget: Rc<ByteBudget>,
 }
 
 impl AnswerRoom {
     /// Returns a limit of `limit` bytes; small responses may exceed it.
     pub fn new(limit: usize) -> Rc<Self> {
-        let used = Cell::new(0);
-        Rc::new(Self { limit, used })
+        Self::within(limit, &ByteBudget::unlimited())
+    }
+
+    /// Returns a limit of `limit` bytes that are part of a budget; small responses may exceed both.
+    pub fn within(limit: usize, budget: &Rc<ByteBudget>) -> Rc<Self> {
+        Rc::new(Self {
+            limit,
+            used: Cell::new(0),
+            budget: Rc::clone(budget),
+        })
     }
 
     /// Returns how many bytes the responses that are being read occupy.
@@ -35,6 +46,7 @@
         Reservation {
             room: Rc::clone(self),
             bytes: 0,
+            reserved: self.budget.reservation(ByteUse::Other),
         }
     }
 }
@@ -44,16 +56,19 @@
 pub(crate) struct Reservation {
     room: Rc<AnswerRoom>,
     bytes: usize,
+    reserved: ByteReservation,
 }
 
 impl Reservation {
     /// Reserves `more` bytes for the response, and returns whether the limit allowed it.
     pub(crate) fn grow(&mut self, more: usize) -> bool {
         let used = self.room.used.get() + more;
-        if self.bytes + more > SMALL_BYTES && used > self.room.limit {
+        let bytes = self.bytes + more;
+        if bytes > SMALL_BYTES && (used > self.room.limit || !self.reserved.resize(bytes)) {
             return false;
         }
-        self.bytes += more;
+        self.reserved.force(bytes);
+        self.bytes = bytes;
         self.room.used.set(used);
         true
     }
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -10,6 +10,7 @@
 
 mod answer;
 mod answer_room;
+mod byte_budget;
 mod client;
 mod connection;
 mod error;
@@ -21,13 +22,14 @@
 
 pub use answer::Answer;
 pub use answer_room::AnswerRoom;
+pub use byte_budget::{ByteBudget, ByteReservation, ByteUse};
 pub use client::ClientConn;
 pub use error::ExchangeError;
 pub use io::receive;
 pub use limits::ConnLimits;
 pub use request::Request;
 pub use response::Response;
-pub use server::serve;
+pub use server::{serve, serve_within};
 
 pub use ntex::http::header::{self, HeaderName, HeaderValue};
 pub use ntex::http::{HeaderMap, Method, StatusCode, Uri};
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -3,22 +3,25 @@
 use std::any::Any;
 use std::collections::VecDeque;
 use std::io;
+use std::rc::Rc;
 use std::time::Duration;
 
 use ntex::codec::{Decoder, Encoder};
 use ntex::http::body::BodySize;
 use ntex::http::error::DecodeError;
 use ntex::http::h1::{Codec, Message, PayloadDecoder, PayloadItem, PayloadType};
-use ntex::http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
-use ntex::http::{ConnectionType, DateService, Method, RequestHead, Response, StatusCode, Version};
-use ntex::util::{Buf, BytesMut};
+use ntex::http::header::{CONTENT_LENGTH, HeaderValue, RETRY_AFTER, TRANSFER_ENCODING};
+use ntex::http::{
+    ConnectionType, DateService, HeaderMap, Method, RequestHead, Response, StatusCode, Version,
+};
+use ntex::util::{Buf, Bytes, BytesMut};
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep_until};
 
 use crate::connection::{CLOSE, has_option};
 use crate::io::{fill, flush};
-use crate::{Answer, ConnLimits, Request};
+use crate::{Answer, ByteBudget, ByteReservation, ByteUse, ConnLimits, Request};
 
 /// How long a closing connection stays half-open for the caller to read the last response.
 const LINGER_MS: u64 = 1_000;
@@ -27,6 +30,16 @@
 const READ_AHEAD_BYTES: usize = 64 * 1024;
 /// The empty line that some callers send after a body.
 const EMPTY_LINE: &[u8] = b"\r\n";
+/// What a connection takes besides its buffered bytes, in bytes; many small heads add up.
+const CONN_BYTES: usize = 4 * 1024;
+/// The smallest buffer for a body without a length, in bytes.
+const MIN_BODY_BYTES: usize = 4 * 1024;
+/// How much of a large body must arrive within the header time while memory is short, in bytes;
+/// even the slowest phones send ten times as much.
+const MIN_PROGRESS_BYTES: usize = 16 * 1024;
+/// The `retry-after` of requests that do not fit into memory, in seconds: most large bodies that
+/// make progress are complete by then.
+const RETRY_AFTER_S: &str = "1";
 const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
 
 /// A request whose response is not yet written.
@@ -57,7 +70,49 @@
     codec: Codec,
     keep_alive: bool,
     decoder: PayloadDecoder,
-    bytes: BytesMut,
+    /// The announced length of the body.
+    length: Option<usize>,
+    /// Grows in place, unlike [`BytesMut`], which copies the body for each chunk.
+    bytes: Vec<u8>,
+    reserved: ByteReservation,
+    /// Since when the body does not fit into memory, if it does not.
+    blocked_since: Option<Instant>,
+    /// The start of the present time for progress, and the bytes that had arrived then.
+    mark: (Instant, usize),
+}
+
+impl PartialRequest {
+    /// Reserves memory for `more` bytes, and returns whether they fit; a body with a length is
+    /// reserved as a whole, so that it never waits for memory half received.
+    fn make_room(&mut self, more: usize, limit: usize) -> bool {
+        let needed = self.bytes.len() + more;
+        let wanted = match self.length {
+            Some(length) => length,
+            None if needed <= self.reserved.bytes() => return true,
+            None => {
+                let doubled = needed.next_power_of_two().max(MIN_BODY_BYTES);
+                doubled.min(limit.max(needed))
+            }
+        };
+        if wanted <= self.reserved.bytes() || more == 0 {
+            return true;
+        }
+        if !self.reserved.resize(wanted) {
+            return false;
+        }
+        self.bytes.reserve_exact(wanted - self.bytes.len());
+        true
+    }
+
+    /// Returns whether less has arrived in the time for progress than it takes.
+    fn is_too_slow(&mut self, time: Duration) -> bool {
+        let (since, bytes) = self.mark;
+        if since.elapsed() < time {
+            return false;
+        }
+        self.mark = (Instant::now(), self.bytes.len());
+        !self.reserved.is_small() && self.bytes.len() - bytes < MIN_PROGRESS_BYTES
+    }
 }
 
 /// Which part of the input is read next.
@@ -71,6 +126,9 @@
 struct Conn<L, C, B: Fn(&Request, usize)> {
     stream: TcpStream,
     buf: BytesMut,
+    /// The memory for `buf` while its bytes wait for the rest of a head, or for their turn.
+    buffered: ByteReservation,
+    budget: Rc<ByteBudget>,
     out: BytesMut,
     /// What the responses in `out` hold until they are written.
     held: Vec<Box<dyn Any>>,
@@ -112,10 +170,36 @@
     L: Fn() -> ConnLimits,
     C: Fn() -> bool,
     B: Fn(&Request, usize),
+{
+    let budget = ByteBudget::unlimited();
+    serve_within(budget, stream, date, limits, closing, on_truncated, handler).await;
+}
+
+/// Serves the requests of one caller's connection as [`serve`] does, within a memory budget.
+///
+/// A body that does not fit is not read until it does; if it does not within the header time, the
+/// request is rejected with 503 and has not run. While memory is short, a large body that hardly
+/// makes progress is rejected with 408.
+pub async fn serve_within<H, F, L, C, B>(
+    budget: Rc<ByteBudget>,
+    stream: TcpStream,
+    date: DateService,
+    limits: L,
+    closing: C,
+    on_truncated: B,
+    handler: H,
+) where
+    H: Fn(Request) -> F,
+    F: Future<Output = Answer> + 'static,
+    L: Fn() -> ConnLimits,
+    C: Fn() -> bool,
+    B: Fn(&Request, usize),
 {
     let mut conn = Conn {
         stream,
         buf: BytesMut::new(),
+        buffered: budget.reservation(ByteUse::Other),
+        budget,
         out: BytesMut::new(),
         held: Vec::new(),
         codec: Codec::new(date, true),
@@ -144,22 +228,78 @@
     {
         loop {
             self.read_requests(&handler);
+            self.check_body();
+            self.count_buffered();
             if self.is_finished() {
                 return self.linger().await;
             }
             self.handle_event().await?;
-            if self.is_idle() && self.waiting_since.elapsed() >= self.timeout() {
-                return Ok(());
+            if !self.is_blocked() && self.waiting_since.elapsed() >= self.timeout() {
+                if self.is_idle() {
+                    return Ok(());
+                }
+                if matches!(self.reading, Reading::Body(_)) {
+                    self.reject(StatusCode::REQUEST_TIMEOUT);
+                }
+            }
+            if matches!(self.reading, Reading::Body(_)) {
+                // A caller that sends without a pause must not keep others waiting.
+                tokio::task::yield_now().await;
             }
         }
     }
 
+    /// Returns whether the rest of a body does not fit into memory now.
+    fn is_blocked(&self) -> bool {
+        matches!(&self.reading, Reading::Body(partial) if partial.blocked_since.is_some())
+    }
+
+    /// Rejects a request whose body has waited too long for memory, or that keeps memory from
+    /// others without making progress.
+    fn check_body(&mut self) {
+        let limit = Duration::from_millis((self.limits)().header_ms);
+        let Reading::Body(partial) = &mut self.reading else {
+            return;
+        };
+        if let Some(since) = partial.blocked_since {
+            if since.elapsed() >= limit {
+                self.reject_for_memory();
+            }
+        } else if partial.is_too_slow(limit) && self.budget.is_short() {
+            self.reject(StatusCode::REQUEST_TIMEOUT);
+        }
+    }
+
+    /// Counts the received bytes that are not decoded, and rejects the request if they do not fit.
+    fn count_buffered(&mut self) {
+        let bytes = match self.buf.len() {
+            0 => 0,
+            bytes => bytes + CONN_BYTES,
+        };
+        if !self.buffered.resize(bytes) {
+            self.reject_for_memory();
+            self.buf = BytesMut::new();
+            self.buffered.force(0);
+        }
+    }
+
+    fn reject_for_memory(&mut self) {
+        self.budget.record_rejected();
+        self.reject(StatusCode::SERVICE_UNAVAILABLE);
+    }
+
     /// Waits for the next response, for the socket to accept or deliver bytes, or for the timeout,
     /// and handles what comes first.
     async fn handle_event(&mut self) -> io::Result<()> {
-        let deadline = self.waiting_since + self.timeout();
-        let idle = self.is_idle();
-        let may_read = self.may_read();
+        let (mut since, mut blocked) = (self.waiting_since, false);
+        if let Reading::Body(partial) = &self.reading
+            && let Some(at) = partial.blocked_since
+        {
+            (since, blocked) = (at, true);
+        }
+        let deadline = since + self.timeout();
+        let timed = self.is_idle() || matches!(self.reading, Reading::Body(_));
+        let may_read = self.may_read() && !blocked;
         tokio::select! {
             biased;
             (context, answer) = next_response(&mut self.pending), if !self.pending.is_empty() => {
@@ -172,7 +312,8 @@
                 }
             }
             result = fill(&self.stream, &mut self.buf), if may_read => self.handle_read(result?)?,
-            () = sleep_until(deadline), if idle => {}
+            () = self.budget.released(), if blocked => {}
+            () = sleep_until(deadline), if timed => {}
         }
         Ok(())
     }
@@ -292,18 +433,26 @@
                 codec,
                 keep_alive,
                 request,
+                reserved: self.budget.reservation(ByteUse::Body),
             })),
             PayloadType::Payload(decoder) => {
+                let length = content_length(&request.headers);
+                if length.is_some_and(|length| length > limits.body_bytes) {
+                    return ReadResult::Reject(StatusCode::PAYLOAD_TOO_LARGE);
+                }
                 if expects && self.is_idle() {
                     self.out.extend_from_slice(CONTINUE);
                 }
-                let bytes = BytesMut::new();
                 ReadResult::Next(Reading::Body(Box::new(PartialRequest {
                     request,
                     codec,
                     keep_alive,
                     decoder,
-                    bytes,
+                    length,
+                    bytes: Vec::new(),
+                    reserved: self.budget.reservation(ByteUse::Body),
+                    blocked_since: None,
+                    mark: (self.waiting_since, 0),
                 })))
             }
             PayloadType::Stream(_) if request.method == Method::CONNECT => {
@@ -314,26 +463,38 @@
                 codec,
                 keep_alive: false,
                 request,
+                reserved: self.budget.reservation(ByteUse::Body),
             })),
         }
     }
 
     fn read_body(&mut self, limits: ConnLimits, mut partial: Box<PartialRequest>) -> ReadResult {
         loop {
+            if !partial.make_room(self.buf.len(), limits.body_bytes) {
+                partial.blocked_since.get_or_insert_with(Instant::now);
+                return ReadResult::Incomplete(Reading::Body(partial));
+            }
+            if partial.blocked_since.take().is_some() {
+                self.waiting_since = Instant::now();
+                partial.mark = (self.waiting_since, partial.bytes.len());
+            }
             match partial.decoder.decode(&mut self.buf) {
                 Ok(Some(PayloadItem::Chunk(chunk))) => partial.bytes.extend_from_slice(&chunk),
                 Ok(Some(PayloadItem::Eof)) => {
-                    partial.request.body = partial.bytes.freeze();
                     let PartialRequest {
                         codec,
                         keep_alive,
-                        request,
+                        mut request,
+                        bytes,
+                        reserved,
                         ..
                     } = *partial;
+                    request.body = Bytes::from(bytes);
                     return ReadResult::Complete(Box::new(ReceivedRequest {
                         codec,
                         keep_alive,
                         request,
+                        reserved,
                     }));
                 }
                 Ok(None) => return ReadResult::Incomplete(Reading::Body(partial)),
@@ -358,12 +519,19 @@
             codec,
             keep_alive,
             request,
+            reserved,
         } = received;
         self.reading = match keep_alive {
             true => Reading::Head,
             false => Reading::Ended,
         };
-        let task = tokio::task::spawn_local(handler(request));
+        let response = handler(request);
+        let task = tokio::task::spawn_local(async move {
+            let answer = response.await;
+            // The handler holds the body until it ends.
+            drop(reserved);
+            answer
+        });
         let state = PendingState::Running(AbortOnDrop(task));
         self.pending.push_back(Pending {
             codec,
@@ -375,6 +543,10 @@
     fn reject(&mut self, status: StatusCode) {
         self.reading = Reading::Ended;
         let mut answer = Answer::new(status);
+        if status == StatusCode::SERVICE_UNAVAILABLE {
+            let value = HeaderValue::from_static(RETRY_AFTER_S);
+            answer.headers.insert(RETRY_AFTER, value);
+        }
         answer.close = true;
         let codec = self.codec.clone();
         let state = PendingState::Done(answer);
@@ -439,6 +611,7 @@
     codec: Codec,
     keep_alive: bool,
     request: Request,
+    reserved: ByteReservation,
 }
 
 /// What is needed to write the response to a request.
@@ -488,6 +661,17 @@
     }
 }
 
+/// Returns the announced length of a body; the codec has rejected lengths that are not valid.
+fn content_length(headers: &HeaderMap) -> Option<usize> {
+    headers
+        .get(CONTENT_LENGTH)?
+        .to_str()
+        .ok()?
+        .trim()
+        .parse()
+        .ok()
+}
+
 /// Returns whether two parsers might disagree on where a request ends, which allows request
 /// smuggling.
 ///
