Count bodies at ingress, link and gate against one budget

Cause: the queue of a link held a copy of each body, the gate another, and nothing limited them.

The queue of a link shares the body and cuts pieces when they are written. An offer names the length of its body, so that the gate reserves it as a whole or refuses the request as not run; the copy that the connection to the backend server makes counts too. Metrics: held_bytes, memory_rejections_total.

--- a/crates/mesh/src/attempt.rs
+++ b/crates/mesh/src/attempt.rs
@@ -157,7 +157,7 @@
     }
     let reply = match chosen.gate {
         GateRef::Local => send_here(node, offer, job.body.clone()).await,
-        GateRef::Remote(peer) => peer.call(offer, &job.body).await,
+        GateRef::Remote(peer) => peer.call(offer, job.body.clone()).await,
     };
     let unsent = reservation
         .filter(|_| !reply.may_have_arrived())
--- a/crates/mesh/src/frame.rs
+++ b/crates/mesh/src/frame.rs
@@ -101,12 +101,13 @@
         node: CompactString,
         incarnation: u64,
     },
-    /// A request; unless `whole`, its body follows in pieces.
+    /// A request; unless `whole`, its body of `length` bytes follows in pieces.
     Offer {
         call: CallId,
         offer: Box<Offer>,
         body: ByteBuf,
         whole: bool,
+        length: u64,
     },
     /// A piece of the body of a request or a response.
     Piece {
--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -20,7 +20,7 @@
     Admission, Clock, GateLoad, Job, JobKey, Millis, QuarantineEntry, Rate, RefusalReason,
     RoutedService, Scheduler, SchedulerEvent, ServerRecord, ServerState, WarmUp,
 };
-use oriolering_http::{Bytes, ExchangeError, Response};
+use oriolering_http::{ByteBudget, ByteUse, Bytes, ExchangeError, Response};
 use oriolering_platform::HEADERS;
 use tokio::sync::{Mutex, oneshot};
 use tokio::time::{sleep, timeout};
@@ -61,12 +61,17 @@
 /// How long the result of a crash check stays valid, in milliseconds: the time between two
 /// probes.
 const CRASH_CHECK_MS: u64 = PROBE_INTERVAL_MS;
+/// The retry time of requests whose bodies do not fit into memory, in milliseconds: most large
+/// bodies that make progress are complete by then.
+pub(crate) const MEMORY_RETRY_AFTER_MS: u64 = 1_000;
 
 /// The gate of the local backend server.
 pub(crate) struct Gate {
     clock: Clock,
     trail: Rc<Trail>,
     pool: Pool,
+    /// The memory that requests and responses share.
+    budget: Rc<ByteBudget>,
     health_path: RefCell<CompactString>,
     scheduler: RefCell<Scheduler>,
     waiters: RefCell<HashMap<JobKey, oneshot::Sender<Result<(), RefusalReason>>>>,
@@ -111,6 +116,7 @@
     pub(crate) fn new(
         address: SocketAddr,
         answer_bytes: usize,
+        budget: Rc<ByteBudget>,
         date: DateService,
         clock: Clock,
         trail: Rc<Trail>,
@@ -123,7 +129,8 @@
             notices: Notices::new(clock.clone(), Rc::clone(&trail)),
             clock,
             trail,
-            pool: Pool::new(address, date, answer_bytes),
+            pool: Pool::new(address, date, answer_bytes, &budget),
+            budget,
             health_path: RefCell::new(CompactString::default()),
             scheduler: RefCell::new(Scheduler::new(DEFAULT_SLOTS)),
             waiters: RefCell::default(),
@@ -274,6 +281,11 @@
         if let Some((why, back_ms)) = self.check_unservable(&offer) {
             return self.refuse(&mut record, why, back_ms);
         }
+        // The connection to the backend server holds a copy of the body until it is sent.
+        let Some(_copy) = self.budget.reserve(ByteUse::Other, body.len()) else {
+            self.budget.record_rejected();
+            return self.refuse(&mut record, RefusalReason::Full, MEMORY_RETRY_AFTER_MS);
+        };
         let now = self.clock.now();
         let spent = now.since(arrived);
         let left = u64::from(offer.left_ms).saturating_sub(spent);
--- a/crates/mesh/src/inbound.rs
+++ b/crates/mesh/src/inbound.rs
@@ -5,17 +5,18 @@
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 
-use oriolering_http::Bytes;
+use oriolering::RefusalReason;
+use oriolering_http::{ByteReservation, ByteUse, Bytes};
 use serde_bytes::ByteBuf;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::AbortHandle;
 
-use crate::frame::{CallId, Frame, Offer, PIECE_BYTES};
+use crate::frame::{CallId, Frame, Offer, Outcome, PIECE_BYTES};
+use crate::gate::MEMORY_RETRY_AFTER_MS;
 use crate::{gossip, link};
 
 use crate::node::Node;
 use crate::outbox::Outbox;
-use crate::peer::send_pieces;
 use crate::subscribers::Subscriber;
 use crate::trail::{Event, clip};
 
@@ -44,6 +45,7 @@
 struct PartialRequest {
     offer: Box<Offer>,
     body: Vec<u8>,
+    reserved: ByteReservation,
 }
 
 impl Drop for Calls {
@@ -107,18 +109,23 @@
             offer,
             body,
             whole,
-        } => match whole {
-            true => run_call(node, outbox, calls, call, offer, body.into_vec()),
-            false => {
-                calls.partial.borrow_mut().insert(
-                    call,
-                    PartialRequest {
-                        offer,
-                        body: Vec::new(),
-                    },
-                );
+            length,
+        } => {
+            let length = if whole { body.len() } else { length as usize };
+            let Some(reserved) = node.budget.reserve(ByteUse::Body, length) else {
+                return refuse_for_memory(node, outbox, call);
+            };
+            let mut request = PartialRequest {
+                offer,
+                body: body.into_vec(),
+                reserved,
+            };
+            if whole {
+                return run_call(node, outbox, calls, call, request);
             }
-        },
+            request.body.reserve_exact(length);
+            calls.partial.borrow_mut().insert(call, request);
+        }
         Frame::Piece { call, bytes, last } => {
             let mut partial = calls.partial.borrow_mut();
             if let Some(request) = partial.get_mut(&call) {
@@ -126,12 +133,13 @@
             }
             let done = if last { partial.remove(&call) } else { None };
             drop(partial);
-            if let Some(PartialRequest { offer, body }) = done {
-                run_call(node, outbox, calls, call, offer, body);
+            if let Some(request) = done {
+                run_call(node, outbox, calls, call, request);
             }
         }
         Frame::Cancel { call } => {
             calls.partial.borrow_mut().remove(&call);
+            outbox.drop_body(call);
             if let Some(task) = calls.running.borrow_mut().remove(&call) {
                 task.abort();
             }
@@ -158,19 +166,39 @@
     }
 }
 
+/// Refuses a request whose body does not fit into memory; its pieces are ignored.
+fn refuse_for_memory(node: &Node, outbox: &Outbox, call: CallId) {
+    node.budget.record_rejected();
+    outbox.push(Frame::Ended {
+        call,
+        outcome: Outcome::Refused {
+            why: RefusalReason::Full,
+            retry_after_ms: MEMORY_RETRY_AFTER_MS as u32,
+        },
+        body: ByteBuf::new(),
+        whole: true,
+        load: node.gate.load(),
+    });
+}
+
 /// Runs a request, and reports to the other node how it ended.
 fn run_call(
     node: &Rc<Node>,
     outbox: &Rc<Outbox>,
     calls: &Rc<Calls>,
     call: CallId,
-    offer: Box<Offer>,
-    body: Vec<u8>,
+    request: PartialRequest,
 ) {
-    let gate = Rc::clone(&node.gate);
+    let (gate, budget) = (Rc::clone(&node.gate), Rc::clone(&node.budget));
     let (outbox, owner) = (Rc::clone(outbox), Rc::clone(calls));
     let task = tokio::task::spawn_local(async move {
+        let PartialRequest {
+            offer,
+            body,
+            reserved,
+        } = request;
         let (outcome, body) = Rc::clone(&gate).run(*offer, Bytes::from(body)).await;
+        drop(reserved);
         owner.running.borrow_mut().remove(&call);
         let whole = body.len() <= PIECE_BYTES;
         let first: &[u8] = if whole { &body } else { &[] };
@@ -182,7 +210,8 @@
             load: gate.load(),
         });
         if !whole {
-            send_pieces(&outbox, call, &body);
+            let held = budget.hold(body.len());
+            outbox.push_body(call, body, Some(held));
         }
     });
     calls.running.borrow_mut().insert(call, task.abort_handle());
--- a/crates/mesh/src/ingress.rs
+++ b/crates/mesh/src/ingress.rs
@@ -45,12 +45,14 @@
         }
         let (limits, stopping, handler) = (Rc::clone(&node), Rc::clone(&node), Rc::clone(&node));
         let (date, trail) = (node.date.clone(), Rc::clone(&node.trail));
+        let budget = Rc::clone(&node.budget);
         tokio::task::spawn_local(async move {
             let handler = move |request| handle(Rc::clone(&handler), request);
             let stopping = move || stopping.stopping.get();
             let limits = move || conn_limits(&limits);
             let on_cut = move |request: &Request, bytes| trail.body_cut(request, bytes);
-            oriolering_http::serve(stream, date, limits, stopping, on_cut, handler).await;
+            oriolering_http::serve_within(budget, stream, date, limits, stopping, on_cut, handler)
+                .await;
         });
     }
 }
--- a/crates/mesh/src/metrics.rs
+++ b/crates/mesh/src/metrics.rs
@@ -96,6 +96,8 @@
     let peers = node.peers.borrow();
     let up = peers.values().filter(|peer| peer.is_up()).count();
     let list = node.list.borrow();
+    counts.held_bytes.set(node.budget.used() as u64);
+    counts.memory_rejections.set(node.budget.rejected());
     counts.active.set(node.active.get() as u64);
     counts.running.set(load.running.into());
     counts.waiting.set(load.waiting.into());
@@ -182,6 +184,10 @@
         &c.store_calls
     });
     words(meter, counts, "changes_total", "change", |c| &c.changes);
+    counter(meter, counts, "memory_rejections_total", |c| {
+        &c.memory_rejections
+    });
+    gauge(meter, counts, "held_bytes", |c| &c.held_bytes);
     counter(meter, counts, "lines_dropped_total", |c| &c.lines_dropped);
     counter(meter, counts, "spans_total", |c| &c.spans);
     counter(meter, counts, "spans_dropped_total", |c| &c.spans_dropped);
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -11,6 +11,7 @@
     Clock, Millis, RouteEstimates, RouteTable, ServerList, ServerRecord, ServerState, Shutdown,
     StorePosition, TrafficSplitter,
 };
+use oriolering_http::ByteBudget;
 use oriolering_platform::{Bounds, Settings};
 use tokio::sync::Notify;
 use xxhash_rust::xxh3::xxh3_64;
@@ -100,6 +101,8 @@
     /// The evacuated availability zones by the list that was last applied.
     evacuated_zones: RefCell<Vec<CompactString>>,
     pub(crate) peers: RefCell<HashMap<SocketAddr, Rc<Peer>>>,
+    /// The memory that requests and responses share.
+    pub(crate) budget: Rc<ByteBudget>,
     pub(crate) gate: Rc<Gate>,
     pub(crate) suspects: Rc<Suspects>,
     pub(crate) estimates: RefCell<RouteEstimates>,
@@ -142,9 +145,11 @@
         let incarnation = rand::random();
         let suspects = Suspects::new(clock.clone(), Rc::clone(&trail), incarnation);
         let suspects = Rc::new(suspects);
+        let budget = ByteBudget::new(settings.limits.buffer_bytes());
         let gate = Gate::new(
             settings.backend.address,
             settings.limits.memory_bytes as usize / RESPONSE_DIVISOR,
+            Rc::clone(&budget),
             date.clone(),
             clock.clone(),
             Rc::clone(&trail),
@@ -165,6 +170,7 @@
             server_table: RefCell::default(),
             evacuated_zones: RefCell::default(),
             peers: RefCell::default(),
+            budget,
             gate: Rc::new(gate),
             suspects,
             estimates: RefCell::default(),
--- a/crates/mesh/src/peer.rs
+++ b/crates/mesh/src/peer.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 
 use oriolering::{GateLoad, Millis, StorePosition};
+use oriolering_http::Bytes;
 use serde_bytes::ByteBuf;
 use tokio::sync::oneshot;
 
@@ -226,7 +227,7 @@
     /// Sends a request to the gate, and waits for its outcome.
     ///
     /// Dropping the future cancels the call at the gate.
-    pub(crate) async fn call(&self, offer: Offer, body: &[u8]) -> Reply {
+    pub(crate) async fn call(&self, offer: Offer, body: Bytes) -> Reply {
         if !self.up.get() {
             return Reply::Unlinked;
         }
@@ -257,6 +258,8 @@
             }
             return;
         }
+        // A gate that refuses a call does not wait for its body.
+        self.outbox.borrow().drop_body(call);
         if let Some(pending) = calls.remove(&call) {
             // The caller may have disconnected and dropped the receiver.
             let _ = pending.sender.send(Reply::Ended { outcome, body });
@@ -295,35 +298,25 @@
     fn drop(&mut self) {
         let pending = self.peer.calls.borrow_mut().remove(&self.call);
         if pending.is_some() {
+            self.peer.outbox.borrow().drop_body(self.call);
             self.peer.push(Frame::Cancel { call: self.call });
         }
     }
 }
 
-fn send_offer(outbox: &Outbox, call: CallId, offer: Offer, body: &[u8]) {
+fn send_offer(outbox: &Outbox, call: CallId, offer: Offer, body: Bytes) {
     let offer = Box::new(offer);
     let whole = body.len() <= PIECE_BYTES;
-    let first = if whole { body } else { &[] };
+    let first: &[u8] = if whole { &body } else { &[] };
     outbox.push(Frame::Offer {
         call,
         offer,
         body: ByteBuf::from(first),
         whole,
+        length: body.len() as u64,
     });
     if !whole {
-        send_pieces(outbox, call, body);
-    }
-}
-
-/// Sends a long body in pieces.
-pub(crate) fn send_pieces(outbox: &Outbox, call: CallId, body: &[u8]) {
-    let count = body.len().div_ceil(PIECE_BYTES);
-    for (i, piece) in body.chunks(PIECE_BYTES).enumerate() {
-        outbox.push(Frame::Piece {
-            call,
-            bytes: ByteBuf::from(piece),
-            last: i + 1 == count,
-        });
+        outbox.push_body(call, body, None);
     }
 }
 
--- a/crates/mesh/src/pool.rs
+++ b/crates/mesh/src/pool.rs
@@ -6,7 +6,7 @@
 
 use ntex::http::DateService;
 use oriolering::Millis;
-use oriolering_http::{AnswerRoom, ClientConn, ExchangeError};
+use oriolering_http::{AnswerRoom, ByteBudget, ClientConn, ExchangeError};
 
 /// The connect timeout, in milliseconds; the backend server is on the same instance, so a longer
 /// time means that nothing listens.
@@ -27,12 +27,17 @@
 
 impl Pool {
     /// Creates a pool of connections to `address`, whose responses may take `answer_bytes` of memory
-    /// in all, not counting small ones.
-    pub(crate) fn new(address: SocketAddr, date: DateService, answer_bytes: usize) -> Self {
+    /// in all, within `budget`, not counting small ones.
+    pub(crate) fn new(
+        address: SocketAddr,
+        date: DateService,
+        answer_bytes: usize,
+        budget: &Rc<ByteBudget>,
+    ) -> Self {
         Self {
             address,
             date,
-            response_room: AnswerRoom::new(answer_bytes),
+            response_room: AnswerRoom::within(answer_bytes, budget),
             idle: RefCell::new(Vec::new()),
         }
     }
