Stream response bodies through the HTTP connections

Cause: a response was buffered whole by the client connection and written from a buffer by the server connection, so a large one takes memory at the pace of its source, however slowly its reader takes it.

Change: ClientConn::exchange_streamed returns the head and a BodyReader, which reads only when asked and tells complete bodies from truncated ones as exchange does. An Answer may end with a BodyStream, which the server connection reads as the caller takes it. A stream that fails closes the connection without the end of the response; a caller that takes nothing during the idle timeout is cut. Exchanges and answers without a stream are unchanged.

Ruled out: a body that is either bytes or a stream. The start of a body often comes with its head, and users of Answer::body would all change.

--- a/crates/http/src/answer.rs
+++ b/crates/http/src/answer.rs
@@ -5,15 +5,19 @@
 use ntex::http::{HeaderMap, StatusCode};
 use ntex::util::Bytes;
 
-/// A response with its complete body.
+use crate::BodyStream;
+
+/// A response with its body, or with the start of a streamed one.
 #[derive(Debug)]
 pub struct Answer {
     /// The status code.
     pub status: StatusCode,
     /// The headers, without those for the connection or the length of the body.
     pub headers: HeaderMap,
-    /// The body.
+    /// The body, or its start.
     pub body: Bytes,
+    /// The rest of a body that is streamed.
+    pub rest: Option<Box<BodyStream>>,
     /// Whether the connection is closed after this response.
     pub close: bool,
     /// Dropped when the response is written to the socket, or its connection has ended.
@@ -27,6 +31,7 @@
             status,
             headers: HeaderMap::new(),
             body: Bytes::new(),
+            rest: None,
             close: false,
             held: None,
         }
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -1,5 +1,7 @@
 //! A client connection that runs one exchange at a time.
 
+mod body_reader;
+
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -21,9 +23,11 @@
 use crate::answer_room::{AnswerRoom, Reservation};
 use crate::connection::{CLOSE, KEEP_ALIVE, has_option};
 use crate::error::{self, ExchangeError};
-use crate::io::{fill, flush, try_fill};
+use crate::io::{fill_up_to, flush, try_fill};
 use crate::{Request, Response};
 
+pub use body_reader::BodyReader;
+
 /// The largest response body, in bytes; a tenth of the memory of a small instance.
 const ANSWER_BYTES: usize = 16 * 1024 * 1024;
 /// How many bytes of chunk sizes and extensions a body of any length may have.
@@ -53,6 +57,8 @@
     writable: bool,
     idle_ms: u64,
     room: Rc<AnswerRoom>,
+    /// The most bytes that one read returns.
+    read_bytes: usize,
 }
 
 impl ClientConn {
@@ -82,6 +88,7 @@
             writable: true,
             idle_ms: DEFAULT_IDLE_MS,
             room: AnswerRoom::new(ANSWER_BYTES),
+            read_bytes: usize::MAX,
         })
     }
 
@@ -157,7 +164,7 @@
         loop {
             tokio::select! {
                 biased;
-                result = fill(&self.stream, &mut self.buf) => return result,
+                result = fill_up_to(&self.stream, &mut self.buf, self.read_bytes) => return result,
                 result = flush(&self.stream, out), if !out.is_empty() && self.writable => {
                     self.writable = result.is_ok();
                 }
--- a/crates/http/src/io.rs
+++ b/crates/http/src/io.rs
@@ -22,10 +22,18 @@
 /// # Errors
 ///
 /// Returns the I/O error of the connection.
-pub async fn receive(stream: &TcpStream, mut take: impl FnMut(&[u8])) -> io::Result<usize> {
+pub async fn receive(stream: &TcpStream, take: impl FnMut(&[u8])) -> io::Result<usize> {
+    receive_up_to(stream, READ_BYTES, take).await
+}
+
+async fn receive_up_to(
+    stream: &TcpStream,
+    max: usize,
+    mut take: impl FnMut(&[u8]),
+) -> io::Result<usize> {
     loop {
         stream.readable().await?;
-        match try_receive(stream, &mut take) {
+        match try_receive(stream, max, &mut take) {
             Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
             result => return result,
         }
@@ -38,15 +46,25 @@
     receive(stream, |bytes| buf.extend_from_slice(bytes)).await
 }
 
+/// Waits for up to `max` bytes, appends them to `buf` and returns their count; zero means the end
+/// of the stream.
+pub(crate) async fn fill_up_to(
+    stream: &TcpStream,
+    buf: &mut BytesMut,
+    max: usize,
+) -> io::Result<usize> {
+    receive_up_to(stream, max, |bytes| buf.extend_from_slice(bytes)).await
+}
+
 /// Appends the bytes that have already arrived to `buf` and returns their count; zero means the
 /// end of the stream.
 pub(crate) fn try_fill(stream: &TcpStream, buf: &mut BytesMut) -> io::Result<usize> {
-    try_receive(stream, |bytes| buf.extend_from_slice(bytes))
+    try_receive(stream, READ_BYTES, |bytes| buf.extend_from_slice(bytes))
 }
 
-fn try_receive(stream: &TcpStream, mut take: impl FnMut(&[u8])) -> io::Result<usize> {
+fn try_receive(stream: &TcpStream, max: usize, mut take: impl FnMut(&[u8])) -> io::Result<usize> {
     READ_BUFFER.with_borrow_mut(|buffer| {
-        let count = stream.try_read(buffer)?;
+        let count = stream.try_read(&mut buffer[..max.min(READ_BYTES)])?;
         take(&buffer[..count]);
         Ok(count)
     })
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -6,10 +6,14 @@
 //! [`ClientConn`] runs one exchange at a time. It checks that the response belongs to the request
 //! and is complete, and whether the connection can be reused.
 //!
-//! Bodies are buffered in full, so that a truncated response is never passed on as complete.
+//! Bodies are buffered in full, so that a truncated response is never passed on as complete, unless
+//! a response is streamed: [`ClientConn::exchange_streamed`] returns the head and a [`BodyReader`],
+//! and an [`Answer`] may end with a [`BodyStream`]. A truncated stream closes the caller's connection
+//! without the end of the response.
 
 mod answer;
 mod answer_room;
+mod body_stream;
 mod client;
 mod connection;
 mod error;
@@ -18,10 +22,12 @@
 mod request;
 mod response;
 mod server;
+mod streamed_body;
 
 pub use answer::Answer;
 pub use answer_room::AnswerRoom;
-pub use client::ClientConn;
+pub use body_stream::BodyStream;
+pub use client::{BodyReader, ClientConn};
 pub use error::ExchangeError;
 pub use io::receive;
 pub use limits::ConnLimits;
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -11,14 +11,15 @@
 use ntex::http::h1::{Codec, Message, PayloadDecoder, PayloadItem, PayloadType};
 use ntex::http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use ntex::http::{ConnectionType, DateService, Method, RequestHead, Response, StatusCode, Version};
-use ntex::util::{Buf, BytesMut};
+use ntex::util::{Buf, Bytes, BytesMut};
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep_until};
 
 use crate::connection::{CLOSE, has_option};
 use crate::io::{fill, flush};
-use crate::{Answer, ConnLimits, Request};
+use crate::streamed_body::{StreamedBody, reads_chunks};
+use crate::{Answer, BodyStream, ConnLimits, Request};
 
 /// How long a closing connection stays half-open for the caller to read the last response.
 const LINGER_MS: u64 = 1_000;
@@ -74,6 +75,10 @@
     out: BytesMut,
     /// What the responses in `out` hold until they are written.
     held: Vec<Box<dyn Any>>,
+    /// The rest of the response that is being written, if it is streamed.
+    streaming: Option<StreamedBody>,
+    /// When the caller last took bytes of a streamed response.
+    taken_at: Instant,
     codec: Codec,
     reading: Reading,
     pending: VecDeque<Pending>,
@@ -99,6 +104,9 @@
 /// connection, its requests are cancelled, since a half-closed connection cannot be told from an
 /// abandoned one. If the body of a request was still arriving when the connection ended,
 /// `on_truncated` is called with the request and the number of body bytes received.
+///
+/// A streamed response is read from its stream as the caller takes it. The connection is closed, with
+/// the response truncated, if the stream fails or the caller takes nothing during the idle timeout.
 pub async fn serve<H, F, L, C, B>(
     stream: TcpStream,
     date: DateService,
@@ -118,6 +126,8 @@
         buf: BytesMut::new(),
         out: BytesMut::new(),
         held: Vec::new(),
+        streaming: None,
+        taken_at: Instant::now(),
         codec: Codec::new(date, true),
         reading: Reading::Head,
         pending: VecDeque::new(),
@@ -160,19 +170,27 @@
         let deadline = self.waiting_since + self.timeout();
         let idle = self.is_idle();
         let may_read = self.may_read();
+        let streaming = self.streaming.is_some();
+        let unsent = !self.out.is_empty();
+        let stalled_at = self.taken_at + Duration::from_millis((self.limits)().idle_ms);
         tokio::select! {
             biased;
-            (context, answer) = next_response(&mut self.pending), if !self.pending.is_empty() => {
+            (context, answer) = next_response(&mut self.pending), if !self.pending.is_empty() && !streaming => {
                 self.write_response(context, answer);
             }
             result = flush(&self.stream, &mut self.out), if !self.out.is_empty() => {
                 result?;
-                if self.out.is_empty() {
-                    self.held.clear();
-                }
+                self.taken_at = Instant::now();
+                self.release_held();
+            }
+            piece = next_piece(&mut self.streaming), if streaming && !unsent => {
+                self.write_piece(piece)?;
             }
             result = fill(&self.stream, &mut self.buf), if may_read => self.handle_read(result?)?,
             () = sleep_until(deadline), if idle => {}
+            () = sleep_until(stalled_at), if streaming && unsent => {
+                return Err(io::ErrorKind::TimedOut.into());
+            }
         }
         Ok(())
     }
@@ -203,7 +221,7 @@
 
     /// Returns whether no request is pending and all output is written.
     fn is_idle(&self) -> bool {
-        self.pending.is_empty() && self.out.is_empty()
+        self.pending.is_empty() && self.out.is_empty() && self.streaming.is_none()
     }
 
     /// Returns whether all responses are written and none will follow.
@@ -389,6 +407,12 @@
     /// Encodes a response into the output buffer.
     fn write_response(&mut self, context: ResponseContext, answer: Answer) {
         let ResponseContext { codec, keep_alive } = context;
+        let unchunked = answer
+            .rest
+            .as_ref()
+            .is_some_and(|rest| rest.length.is_none())
+            && !reads_chunks(&codec);
+        let keep_alive = keep_alive && !unchunked;
         let last = self.pending.is_empty();
         let close = answer.close || !keep_alive || (last && (self.closing)());
         self.held.extend(answer.held);
@@ -399,24 +423,54 @@
             self.reading = Reading::Ended;
             self.pending.clear();
         }
-        let size = match answer.body.len() {
-            0 => BodySize::Empty,
-            length => BodySize::Sized(length as u64),
-        };
+        head.head_mut().no_chunking(unchunked);
+        let size = body_size(&answer.body, answer.rest.as_deref());
         let (head, _) = head.into_parts();
+        let length = answer.body.len();
         let result = codec
             .encode(Message::Item((head, size)), &mut self.out)
-            .and_then(|()| match size {
-                BodySize::Empty | BodySize::None | BodySize::Stream => Ok(()),
-                BodySize::Sized(_) => {
-                    codec.encode(Message::Chunk(Some(answer.body)), &mut self.out)
-                }
+            .and_then(|()| match length {
+                0 => Ok(()),
+                _ => codec.encode(Message::Chunk(Some(answer.body)), &mut self.out),
             });
         if let Err(e) = result {
             log::warn!(error = e.to_string().as_str(); "an answer cannot be encoded");
             self.reading = Reading::Ended;
         }
+        let rest = answer.rest;
+        self.streaming = rest.map(|rest| StreamedBody::new(codec, *rest, length));
         self.waiting_since = Instant::now();
+        self.taken_at = self.waiting_since;
+    }
+
+    /// Encodes the next piece of a streamed response into the output buffer, or its end.
+    fn write_piece(&mut self, piece: io::Result<Option<Bytes>>) -> io::Result<()> {
+        let Some(body) = &mut self.streaming else {
+            return Ok(());
+        };
+        self.taken_at = Instant::now();
+        let ended = matches!(piece, Ok(None));
+        let result = piece.and_then(|piece| body.encode(piece, &mut self.out));
+        if let Err(e) = result {
+            if body.ends_with_connection() {
+                // An orderly end of the connection would look like the end of the body.
+                socket2::SockRef::from(&self.stream).set_linger(Some(Duration::ZERO))?;
+            }
+            return Err(e);
+        }
+        if ended {
+            self.streaming = None;
+            self.waiting_since = Instant::now();
+            self.release_held();
+        }
+        Ok(())
+    }
+
+    /// Drops what the written responses hold, once all of them are written.
+    fn release_held(&mut self) {
+        if self.out.is_empty() && self.streaming.is_none() {
+            self.held.clear();
+        }
     }
 
     /// Closes the connection so that the caller can still read the last response.
@@ -459,6 +513,27 @@
     Reject(StatusCode),
 }
 
+/// Returns how the length of a body is declared.
+fn body_size(body: &Bytes, rest: Option<&BodyStream>) -> BodySize {
+    let length = match rest {
+        Some(rest) => rest.length,
+        None => Some(body.len() as u64),
+    };
+    match length {
+        None => BodySize::Stream,
+        Some(0) => BodySize::Empty,
+        Some(length) => BodySize::Sized(length),
+    }
+}
+
+/// Waits for the next piece of a streamed response.
+async fn next_piece(streaming: &mut Option<StreamedBody>) -> io::Result<Option<Bytes>> {
+    match streaming {
+        Some(body) => body.next().await,
+        None => std::future::pending().await,
+    }
+}
+
 /// Waits for the response to the oldest request.
 async fn next_response(pending: &mut VecDeque<Pending>) -> (ResponseContext, Answer) {
     let Some(first) = pending.front_mut() else {
--- a/crates/http/tests/client/main.rs
+++ b/crates/http/tests/client/main.rs
@@ -5,6 +5,7 @@
 mod endless;
 mod framing;
 mod stale;
+mod streamed;
 #[path = "../support/mod.rs"]
 mod support;
 
--- a/crates/http/tests/server/main.rs
+++ b/crates/http/tests/server/main.rs
@@ -5,6 +5,7 @@
 mod leaving;
 mod limits;
 mod order;
+mod streamed;
 #[path = "../support/mod.rs"]
 mod support;
 mod times;
