Stream the responses of download routes with flow control

Cause: such a response was buffered whole at the gate, queued whole on the link and joined at the ingress, and one of more than 16 MB failed. A failure midway was told with 502 only because nothing had been passed on.

Change: an offer of a download route allows the gate to stream. The gate sends the head with the start of the body, then segments of at most 12 KiB as far as it has credit; the ingress gives credit as the caller takes the bytes. Both reserve each segment from a budget, a sixteenth of limits.memory_mb, half for each role. The slot is held until the backend server has delivered the whole response. A stream that breaks cuts the caller's connection; an attempt is repeated only before the head and the first byte have arrived. What is complete at once still takes one message. An error of the ingress is boxed, since an answer with a stream is larger.

Ruled out: one budget for both roles, with which two nodes that stream to each other can wait in a circle; credit in the offer, which reserves memory for short responses too; a window of an eighth of the free memory, which left none after 44 streams (the new unit test failed).

The test support got the route files and the behavior body; no test changed.

--- a/crates/mesh/src/attempt.rs
+++ b/crates/mesh/src/attempt.rs
@@ -3,14 +3,17 @@
 use std::rc::Rc;
 
 use compact_str::CompactString;
-use oriolering::{Millis, RequestCost, Route};
+use oriolering::{Millis, RequestCost, Route, RouteKind};
 use oriolering_http::Bytes;
+use tokio::sync::oneshot;
 
 use crate::budgets::{RepeatKind, Reservation};
 use crate::frame::{Headers, Offer};
 use crate::node::Node;
 use crate::progress::Progress;
 use crate::reply::Reply;
+use crate::response_sink::{LocalCall, ResponseSink};
+use crate::segment_reader::SegmentReader;
 use crate::server_table::{GateRef, ServerChoice};
 use crate::trail::IngressRecord;
 
@@ -143,6 +146,7 @@
         left_ms: job.deadline.since(now) as u32,
         work_ms: work_ms as u32,
         elsewhere_ms: chosen.placement.next_best_ms.map(|ms| ms as u32),
+        streamed: is_streamed(job),
         caller: node.settings.backend.service.clone(),
         method: job.method.clone(),
         target: job.target.clone(),
@@ -157,7 +161,7 @@
     }
     let reply = match chosen.gate {
         GateRef::Local => send_here(node, offer, job.body.clone()).await,
-        GateRef::Remote(peer) => peer.call(offer, &job.body).await,
+        GateRef::Remote(peer) => peer.call(offer, &job.body, &node.stream_budget).await,
     };
     let unsent = reservation
         .filter(|_| !reply.may_have_arrived())
@@ -174,17 +178,53 @@
 
 /// Passes a request to the gate of this node.
 async fn send_here(node: &Rc<Node>, offer: Offer, body: Bytes) -> Reply {
+    if offer.streamed {
+        return stream_here(node, offer, body).await;
+    }
     let gate = Rc::clone(&node.gate);
-    let (outcome, body) = gate.run(offer, body).await;
+    let (outcome, body) = gate.run(offer, body, None).await;
     node.server_table
         .borrow_mut()
         .update_local_load(node.now(), node.gate.load());
     Reply::Ended {
         outcome,
         body: body.to_vec(),
+        rest: None,
     }
 }
 
+/// Passes a request whose response may be streamed to the gate of this node.
+async fn stream_here(node: &Rc<Node>, offer: Offer, body: Bytes) -> Reply {
+    let (head, start) = oneshot::channel();
+    let sink = ResponseSink::local(head);
+    let (gate, owned) = (Rc::clone(&node.gate), Rc::clone(&sink));
+    let task = tokio::task::spawn_local(async move {
+        let (outcome, body) = Rc::clone(&gate).run(offer, body, Some(&owned)).await;
+        owned.finish(outcome, body, gate.load());
+    });
+    let task = task.abort_handle();
+    let call = LocalCall { sink, task };
+    let Ok(start) = start.await else {
+        return Reply::Lost;
+    };
+    node.server_table
+        .borrow_mut()
+        .update_local_load(node.now(), node.gate.load());
+    let rest = start.rest.map(|(length, queue)| {
+        SegmentReader::new(length, queue, &node.stream_budget, Box::new(call))
+    });
+    Reply::Ended {
+        outcome: start.outcome,
+        body: start.body.to_vec(),
+        rest,
+    }
+}
+
+/// Returns whether the response to a request may be streamed.
+fn is_streamed(job: &RequestJob) -> bool {
+    job.route.kind == RouteKind::Download && job.method != "HEAD"
+}
+
 /// Reserves budget for a second run in parallel with the first, if the route, the quarantine and
 /// the budget allow one.
 pub(crate) fn reserve_second_run(
--- a/crates/mesh/src/attempt_result.rs
+++ b/crates/mesh/src/attempt_result.rs
@@ -12,6 +12,7 @@
 use crate::node::Node;
 use crate::progress::Progress;
 use crate::reply::Reply;
+use crate::segment_reader::SegmentReader;
 
 /// How long a backend server is avoided after another one answered at its address, in
 /// milliseconds; the server list is updated within that time.
@@ -37,8 +38,12 @@
     server: CompactString,
     reply: Reply,
 ) -> AttemptResult {
-    let (outcome, body) = match reply {
-        Reply::Ended { outcome, body } => (outcome, body),
+    let (outcome, body, rest) = match reply {
+        Reply::Ended {
+            outcome,
+            body,
+            rest,
+        } => (outcome, body, rest),
         Reply::Lost => {
             progress.add_send(server);
             return AttemptResult::Sent;
@@ -49,7 +54,14 @@
         }
     };
     match outcome {
-        Outcome::Answered(answered) => record_answer(node, job, progress, server, answered, body),
+        Outcome::Answered(answered) => {
+            let response = ReceivedResponse {
+                answered,
+                body,
+                rest,
+            };
+            record_answer(node, job, progress, server, response)
+        }
         Outcome::Refused {
             why,
             retry_after_ms,
@@ -126,14 +138,25 @@
         });
 }
 
+/// The response of a backend server, of which `rest` follows if it is streamed.
+struct ReceivedResponse {
+    answered: Answered,
+    body: Vec<u8>,
+    rest: Option<SegmentReader>,
+}
+
 fn record_answer(
     node: &Rc<Node>,
     job: &RequestJob,
     progress: &mut Progress,
     server: CompactString,
-    answered: Answered,
-    body: Vec<u8>,
+    response: ReceivedResponse,
 ) -> AttemptResult {
+    let ReceivedResponse {
+        answered,
+        body,
+        rest,
+    } = response;
     let now = node.now();
     let failed = answered.status >= 500;
     let mut servers = node.server_table.borrow_mut();
@@ -154,11 +177,14 @@
             ran_ms,
             answered.work_percent,
         );
-        let bytes = body.len() as u64;
+        let declared = rest.as_ref().and_then(SegmentReader::length);
+        let bytes = declared.unwrap_or(body.len() as u64);
         node.estimates
             .borrow_mut()
             .record_bytes(job.route_hash, bytes);
-        return AttemptResult::Answer(answer(answered, body));
+        let mut answer = answer(answered, body);
+        answer.rest = rest.map(|rest| Box::new(rest.into_body(job.record.stream())));
+        return AttemptResult::Answer(answer);
     }
     // A backend server answers 504 when the deadline that it was given has passed.
     let timed_out = answered.status == StatusCode::GATEWAY_TIMEOUT.as_u16();
@@ -178,6 +204,7 @@
         status,
         headers,
         body: Bytes::from(body),
+        rest: None,
         close: false,
         held: None,
     }
--- a/crates/mesh/src/counts.rs
+++ b/crates/mesh/src/counts.rs
@@ -48,9 +48,11 @@
 /// The outcomes of exchanges with the local backend server.
 pub(crate) const RUNS: [&str; 4] = ["answered", "unexecuted", "unsent", "failed"];
 /// The kinds of traffic between nodes in different availability zones.
-pub(crate) const KINDS: [&str; 9] = [
-    "offer", "repeat", "answer", "refusal", "body", "cancel", "load", "question", "news",
+pub(crate) const KINDS: [&str; 10] = [
+    "offer", "repeat", "answer", "refusal", "body", "credit", "cancel", "load", "question", "news",
 ];
+/// How streamed responses end at the ingress.
+pub(crate) const STREAMS: [&str; 3] = ["complete", "cut", "left"];
 /// The causes of calls to the store.
 pub(crate) const CALLS: [&str; 3] = ["start", "list", "watch"];
 /// The changes of a node's state that are counted.
@@ -182,6 +184,8 @@
     pub(crate) second_tries: Counter,
     pub(crate) repeats: LabeledCounters<{ REPEATS.len() }>,
     pub(crate) request_ms: Histogram,
+    pub(crate) streams: LabeledCounters<{ STREAMS.len() }>,
+    pub(crate) stream_bytes: Counter,
     pub(crate) admitted: Counter,
     pub(crate) queued: Counter,
     pub(crate) refusals: LabeledCounters<{ REFUSALS.len() }>,
@@ -219,6 +223,8 @@
             second_tries: Counter::default(),
             repeats: LabeledCounters::new(REPEATS),
             request_ms: Histogram::default(),
+            streams: LabeledCounters::new(STREAMS),
+            stream_bytes: Counter::default(),
             admitted: Counter::default(),
             queued: Counter::default(),
             refusals: LabeledCounters::new(REFUSALS),
--- a/crates/mesh/src/frame.rs
+++ b/crates/mesh/src/frame.rs
@@ -1,5 +1,7 @@
 //! The messages between nodes, and their encoding.
 
+use std::rc::Rc;
+
 use bincode::Options;
 use bytes::{Bytes, BytesMut};
 use compact_str::CompactString;
@@ -13,6 +15,7 @@
 
 use crate::field_name::FieldName;
 use crate::notice::Notice;
+use crate::stream_budget::BudgetPermit;
 
 /// The maximum size of a message, in bytes: room for a published value and its envelope.
 const FRAME_BYTES: usize = 4 * 1024 * 1024;
@@ -54,6 +57,8 @@
     pub(crate) work_ms: u32,
     /// The expected duration at the next best backend server, in milliseconds.
     pub(crate) elsewhere_ms: Option<u32>,
+    /// Whether the response may be streamed.
+    pub(crate) streamed: bool,
     /// The service of the instance that the request comes from.
     pub(crate) caller: CompactString,
     pub(crate) method: CompactString,
@@ -162,6 +167,39 @@
         entries: Vec<QuarantineEntry>,
         cleared: Vec<u64>,
     },
+    /// The head and the start of the body of a streamed response.
+    Head {
+        call: CallId,
+        outcome: Outcome,
+        body: ByteBuf,
+        /// The length of the whole body, if the backend server declared it.
+        length: Option<u64>,
+        load: GateLoad,
+    },
+    /// A segment of a streamed response, for which the ingress gave credit.
+    Segment {
+        call: CallId,
+        bytes: ByteBuf,
+        #[serde(skip)]
+        held: HeldPermit,
+    },
+    /// The end of a streamed response, and whether it is complete.
+    SegmentsEnd { call: CallId, complete: bool },
+    /// The ingress takes this many more segments of a streamed response.
+    Credit { call: CallId, segments: u32 },
+}
+
+/// The memory of a segment at the sending node, released when the segment is written to the link.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct HeldPermit {
+    _permit: Option<Rc<BudgetPermit>>,
+}
+
+impl From<BudgetPermit> for HeldPermit {
+    fn from(permit: BudgetPermit) -> Self {
+        let permit = Some(Rc::new(permit));
+        Self { _permit: permit }
+    }
 }
 
 impl Frame {
@@ -170,14 +208,15 @@
         match self {
             Self::Offer { offer, .. } if offer.repeat => "repeat",
             Self::Offer { .. } => "offer",
-            Self::Piece { .. } => "body",
+            Self::Piece { .. } | Self::Segment { .. } | Self::SegmentsEnd { .. } => "body",
             Self::Cancel { .. } => "cancel",
             Self::Ended {
                 outcome: Outcome::Refused { .. },
                 ..
             } => "refusal",
-            Self::Ended { .. } => "answer",
+            Self::Ended { .. } | Self::Head { .. } => "answer",
             Self::Load(_) => "load",
+            Self::Credit { .. } => "credit",
             Self::Ping | Self::Pong => "question",
             Self::Hello { .. }
             | Self::Known { .. }
--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -5,6 +5,7 @@
 mod permit;
 mod probing;
 mod responses;
+mod streaming;
 mod waiting;
 mod warm_up;
 
@@ -20,7 +21,7 @@
     Admission, Clock, GateLoad, Job, JobKey, Millis, QuarantineEntry, Rate, RefusalReason,
     RoutedService, Scheduler, SchedulerEvent, ServerRecord, ServerState, WarmUp,
 };
-use oriolering_http::{Bytes, ExchangeError, Response};
+use oriolering_http::{Bytes, ClientConn, ExchangeError, Response};
 use oriolering_platform::HEADERS;
 use tokio::sync::{Mutex, oneshot};
 use tokio::time::{sleep, timeout};
@@ -33,9 +34,11 @@
 use crate::notice::Notice;
 use crate::outbox::Outbox;
 use crate::pool::Pool;
+use crate::response_sink::ResponseSink;
 use crate::runs::Runs;
+use crate::stream_budget::StreamBudget;
 use crate::subscribers::{Subscriber, Subscribers};
-use crate::suspects::Suspects;
+use crate::suspects::{Running, Suspects};
 use crate::trail::{GateRecord, GateSnapshot, Trail};
 
 use notices::{Notices, ResponseKind};
@@ -62,6 +65,14 @@
 /// probes.
 const CRASH_CHECK_MS: u64 = PROBE_INTERVAL_MS;
 
+/// The memory that a gate may use for the responses of its backend server, in bytes.
+pub(crate) struct ResponseMemory {
+    /// For those that are buffered, while they are read.
+    pub(crate) buffered_bytes: usize,
+    /// For those that are streamed.
+    pub(crate) streamed_bytes: usize,
+}
+
 /// The gate of the local backend server.
 pub(crate) struct Gate {
     clock: Clock,
@@ -73,6 +84,8 @@
     listeners: Subscribers,
     suspects: Rc<Suspects>,
     budgets: Rc<Budgets>,
+    /// The memory for streamed responses on their way to other nodes.
+    stream_budget: Rc<StreamBudget>,
     /// The requests that the backend server runs.
     pub(crate) runs: Runs,
     /// When the backend server was last checked for a crash; locked during a check.
@@ -106,11 +119,10 @@
 }
 
 impl Gate {
-    /// Creates the gate of the backend server at `address`, whose responses may take
-    /// `answer_bytes` of memory while they are read.
+    /// Creates the gate of the backend server at `address`.
     pub(crate) fn new(
         address: SocketAddr,
-        answer_bytes: usize,
+        memory: ResponseMemory,
         date: DateService,
         clock: Clock,
         trail: Rc<Trail>,
@@ -123,7 +135,7 @@
             notices: Notices::new(clock.clone(), Rc::clone(&trail)),
             clock,
             trail,
-            pool: Pool::new(address, date, answer_bytes),
+            pool: Pool::new(address, date, memory.buffered_bytes),
             health_path: RefCell::new(CompactString::default()),
             scheduler: RefCell::new(Scheduler::new(DEFAULT_SLOTS)),
             waiters: RefCell::default(),
@@ -131,6 +143,7 @@
             suspects,
             runs: Runs::new(Rc::clone(&budgets)),
             budgets,
+            stream_budget: StreamBudget::new(memory.streamed_bytes),
             last_crash_check: Mutex::default(),
             last_offer: Cell::new(None),
             probing: Cell::new(false),
@@ -154,6 +167,11 @@
         self.scheduler.borrow().load(self.clock.now())
     }
 
+    /// Returns how much memory is reserved for streamed responses, in bytes.
+    pub(crate) fn stream_bytes(&self) -> usize {
+        self.stream_budget.held_bytes()
+    }
+
     /// Adds a link whose node receives load changes.
     pub(crate) fn subscribe(&self, outbox: &Rc<Outbox>) -> Rc<Subscriber> {
         let subscriber = Rc::new(Subscriber::new(Rc::clone(outbox), self.clock.now()));
@@ -236,8 +254,16 @@
 
     /// Runs a request; returns how it ended, and the body of a response.
     ///
+    /// With a `sink`, a response that is not complete at once is streamed to it; it is whole if the
+    /// outcome is a response. The slot is held until the backend server has delivered all of it.
+    ///
     /// Dropping the future cancels the request at the backend server.
-    pub(crate) async fn run(self: Rc<Self>, mut offer: Offer, body: Bytes) -> (Outcome, Bytes) {
+    pub(crate) async fn run(
+        self: Rc<Self>,
+        mut offer: Offer,
+        body: Bytes,
+        sink: Option<&ResponseSink>,
+    ) -> (Outcome, Bytes) {
         let arrived = self.clock.now();
         self.last_offer.set(Some(arrived));
         self.discard_outdated_load();
@@ -282,8 +308,16 @@
         }
         record.admitted(self.snapshot(now));
         let limit = Duration::from_millis(left + DEADLINE_GRACE_MS);
-        let result = timeout(limit, self.exchange(offer, body, left, calls)).await;
-        let (ending, body) = result.unwrap_or((Outcome::Failed, Bytes::new()));
+        let (ending, body) = match sink {
+            Some(sink) => {
+                self.exchange_streamed(offer, body, left, calls, limit, sink)
+                    .await
+            }
+            None => {
+                let result = timeout(limit, self.exchange(offer, body, left, calls)).await;
+                result.unwrap_or((Outcome::Failed, Bytes::new()))
+            }
+        };
         record.ran(&ending);
         (ending, body)
     }
@@ -414,26 +448,16 @@
             return (Outcome::Unsent, Bytes::new());
         };
         let id = offer.request.as_str();
-        // Without an identity, an earlier response that is repeated looks like the one to this
-        // request, so it gets a connection of its own.
-        let conn = match id.is_empty() {
-            true => self.pool.connect().await,
-            false => self.pool.take(started).await,
-        };
-        let mut conn = match conn {
+        let mut conn = match self.connect(id, started).await {
             Ok(conn) => conn,
             Err(e) => {
                 self.handle_connect_error(&e);
                 return (Outcome::Unsent, Bytes::new());
             }
         };
-        // The response to a request without an identity has none either.
-        let expected_id = (!id.is_empty()).then_some(id);
-        let wanted =
-            |head: &ResponseHead| headers::text(&head.headers, HEADERS.request) == expected_id;
         let in_flight = self.suspects.track(&offer);
         let _run = self.runs.start(&offer, calls);
-        let result = conn.exchange(request, wanted).await;
+        let result = conn.exchange(request, is_response_to(&offer)).await;
         let now = self.clock.now();
         match result {
             Ok(response) => {
@@ -442,18 +466,36 @@
                 }
                 self.handle_response(&offer, response, started)
             }
-            Err(e) => {
-                self.trail.exchange_broke(id, &e.to_string());
-                if e.is_unsent() {
-                    return (Outcome::Unsent, Bytes::new());
-                }
-                in_flight.record_broken();
-                drop(in_flight);
-                // Other nodes must learn of a crash before the ingress may retry the request.
-                self.check_for_crash().await;
-                (Outcome::Failed, Bytes::new())
-            }
+            Err(e) => self.handle_broken(&offer, &e, in_flight).await,
+        }
+    }
+
+    /// Returns a connection to the backend server for a request with this identity.
+    async fn connect(&self, id: &str, now: Millis) -> Result<ClientConn, ExchangeError> {
+        // Without an identity, an earlier response that is repeated looks like the one to this
+        // request, so it gets a connection of its own.
+        match id.is_empty() {
+            true => self.pool.connect().await,
+            false => self.pool.take(now).await,
+        }
+    }
+
+    /// Records an exchange that yielded no complete response.
+    async fn handle_broken(
+        &self,
+        offer: &Offer,
+        e: &ExchangeError,
+        in_flight: Running<'_>,
+    ) -> (Outcome, Bytes) {
+        self.trail.exchange_broke(&offer.request, &e.to_string());
+        if e.is_unsent() {
+            return (Outcome::Unsent, Bytes::new());
         }
+        in_flight.record_broken();
+        drop(in_flight);
+        // Other nodes must learn of a crash before the ingress may retry the request.
+        self.check_for_crash().await;
+        (Outcome::Failed, Bytes::new())
     }
 
     /// Checks whether the backend server has crashed, after an exchange with it broke.
@@ -598,3 +640,10 @@
         self.listeners.send_load(self.clock.now(), self.load());
     }
 }
+
+/// Returns whether a head belongs to the response to this request. The response to a request without
+/// an identity has none either.
+fn is_response_to(offer: &Offer) -> impl Fn(&ResponseHead) -> bool {
+    let expected_id = (!offer.request.is_empty()).then_some(offer.request.as_str());
+    move |head| headers::text(&head.headers, HEADERS.request) == expected_id
+}
--- a/crates/mesh/src/gossip.rs
+++ b/crates/mesh/src/gossip.rs
@@ -123,6 +123,10 @@
         | Frame::Piece { .. }
         | Frame::Cancel { .. }
         | Frame::Ended { .. }
+        | Frame::Head { .. }
+        | Frame::Segment { .. }
+        | Frame::SegmentsEnd { .. }
+        | Frame::Credit { .. }
         | Frame::Load(_)
         | Frame::Suspects { .. }
         | Frame::Ping
--- a/crates/mesh/src/inbound.rs
+++ b/crates/mesh/src/inbound.rs
@@ -6,16 +6,16 @@
 use std::rc::Rc;
 
 use oriolering_http::Bytes;
-use serde_bytes::ByteBuf;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::AbortHandle;
 
-use crate::frame::{CallId, Frame, Offer, PIECE_BYTES};
+use crate::frame::{CallId, Frame, Offer};
 use crate::{gossip, link};
 
 use crate::node::Node;
 use crate::outbox::Outbox;
-use crate::peer::send_pieces;
+use crate::peer::send_ended;
+use crate::response_sink::ResponseSink;
 use crate::subscribers::Subscriber;
 use crate::trail::{Event, clip};
 
@@ -38,6 +38,8 @@
 struct Calls {
     running: RefCell<HashMap<CallId, AbortHandle>>,
     partial: RefCell<HashMap<CallId, PartialRequest>>,
+    /// Those whose response may be streamed.
+    sinks: RefCell<HashMap<CallId, Rc<ResponseSink>>>,
 }
 
 /// A request whose body has not arrived completely.
@@ -132,10 +134,16 @@
         }
         Frame::Cancel { call } => {
             calls.partial.borrow_mut().remove(&call);
+            calls.sinks.borrow_mut().remove(&call);
             if let Some(task) = calls.running.borrow_mut().remove(&call) {
                 task.abort();
             }
         }
+        Frame::Credit { call, segments } => {
+            if let Some(sink) = calls.sinks.borrow().get(&call) {
+                sink.add_credit(segments);
+            }
+        }
         Frame::Ping => outbox.push(Frame::Pong),
         Frame::Hello {
             node: name,
@@ -154,7 +162,13 @@
         | Frame::Servers(_) => {
             gossip::handle(node, from, outbox, frame);
         }
-        Frame::Pong | Frame::Ended { .. } | Frame::Load(_) | Frame::Suspects { .. } => {}
+        Frame::Pong
+        | Frame::Ended { .. }
+        | Frame::Head { .. }
+        | Frame::Segment { .. }
+        | Frame::SegmentsEnd { .. }
+        | Frame::Load(_)
+        | Frame::Suspects { .. } => {}
     }
 }
 
@@ -169,20 +183,19 @@
 ) {
     let gate = Rc::clone(&node.gate);
     let (outbox, owner) = (Rc::clone(outbox), Rc::clone(calls));
+    let sink = offer.streamed.then(|| ResponseSink::link(&outbox, call));
+    if let Some(sink) = &sink {
+        calls.sinks.borrow_mut().insert(call, Rc::clone(sink));
+    }
     let task = tokio::task::spawn_local(async move {
-        let (outcome, body) = Rc::clone(&gate).run(*offer, Bytes::from(body)).await;
+        let body = Bytes::from(body);
+        let run = Rc::clone(&gate).run(*offer, body, sink.as_deref());
+        let (outcome, body) = run.await;
         owner.running.borrow_mut().remove(&call);
-        let whole = body.len() <= PIECE_BYTES;
-        let first: &[u8] = if whole { &body } else { &[] };
-        outbox.push(Frame::Ended {
-            call,
-            outcome,
-            body: ByteBuf::from(first),
-            whole,
-            load: gate.load(),
-        });
-        if !whole {
-            send_pieces(&outbox, call, &body);
+        owner.sinks.borrow_mut().remove(&call);
+        match sink {
+            Some(sink) => sink.finish(outcome, body, gate.load()),
+            None => send_ended(&outbox, call, outcome, &body, gate.load()),
         }
     });
     calls.running.borrow_mut().insert(call, task.abort_handle());
--- a/crates/mesh/src/ingress.rs
+++ b/crates/mesh/src/ingress.rs
@@ -91,7 +91,7 @@
     let id = headers::text(&request.headers, HEADERS.request).map(compact_str::CompactString::from);
     let mut answer = match prepare(&node, &request) {
         Ok(job) => dispatch::dispatch(node, job).await,
-        Err(answer) => answer,
+        Err(answer) => *answer,
     };
     if let Some(id) = id
         && !answer.headers.contains_key(HEADERS.request)
@@ -107,7 +107,7 @@
 /// # Errors
 ///
 /// Returns the answer for a request that cannot be dispatched.
-fn prepare(node: &Rc<Node>, request: &Request) -> Result<RequestJob, Answer> {
+fn prepare(node: &Rc<Node>, request: &Request) -> Result<RequestJob, Box<Answer>> {
     let id = headers::text(&request.headers, HEADERS.request).unwrap_or_default();
     let now = node.now();
     let record = IngressRecord::new(&node.trail, id, now);
@@ -115,7 +115,7 @@
         record.unready();
         let answer = dispatch::unavailable(UNREADY_RETRY_AFTER_MS);
         record.answered(&answer);
-        return Err(answer);
+        return Err(Box::new(answer));
     };
     let map = &request.headers;
     let host = headers::text(map, header::HOST.as_str())
@@ -125,7 +125,7 @@
         record.unrouted(host, request.uri.path(), published.table.version());
         let answer = Answer::new(StatusCode::NOT_FOUND);
         record.answered(&answer);
-        return Err(answer);
+        return Err(Box::new(answer));
     };
     let part = node.splitter.borrow_mut().choose(route, &mut rand::rng());
     let requested = headers::text(map, HEADERS.deadline).and_then(parse_deadline);
@@ -137,7 +137,7 @@
         record.given_up("the node is about to end", AttemptTotals::default(), limit);
         let answer = dispatch::unavailable(STOPPING_RETRY_AFTER_MS);
         record.answered(&answer);
-        return Err(answer);
+        return Err(Box::new(answer));
     }
     let route = Rc::new(Route::clone(route));
     let routes = (published.table.version(), now.since(published.since));
--- a/crates/mesh/src/metrics.rs
+++ b/crates/mesh/src/metrics.rs
@@ -97,6 +97,8 @@
     let up = peers.values().filter(|peer| peer.is_up()).count();
     let list = node.list.borrow();
     counts.active.set(node.active.get() as u64);
+    let stream_bytes = node.stream_budget.held_bytes() + node.gate.stream_bytes();
+    counts.stream_bytes.set(stream_bytes as u64);
     counts.running.set(load.running.into());
     counts.waiting.set(load.waiting.into());
     counts.capacity.set(load.capacity.into());
@@ -158,6 +160,8 @@
     counter(meter, counts, "second_tries_total", |c| &c.second_tries);
     words(meter, counts, "repeats_total", "kind", |c| &c.repeats);
     durations(meter, counts, "request_ms", |c| &c.request_ms);
+    words(meter, counts, "streams_total", "end", |c| &c.streams);
+    gauge(meter, counts, "stream_bytes", |c| &c.stream_bytes);
     gauge(meter, counts, "requests_active", |c| &c.active);
 }
 
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -16,11 +16,12 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::budgets::Budgets;
-use crate::gate::Gate;
+use crate::gate::{Gate, ResponseMemory};
 use crate::gossip::Gossip;
 use crate::options::Options;
 use crate::peer::Peer;
 use crate::server_table::{GateRef, ServerTable};
+use crate::stream_budget::StreamBudget;
 use crate::suspects::Suspects;
 use crate::trail::{Event, LogWriter, Origin, Trail};
 
@@ -35,6 +36,10 @@
 /// The divisor of the instance's memory that limits the responses of its backend server while
 /// they are read; growing buffers briefly hold up to three times as much.
 const RESPONSE_DIVISOR: usize = 16;
+/// The divisor of the instance's memory that limits streamed responses. Each of the two roles of a
+/// node, ingress and gate, has a half: streams in both directions between two nodes would otherwise
+/// wait for each other's memory.
+const STREAM_DIVISOR: usize = 16;
 
 /// How long a restarted node waits for its peers to send the current state, in milliseconds; a
 /// platform that polls the node every second does not notice the delay.
@@ -105,6 +110,8 @@
     pub(crate) estimates: RefCell<RouteEstimates>,
     pub(crate) splitter: RefCell<TrafficSplitter>,
     pub(crate) budgets: Rc<Budgets>,
+    /// The memory for streamed responses on their way to callers.
+    pub(crate) stream_budget: Rc<StreamBudget>,
     /// Whether the routes and the server list may be used. A restarted node does not use them until
     /// the store, or a node that watches it, has confirmed them.
     pub(crate) confirmed: Cell<bool>,
@@ -142,9 +149,13 @@
         let incarnation = rand::random();
         let suspects = Suspects::new(clock.clone(), Rc::clone(&trail), incarnation);
         let suspects = Rc::new(suspects);
+        let memory = settings.limits.memory_bytes as usize;
         let gate = Gate::new(
             settings.backend.address,
-            settings.limits.memory_bytes as usize / RESPONSE_DIVISOR,
+            ResponseMemory {
+                buffered_bytes: memory / RESPONSE_DIVISOR,
+                streamed_bytes: memory / STREAM_DIVISOR / 2,
+            },
             date.clone(),
             clock.clone(),
             Rc::clone(&trail),
@@ -170,6 +181,7 @@
             estimates: RefCell::default(),
             splitter: RefCell::default(),
             budgets,
+            stream_budget: StreamBudget::new(memory / STREAM_DIVISOR / 2),
             store_confirmed: Cell::new(None),
             seen_era: Cell::new(0),
             watching: Cell::new(false),
--- a/crates/mesh/src/outbound.rs
+++ b/crates/mesh/src/outbound.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use oriolering_http::Bytes;
 use rand::Rng;
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::{sleep, timeout};
@@ -14,6 +15,7 @@
 
 use crate::node::Node;
 use crate::peer::{Liveness, Peer, gate_load};
+use crate::segment_reader::Segment;
 use crate::trail::{Event, clip};
 
 /// How long a connection to another node may take, in milliseconds.
@@ -120,6 +122,19 @@
             peer.finish_call(call, outcome, body.into_vec(), whole);
         }
         Frame::Piece { call, bytes, last } => peer.add_piece(call, &bytes, last),
+        Frame::Head {
+            call,
+            outcome,
+            body,
+            length,
+            ..
+        } => peer.start_stream(call, outcome, body.into_vec(), length),
+        Frame::Segment { call, bytes, .. } => {
+            peer.add_segment(call, Segment::Bytes(Bytes::from(bytes.into_vec())));
+        }
+        Frame::SegmentsEnd { call, complete } => {
+            peer.add_segment(call, Segment::End { complete });
+        }
         Frame::Ping => peer.push(Frame::Pong),
         Frame::Suspects { entries, cleared } => node.gate.apply_suspects(&entries, &cleared),
         Frame::Known { .. }
@@ -133,6 +148,7 @@
         Frame::Hello { .. }
         | Frame::Offer { .. }
         | Frame::Cancel { .. }
+        | Frame::Credit { .. }
         | Frame::Load(_)
         | Frame::Pong => {}
     }
--- a/crates/mesh/src/outbox.rs
+++ b/crates/mesh/src/outbox.rs
@@ -25,13 +25,18 @@
             return;
         }
         match frame {
-            Frame::Piece { .. } | Frame::RoutesPiece { .. } => {
+            Frame::Piece { .. }
+            | Frame::RoutesPiece { .. }
+            | Frame::Segment { .. }
+            | Frame::SegmentsEnd { .. } => {
                 self.pieces.borrow_mut().push_back(frame);
             }
             Frame::Hello { .. }
             | Frame::Offer { .. }
             | Frame::Cancel { .. }
             | Frame::Ended { .. }
+            | Frame::Head { .. }
+            | Frame::Credit { .. }
             | Frame::Load(_)
             | Frame::Ping
             | Frame::Pong
@@ -44,9 +49,11 @@
         self.wake.notify_one();
     }
 
-    /// Closes the link; later messages are dropped.
+    /// Closes the link; queued pieces, which may hold memory of a budget, and later messages are
+    /// dropped.
     pub(crate) fn close(&self) {
         self.closed.set(true);
+        self.pieces.borrow_mut().clear();
         self.wake.notify_one();
     }
 
--- a/crates/mesh/src/peer.rs
+++ b/crates/mesh/src/peer.rs
@@ -7,12 +7,15 @@
 
 use oriolering::{GateLoad, Millis, StorePosition};
 use serde_bytes::ByteBuf;
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::sync::oneshot;
 
 use crate::age::Age;
 use crate::frame::{CallId, Frame, Offer, Outcome, PIECE_BYTES};
 use crate::outbox::Outbox;
 use crate::reply::Reply;
+use crate::segment_reader::{Segment, SegmentReader, StreamedCall};
+use crate::stream_budget::StreamBudget;
 
 /// How long a link with calls may be silent before the peer is pinged, in milliseconds.
 const PING_BUSY_MS: u64 = 200;
@@ -24,13 +27,34 @@
 /// How long a ping may be unanswered before the link is closed, in milliseconds.
 const CLOSE_MS: u64 = 1_200;
 
-/// A call whose reply has not arrived in full.
+/// A call whose reply has not arrived in full, or whose response has not started.
 struct PendingCall {
-    sender: oneshot::Sender<Reply>,
+    sender: oneshot::Sender<CallReply>,
     outcome: Option<Outcome>,
     body: Vec<u8>,
 }
 
+/// What arrived for a call.
+enum CallReply {
+    Whole {
+        outcome: Outcome,
+        body: Vec<u8>,
+    },
+    /// The start of a streamed response.
+    Streamed {
+        outcome: Outcome,
+        body: Vec<u8>,
+        length: Option<u64>,
+        queue: UnboundedReceiver<Segment>,
+    },
+}
+
+enum Call {
+    Pending(PendingCall),
+    /// The head has arrived; segments are passed on.
+    Streamed(UnboundedSender<Segment>),
+}
+
 /// Whether a peer is reachable, judged by the silence of its link.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Liveness {
@@ -52,7 +76,7 @@
     pub(crate) unlisted: Cell<bool>,
     /// Whether it is avoided because it has not answered a ping in time.
     pub(crate) suspected: Cell<bool>,
-    calls: RefCell<HashMap<CallId, PendingCall>>,
+    calls: RefCell<HashMap<CallId, Call>>,
     next_call: Cell<u64>,
     /// When a message last arrived on the link to it.
     received: Cell<Millis>,
@@ -149,12 +173,8 @@
         self.watching.set(false);
         self.outbox.borrow().close();
         let calls = std::mem::take(&mut *self.calls.borrow_mut());
-        let count = calls.len();
-        for pending in calls.into_values() {
-            // The caller may have disconnected and dropped the receiver.
-            let _ = pending.sender.send(Reply::Lost);
-        }
-        count
+        // The calls learn of it because their senders are dropped.
+        calls.len()
     }
 
     /// Sends a message if a link is up.
@@ -225,8 +245,14 @@
 
     /// Sends a request to the gate, and waits for its outcome.
     ///
-    /// Dropping the future cancels the call at the gate.
-    pub(crate) async fn call(&self, offer: Offer, body: &[u8]) -> Reply {
+    /// A response that may be streamed takes its memory from `budget`. Dropping the future, or the
+    /// rest of a streamed response, cancels the call at the gate.
+    pub(crate) async fn call(
+        self: &Rc<Self>,
+        offer: Offer,
+        body: &[u8],
+        budget: &Rc<StreamBudget>,
+    ) -> Reply {
         if !self.up.get() {
             return Reply::Unlinked;
         }
@@ -238,60 +264,119 @@
             outcome: None,
             body: Vec::new(),
         };
-        self.calls.borrow_mut().insert(call, pending);
-        let guard = CallGuard { peer: self, call };
+        self.calls.borrow_mut().insert(call, Call::Pending(pending));
+        let peer = Rc::clone(self);
+        let guard = CallGuard { peer, call };
         let outbox = Rc::clone(&self.outbox.borrow());
         send_offer(&outbox, call, offer, body);
-        let reply = receiver.await.unwrap_or(Reply::Lost);
-        drop(guard);
-        reply
+        match receiver.await {
+            Ok(CallReply::Whole { outcome, body }) => Reply::Ended {
+                outcome,
+                body,
+                rest: None,
+            },
+            Ok(CallReply::Streamed {
+                outcome,
+                body,
+                length,
+                queue,
+            }) => Reply::Ended {
+                outcome,
+                body,
+                rest: Some(SegmentReader::new(length, queue, budget, Box::new(guard))),
+            },
+            Err(_) => Reply::Lost,
+        }
     }
 
     /// Records the outcome of a call, and completes it if the body is whole.
     pub(crate) fn finish_call(&self, call: CallId, outcome: Outcome, body: Vec<u8>, whole: bool) {
         let mut calls = self.calls.borrow_mut();
         if !whole {
-            if let Some(pending) = calls.get_mut(&call) {
+            if let Some(Call::Pending(pending)) = calls.get_mut(&call) {
                 pending.outcome = Some(outcome);
                 pending.body = body;
             }
             return;
         }
-        if let Some(pending) = calls.remove(&call) {
+        if let Some(Call::Pending(pending)) = calls.remove(&call) {
             // The caller may have disconnected and dropped the receiver.
-            let _ = pending.sender.send(Reply::Ended { outcome, body });
+            let _ = pending.sender.send(CallReply::Whole { outcome, body });
+        }
+    }
+
+    /// Records the head and the start of a streamed response of `length` bytes in all.
+    pub(crate) fn start_stream(
+        &self,
+        call: CallId,
+        outcome: Outcome,
+        body: Vec<u8>,
+        length: Option<u64>,
+    ) {
+        let mut calls = self.calls.borrow_mut();
+        let Some(Call::Pending(pending)) = calls.remove(&call) else {
+            return;
+        };
+        let (sender, queue) = unbounded_channel();
+        calls.insert(call, Call::Streamed(sender));
+        // The caller may have disconnected and dropped the receiver.
+        let _ = pending.sender.send(CallReply::Streamed {
+            outcome,
+            body,
+            length,
+            queue,
+        });
+    }
+
+    /// Passes on a segment of a streamed response, or its end.
+    pub(crate) fn add_segment(&self, call: CallId, segment: Segment) {
+        let mut calls = self.calls.borrow_mut();
+        let ended = matches!(segment, Segment::End { .. });
+        if let Some(Call::Streamed(sender)) = calls.get(&call) {
+            // The caller may have disconnected and dropped the receiver.
+            let _ = sender.send(segment);
+            if ended {
+                calls.remove(&call);
+            }
         }
     }
 
     /// Adds a piece of the body of a response, and completes the call with the last one.
     pub(crate) fn add_piece(&self, call: CallId, bytes: &[u8], last: bool) {
         let mut calls = self.calls.borrow_mut();
-        let Some(pending) = calls.get_mut(&call) else {
+        let Some(Call::Pending(pending)) = calls.get_mut(&call) else {
             return;
         };
         pending.body.extend_from_slice(bytes);
         if !last {
             return;
         }
-        if let Some(PendingCall {
+        if let Some(Call::Pending(PendingCall {
             sender,
             outcome: Some(outcome),
             body,
-        }) = calls.remove(&call)
+        })) = calls.remove(&call)
         {
             // The caller may have disconnected and dropped the receiver.
-            let _ = sender.send(Reply::Ended { outcome, body });
+            let _ = sender.send(CallReply::Whole { outcome, body });
         }
     }
 }
 
 /// Cancels a call at the gate when it is dropped before the call has ended.
-struct CallGuard<'a> {
-    peer: &'a Peer,
+struct CallGuard {
+    peer: Rc<Peer>,
     call: CallId,
 }
 
-impl Drop for CallGuard<'_> {
+impl StreamedCall for CallGuard {
+    fn grant(&self, segments: u32) {
+        let call = self.call;
+        self.peer.push(Frame::Credit { call, segments });
+    }
+}
+
+impl Drop for CallGuard {
     fn drop(&mut self) {
         let pending = self.peer.calls.borrow_mut().remove(&self.call);
         if pending.is_some() {
@@ -315,8 +400,30 @@
     }
 }
 
+/// Sends the outcome of a call and the body of a response.
+pub(crate) fn send_ended(
+    outbox: &Outbox,
+    call: CallId,
+    outcome: Outcome,
+    body: &[u8],
+    load: GateLoad,
+) {
+    let whole = body.len() <= PIECE_BYTES;
+    let first = if whole { body } else { &[] };
+    outbox.push(Frame::Ended {
+        call,
+        outcome,
+        body: ByteBuf::from(first),
+        whole,
+        load,
+    });
+    if !whole {
+        send_pieces(outbox, call, body);
+    }
+}
+
 /// Sends a long body in pieces.
-pub(crate) fn send_pieces(outbox: &Outbox, call: CallId, body: &[u8]) {
+fn send_pieces(outbox: &Outbox, call: CallId, body: &[u8]) {
     let count = body.len().div_ceil(PIECE_BYTES);
     for (i, piece) in body.chunks(PIECE_BYTES).enumerate() {
         outbox.push(Frame::Piece {
@@ -330,11 +437,14 @@
 /// Returns the load of the gate that a message carries, if it does.
 pub(crate) fn gate_load(frame: &Frame) -> Option<GateLoad> {
     match frame {
-        Frame::Load(load) | Frame::Ended { load, .. } => Some(*load),
+        Frame::Load(load) | Frame::Ended { load, .. } | Frame::Head { load, .. } => Some(*load),
         Frame::Hello { .. }
         | Frame::Offer { .. }
         | Frame::Piece { .. }
         | Frame::Cancel { .. }
+        | Frame::Segment { .. }
+        | Frame::SegmentsEnd { .. }
+        | Frame::Credit { .. }
         | Frame::Ping
         | Frame::Pong
         | Frame::Known { .. }
--- a/crates/mesh/src/reply.rs
+++ b/crates/mesh/src/reply.rs
@@ -1,12 +1,18 @@
 //! The result of a call to a gate.
 
 use crate::frame::Outcome;
+use crate::segment_reader::SegmentReader;
 
 /// The result of a call to a gate, as the ingress sees it.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub(crate) enum Reply {
-    /// The gate reported how the call ended; `body` is the whole body of a response.
-    Ended { outcome: Outcome, body: Vec<u8> },
+    /// The gate reported how the call ended, or the head of a streamed response; `body` is the whole
+    /// body of a response unless `rest` follows.
+    Ended {
+        outcome: Outcome,
+        body: Vec<u8>,
+        rest: Option<SegmentReader>,
+    },
     /// The link broke before the gate reported; the request may have run.
     Lost,
     /// The link was down; nothing was sent.
--- a/crates/mesh/src/trail.rs
+++ b/crates/mesh/src/trail.rs
@@ -15,6 +15,7 @@
 mod logged_server;
 mod origin;
 mod step;
+mod stream_record;
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -35,6 +36,7 @@
 pub(crate) use ingress_record::IngressRecord;
 pub use log_writer::{DroppedLines, LogWriter};
 pub(crate) use origin::Origin;
+pub(crate) use stream_record::StreamRecord;
 
 use crate::counts::Counts;
 use crate::headers;
--- a/crates/mesh/src/trail/count_events.rs
+++ b/crates/mesh/src/trail/count_events.rs
@@ -43,6 +43,7 @@
             | Event::Chosen { .. }
             | Event::AttemptEnded { .. }
             | Event::Answered { .. }
+            | Event::ResponseCut { .. }
             | Event::Queued { .. }
             | Event::Admitted { .. }
             | Event::Ran { .. }
--- a/crates/mesh/src/trail/event.rs
+++ b/crates/mesh/src/trail/event.rs
@@ -116,6 +116,12 @@
         own: bool,
         retry_after: Option<CompactString>,
     },
+    /// The ingress truncated a streamed response, or the caller left before its end.
+    ResponseCut {
+        request: CompactString,
+        end: &'static str,
+        streamed_bytes: u64,
+    },
     /// The gate admitted a request.
     Admitted {
         request: CompactString,
@@ -416,6 +422,7 @@
             | Self::Deadline { .. }
             | Self::Cancelled { .. }
             | Self::BodyCut { .. }
+            | Self::ResponseCut { .. }
             | Self::Refused { .. }
             | Self::ExchangeBroke { .. }
             | Self::Dropped { .. } => Rank::Failure,
--- a/crates/mesh/src/trail/ingress_record.rs
+++ b/crates/mesh/src/trail/ingress_record.rs
@@ -10,7 +10,8 @@
 
 use super::step::{AttemptEnd, Choice, RouteMatch, Step};
 use super::{
-    AttemptSummary, AttemptTotals, Event, SPAN_ONE_IN, Trail, clip, is_one_in, is_sampled,
+    AttemptSummary, AttemptTotals, Event, SPAN_ONE_IN, StreamRecord, Trail, clip, is_one_in,
+    is_sampled,
 };
 use crate::frame::Headers;
 use crate::server_table::ServerChoice;
@@ -202,6 +203,11 @@
         self.end_span(Some(status));
     }
 
+    /// Returns the record of the streamed response to the request.
+    pub(crate) fn stream(&self) -> StreamRecord {
+        StreamRecord::new(&self.trail, &self.request)
+    }
+
     /// Returns the number and the backend server of the last attempt.
     fn last_choice(&self) -> (u32, CompactString) {
         let steps = self.steps.borrow();
--- a/crates/mesh/tests/support/backend.rs
+++ b/crates/mesh/tests/support/backend.rs
@@ -5,6 +5,9 @@
 //! - `echo`, `slow/MS`, `fail`, `unsigned`, `misdirected`, `full`;
 //! - `reset` resets the connection; `reset-once` does so only for the first request for the target
 //!   at any backend server;
+//! - `body/FRAMING/BYTES` streams a body, `sized` or `chunked`; `body/FRAMING/BYTES/HOW/AFTER` stops
+//!   after some bytes: it `ends` the connection, `resets` it or `stays` silent. With `/once` at the
+//!   end, it does so only for the first request for the target;
 //! - `crash` ends the backend server with all its connections;
 //! - `call/N` and `call/N/reset-once` first make N sequential calls to the route `inner` through
 //!   the node of the instance. The query of a call consists of the caller's query, `first` or
@@ -12,13 +15,16 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashSet;
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use futures_util::stream;
 use ntex::http::DateService;
 use oriolering_http::{
-    Answer, Bytes, ConnLimits, HeaderMap, HeaderName, HeaderValue, Request, StatusCode, serve,
+    Answer, BodyStream, Bytes, ConnLimits, HeaderMap, HeaderName, HeaderValue, Request, StatusCode,
+    serve,
 };
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
@@ -87,10 +93,52 @@
     headers_in_health: Rc<Cell<bool>>,
     /// The load that its answers report, if they do.
     load: Rc<Cell<Option<&'static str>>>,
+    /// How many bytes of streamed bodies were written.
+    sent: Rc<Cell<usize>>,
     /// The times of health probes.
     probe_times: Rc<RefCell<Vec<Instant>>>,
 }
 
+/// The size of the pieces of streamed bodies, in bytes.
+const PIECE_BYTES: usize = 8_000;
+
+/// A body that is being streamed.
+struct StreamedAnswer {
+    how: String,
+    /// How many bytes follow.
+    left: usize,
+    sent: Rc<Cell<usize>>,
+    reset_connection: Rc<Notify>,
+    guard: RunGuard,
+}
+
+impl StreamedAnswer {
+    async fn next(mut self) -> Option<(io::Result<Bytes>, Self)> {
+        let count = self.left.min(PIECE_BYTES);
+        if count > 0 {
+            self.left -= count;
+            self.sent.set(self.sent.get() + count);
+            return Some((Ok(Bytes::from(vec![b'x'; count])), self));
+        }
+        match self.how.as_str() {
+            "whole" => {
+                self.guard.target = None;
+                return None;
+            }
+            // Lets the bytes arrive, which a reset would discard.
+            _ => sleep_ms(20).await,
+        }
+        match self.how.as_str() {
+            "ends" => Some((Err(io::ErrorKind::Other.into()), self)),
+            "resets" => {
+                self.reset_connection.notify_one();
+                std::future::pending().await
+            }
+            _ => std::future::pending().await,
+        }
+    }
+}
+
 /// Records that a request was dropped before it finished.
 struct RunGuard {
     dropped: Rc<RefCell<Vec<String>>>,
@@ -123,6 +171,7 @@
             misdirected_headers: Rc::default(),
             headers_in_health: Rc::default(),
             load: Rc::new(Cell::new(Some(USUAL_LOAD))),
+            sent: Rc::default(),
             probe_times: Rc::default(),
         };
         backend.listen().await;
@@ -185,6 +234,16 @@
         self.dropped.borrow().iter().any(|t| t == target)
     }
 
+    /// Returns how many requests run.
+    pub fn running(&self) -> usize {
+        self.running.get()
+    }
+
+    /// Returns how many bytes of streamed bodies were written.
+    pub fn sent_bytes(&self) -> usize {
+        self.sent.get()
+    }
+
     /// Returns the maximum number of concurrent requests since the last call.
     pub fn take_peak(&self) -> usize {
         self.peak.replace(self.running.get())
@@ -292,7 +351,7 @@
 
     async fn run_behavior(
         &self,
-        reset_connection: &Notify,
+        reset_connection: &Rc<Notify>,
         request: &Request,
         path: &str,
         target: &str,
@@ -319,6 +378,31 @@
                 set(&mut answer, "oriolering-not-executed", "1");
                 answer
             }
+            ["body", framing, bytes, ref end @ ..] => {
+                let (how, after) = match end {
+                    [_, _, "once"] if !is_first(target) => ("whole", bytes),
+                    [how, after, ..] => (*how, *after),
+                    [] | [_] => ("whole", bytes),
+                };
+                let mut answer = self.signed(StatusCode::OK, request, None);
+                let count = |text: &str| text.parse().expect("a number");
+                let body = StreamedAnswer {
+                    how: how.to_owned(),
+                    left: count(after),
+                    sent: Rc::clone(&self.sent),
+                    reset_connection: Rc::clone(reset_connection),
+                    guard: RunGuard {
+                        dropped: Rc::clone(&self.dropped),
+                        target: Some(target.to_owned()),
+                        running: Rc::clone(&self.running),
+                    },
+                };
+                self.running.set(self.running.get() + 1);
+                let length = (framing == "sized").then(|| count(bytes) as u64);
+                let pieces = stream::unfold(body, StreamedAnswer::next);
+                answer.rest = Some(Box::new(BodyStream::new(length, pieces)));
+                answer
+            }
             ["reset"] => reset(reset_connection).await,
             ["crash"] => {
                 self.crash();
--- a/crates/mesh/tests/support/mod.rs
+++ b/crates/mesh/tests/support/mod.rs
@@ -34,6 +34,7 @@
 const LINKS_PORT: u16 = 7600;
 const BACKEND_PORT: u16 = 8628;
 const STORE_PORT: u16 = 8627;
+const METRICS_PORT: u16 = 9_464;
 /// A port on which no store listens.
 const UNUSED_PORT: u16 = 8626;
 /// The grace period of a stopping node, in milliseconds.
@@ -375,6 +376,19 @@
         poll.reply().await.status
     }
 
+    /// Returns a metric of a node without labels.
+    pub async fn metric(&self, index: usize, name: &str) -> u64 {
+        let address = SocketAddr::new(self.instances[index].ip, METRICS_PORT);
+        let mut scrape = RawPeer::connect(address).await;
+        scrape
+            .send("GET /metrics HTTP/1.1\r\nHost: n\r\n\r\n")
+            .await;
+        let reply = scrape.reply().await;
+        let mut lines = reply.text().lines();
+        let value = lines.find_map(|line| line.strip_prefix(name)?.split(' ').next_back());
+        value.expect("a metric").parse().expect("a number")
+    }
+
     /// Connects to a node as a caller on its instance.
     pub async fn caller(&self, index: usize) -> RawPeer {
         let address = SocketAddr::new(self.instances[index].ip, CALLERS_PORT);
@@ -464,6 +478,7 @@
             route("get", "idempotent", TIMEOUT_MS),
             route("post", "non_idempotent", TIMEOUT_MS),
             route("short", "idempotent", SHORT_MS),
+            route("files", "download", TIMEOUT_MS),
         ],
         "services": [health("s"), health("t"), health("front")],
         "limits": {
