--- a/crates/mesh/src/inbound.rs
+++ b/crates/mesh/src/inbound.rs
@@ -11,12 +11,14 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::AbortHandle;
 
-use crate::frame::{CallId, Frame, Offer, Outcome, PIECE_BYTES};
+use crate::frame::{CallId, Frame, Offer, Outcome};
 use crate::gate::MEMORY_RETRY_AFTER_MS;
 use crate::{gossip, link};
 
 use crate::node::Node;
 use crate::outbox::Outbox;
+use crate::peer::send_ended;
+use crate::response_sink::ResponseSink;
 use crate::subscribers::Subscriber;
 use crate::trail::{Event, clip};
 
@@ -39,6 +41,8 @@
 struct Calls {
     running: RefCell<HashMap<CallId, AbortHandle>>,
     partial: RefCell<HashMap<CallId, PartialRequest>>,
+    /// Those whose response may be streamed.
+    sinks: RefCell<HashMap<CallId, Rc<ResponseSink>>>,
 }
 
 /// A request whose body has not arrived completely.
@@ -140,10 +144,16 @@
         Frame::Cancel { call } => {
             calls.partial.borrow_mut().remove(&call);
             outbox.drop_body(call);
+            calls.sinks.borrow_mut().remove(&call);
             if let Some(task) = calls.running.borrow_mut().remove(&call) {
                 task.abort();
             }
         }
+        Frame::Credit { call, segments } => {
+            if let Some(sink) = calls.sinks.borrow().get(&call) {
+                sink.add_credit(segments);
+            }
+        }
         Frame::Ping => outbox.push(Frame::Pong),
         Frame::Hello {
             node: name,
@@ -162,7 +172,13 @@
         | Frame::Servers(_) => {
             gossip::handle(node, from, outbox, frame);
         }
-        Frame::Pong | Frame::Ended { .. } | Frame::Load(_) | Frame::Suspects { .. } => {}
+        Frame::Pong
+        | Frame::Ended { .. }
+        | Frame::Head { .. }
+        | Frame::Segment { .. }
+        | Frame::SegmentsEnd { .. }
+        | Frame::Load(_)
+        | Frame::Suspects { .. } => {}
     }
 }
 
@@ -191,27 +207,28 @@
 ) {
     let (gate, budget) = (Rc::clone(&node.gate), Rc::clone(&node.budget));
     let (outbox, owner) = (Rc::clone(outbox), Rc::clone(calls));
+    let sink = request
+        .offer
+        .streamed
+        .then(|| ResponseSink::link(&outbox, call));
+    if let Some(sink) = &sink {
+        calls.sinks.borrow_mut().insert(call, Rc::clone(sink));
+    }
     let task = tokio::task::spawn_local(async move {
         let PartialRequest {
             offer,
             body,
             reserved,
         } = request;
-        let (outcome, body) = Rc::clone(&gate).run(*offer, Bytes::from(body)).await;
+        let run = Rc::clone(&gate).run(*offer, Bytes::from(body), sink.as_deref());
+        let (outcome, body) = run.await;
         drop(reserved);
         owner.running.borrow_mut().remove(&call);
-        let whole = body.len() <= PIECE_BYTES;
-        let first: &[u8] = if whole { &body } else { &[] };
-        outbox.push(Frame::Ended {
-            call,
-            outcome,
-            body: ByteBuf::from(first),
-            whole,
-            load: gate.load(),
-        });
-        if !whole {
-            let held = budget.hold(body.len());
-            outbox.push_body(call, body, Some(held));
+        owner.sinks.borrow_mut().remove(&call);
+        let held = budget.hold(body.len());
+        match sink {
+            Some(sink) => sink.finish(outcome, body, held, gate.load()),
+            None => send_ended(&outbox, call, outcome, body, held, gate.load()),
         }
     });
     calls.running.borrow_mut().insert(call, task.abort_handle());
--- a/crates/mesh/src/outbox.rs
+++ b/crates/mesh/src/outbox.rs
@@ -90,13 +90,18 @@
             return;
         }
         match frame {
-            Frame::Piece { .. } | Frame::RoutesPiece { .. } => {
+            Frame::Piece { .. }
+            | Frame::RoutesPiece { .. }
+            | Frame::Segment { .. }
+            | Frame::SegmentsEnd { .. } => {
                 self.long.borrow_mut().push_back(Long::Piece(frame));
             }
             Frame::Hello { .. }
             | Frame::Offer { .. }
             | Frame::Cancel { .. }
             | Frame::Ended { .. }
+            | Frame::Head { .. }
+            | Frame::Credit { .. }
             | Frame::Load(_)
             | Frame::Ping
             | Frame::Pong
@@ -109,7 +114,8 @@
         self.wake.notify_one();
     }
 
-    /// Closes the link; later messages are dropped.
+    /// Closes the link; queued pieces, which may hold memory of a budget, and later messages are
+    /// dropped.
     pub(crate) fn close(&self) {
         self.closed.set(true);
         self.long.borrow_mut().clear();
