Pass on only valid responses on the older path

A gate of the older path passed on a 200 with an empty body for an HTTP/1.1 response without a length, an interim response as the final one, and the statuses 600 and 999.

Cause: the HTTP client of this path reads no body that ends with the connection except in HTTP/1.0, returns the first response whatever its status, and accepts each status of three digits from 100. Its result was not checked.

Change: the gate checks the status and that the end of the body is known; any other response counts as lost, and the caller gets 502. One check mends both faults, so they are in one commit. An HTTP/1.1 response without a length that ends normally gets 502 too, since this client cannot read it.

Ruled out: 000, 1000, and a blank or a control byte in a field name, which were errors already.

--- a/crates/bench/tests/proofs_answers.rs
+++ b/crates/bench/tests/proofs_answers.rs
@@ -171,3 +171,45 @@
     let ran = faulty.runs.lock().unwrap().len();
     assert!(ran > 0, "nothing ran");
 }
+
+// Guards against a response of which callers get a part as a whole one, or a status that is not
+// valid for a final response.
+#[rstest]
+#[case::length("1.1 200 OK\r\nContent-Length: 4\r\n\r\nwhat", Some(" 200 "))]
+#[case::until_the_end("1.0 200 OK\r\n\r\nwhat", Some(" 200 "))]
+#[case::old_version_in_chunks(
+    "1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nwhat",
+    Some(" 200 ")
+)]
+#[case::no_content("1.1 204 No Content\r\n\r\n", Some(" 204 "))]
+#[case::new_version_without_a_length("1.1 200 OK\r\n\r\nwhat", None)]
+#[case::identity("1.1 200 OK\r\nTransfer-Encoding: identity\r\n\r\nwhat", None)]
+#[case::interim(
+    "1.1 103 Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nwhat",
+    None
+)]
+#[case::status_000("1.1 000 OK\r\nContent-Length: 4\r\n\r\nwhat", None)]
+#[case::status_600("1.1 600 OK\r\nContent-Length: 4\r\n\r\nwhat", None)]
+#[case::status_999("1.1 999 OK\r\nContent-Length: 4\r\n\r\nwhat", None)]
+#[case::status_1000("1.1 1000 OK\r\nContent-Length: 4\r\n\r\nwhat", None)]
+#[case::blank_in_a_name("1.1 200 OK\r\nX Y: 1\r\nContent-Length: 4\r\n\r\nwhat", None)]
+#[case::control_byte_in_a_name("1.1 200 OK\r\nX\x01: 1\r\nContent-Length: 4\r\n\r\nwhat", None)]
+#[ntex::test]
+async fn gates_pass_on_only_valid_answers(#[case] answer: &str, #[case] passed: Option<&str>) {
+    let mut fleet = Fleet::start(&FleetPlan::new("caja", 2)).await.unwrap();
+    let faulty = Faulty::default();
+    for member in &mut fleet.members {
+        member.server.kill();
+        faulty.listen(member.backend);
+    }
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    *faulty.cut.lock().unwrap() = format!("HTTP/{answer}");
+    for method in ["POST", "GET"] {
+        let path = format!("/cut/{method}");
+        let (line, rest) = call(fleet.members[0].ingress, method, &path).await;
+        let status = passed.unwrap_or(" 502 ");
+        assert!(line.contains(status), "{method}: {line}\n{rest}");
+        let whole = rest.contains("what") || status != " 200 ";
+        assert!(whole, "{method}: {line}\n{rest}");
+    }
+}
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -24,6 +24,7 @@
 use crate::refuse::refuse;
 use crate::reply::Reply;
 use crate::timer::within;
+use crate::validity;
 use crate::wire::Wire;
 
 /// How long before the deadline the gate gives its word, so that it comes before an answer by
@@ -45,7 +46,7 @@
 enum Missing {
     /// The connection was refused; no byte was sent.
     Unsent,
-    /// The connection ended after bytes were sent.
+    /// The connection ended after bytes were sent, or brought no valid response.
     Lost,
     /// The deadline passed.
     Late,
@@ -87,6 +88,9 @@
     drop(hop);
     match sent {
         Err(missing) => failed(&wire, permit, missing),
+        Ok(response) if !validity::is_valid(request.method(), &response) => {
+            failed(&wire, permit, Missing::Lost)
+        }
         Ok(response) => answer(wire, job, permit, request, response, start).await,
     }
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -48,6 +48,7 @@
 mod state;
 mod status;
 mod timer;
+mod validity;
 mod watch;
 mod wire;
 mod word;
