Simulate callers that come back after a refusal or leave early

Cause: the simulation of loads ranked changes otherwise than the plays of docs/OVERLOAD.md, and had no callers that retry.

Change: callers may retry after the time that the refusal names, retry at once and often, or leave early. Off by default. In the check of how requests end, those whose callers left count as an end; there are none by default.

Tests: oriolering load: returns (6) pass.

--- a/crates/oriolering/tests/load/call.rs
+++ b/crates/oriolering/tests/load/call.rs
@@ -1,5 +1,7 @@
 //! Requests and their attempts.
 
+use crate::callers::Behavior;
+
 /// The usual processing time of a backend server, as a percentage.
 pub(crate) const USUAL_PERCENT: u64 = 100;
 
@@ -43,6 +45,11 @@
 pub(crate) struct Call {
     pub(crate) ingress: usize,
     pub(crate) arrived: u64,
+    pub(crate) behavior: Behavior,
+    /// How many times the caller has sent the request.
+    pub(crate) tries: u32,
+    /// The time after which the caller may retry that a gate named last, in milliseconds.
+    pub(crate) retry_after_ms: Option<u64>,
     /// The gates that have refused the request.
     pub(crate) tried: Vec<usize>,
     pub(crate) refusals: usize,
@@ -54,10 +61,13 @@
 }
 
 impl Call {
-    pub(crate) fn new(ingress: usize, arrived: u64) -> Self {
+    pub(crate) fn new(ingress: usize, arrived: u64, behavior: Behavior, tries: u32) -> Self {
         Self {
             ingress,
             arrived,
+            behavior,
+            tries,
+            retry_after_ms: None,
             tried: Vec::new(),
             refusals: 0,
             attempts: Vec::new(),
--- a/crates/oriolering/tests/load/events.rs
+++ b/crates/oriolering/tests/load/events.rs
@@ -10,6 +10,10 @@
 pub(crate) enum Event {
     /// A caller sends a request.
     Call,
+    /// A caller sends the refused request `call` again.
+    Return { call: usize },
+    /// A caller closes its connection.
+    Leave { call: usize },
     /// A request reaches a gate.
     Offer {
         call: usize,
--- a/crates/oriolering/tests/load/fleet.rs
+++ b/crates/oriolering/tests/load/fleet.rs
@@ -1,11 +1,14 @@
 //! Simulates a fleet of ingresses and gates in virtual time.
 
-use oriolering::{Admission, GateLoad, Job, Millis, RefusalReason, SchedulerEvent, choose_server};
+use oriolering::{
+    Admission, GateLoad, Job, Millis, RefusalReason, SchedulerEvent, choose_server, retry_after_ms,
+};
 use rand::rngs::SmallRng;
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
 
 use crate::call::{Attempt, Call};
+use crate::callers::Behavior;
 use crate::events::{Event, Events};
 use crate::gate::Gate;
 use crate::ingress::{Ingress, ROUTE};
@@ -15,6 +18,9 @@
 // Offsets that separate the random number generators of one seed.
 const SLOW_SEED: u64 = 1 << 32;
 const CHOICE_SEED: u64 = 1 << 33;
+const CALLER_SEED: u64 = 1 << 34;
+/// The retry time if no gate named one, in milliseconds.
+const DEFAULT_RETRY_AFTER_MS: u64 = 100;
 
 /// The state of the simulated fleet.
 pub(crate) struct Fleet {
@@ -26,6 +32,8 @@
     slow_rng: SmallRng,
     /// Used by the random decisions of the strategy.
     pub(crate) choice_rng: SmallRng,
+    /// Draws the behavior of callers; the same sequence for each strategy.
+    caller_rng: SmallRng,
     pub(crate) now: u64,
     /// The time of the next arrival, in fractional milliseconds.
     arrival: f64,
@@ -64,6 +72,7 @@
             arrival_rng: SmallRng::seed_from_u64(load.seed),
             slow_rng: SmallRng::seed_from_u64(load.seed + SLOW_SEED),
             choice_rng: SmallRng::seed_from_u64(load.seed + CHOICE_SEED),
+            caller_rng: SmallRng::seed_from_u64(load.seed + CALLER_SEED),
             now: 0,
             arrival: 0.0,
             events: Events::default(),
@@ -83,6 +92,8 @@
     fn apply(&mut self, event: Event) {
         match event {
             Event::Call => self.call(),
+            Event::Return { call } => self.send_again(call),
+            Event::Leave { call } => self.leave(call),
             Event::Offer {
                 call,
                 gate,
@@ -113,9 +124,26 @@
     }
 
     fn call(&mut self) {
-        let call = self.calls.len();
         let ingress = self.choose_ingress();
-        self.calls.push(Call::new(ingress, self.now));
+        let behavior = self.load.callers.choose(&mut self.caller_rng);
+        self.accept(Call::new(ingress, self.now, behavior, 1));
+        let gap = -self.load.gap_ms() * (1.0 - self.arrival_rng.random::<f64>()).ln();
+        self.arrival += gap;
+        let next = self.arrival as u64;
+        if next < self.load.duration_ms {
+            self.events.add(next, Event::Call);
+        }
+    }
+
+    /// Accepts a request at its ingress.
+    fn accept(&mut self, accepted: Call) {
+        let call = self.calls.len();
+        let ingress = accepted.ingress;
+        if accepted.behavior == Behavior::Leaving {
+            let at = self.now + self.load.callers.leave_ms;
+            self.events.add(at, Event::Leave { call });
+        }
+        self.calls.push(accepted);
         let budget = &mut self.ingresses[ingress].budget;
         budget.deposit(Millis(self.now));
         self.results.requests += 1;
@@ -128,11 +156,24 @@
                 self.assign_slots();
             }
         }
-        let gap = -self.load.gap_ms() * (1.0 - self.arrival_rng.random::<f64>()).ln();
-        self.arrival += gap;
-        let next = self.arrival as u64;
-        if next < self.load.duration_ms {
-            self.events.add(next, Event::Call);
+    }
+
+    /// Sends a refused request again.
+    fn send_again(&mut self, call: usize) {
+        let Call {
+            ingress,
+            behavior,
+            tries,
+            ..
+        } = self.calls[call];
+        self.results.returned += 1;
+        self.accept(Call::new(ingress, self.now, behavior, tries + 1));
+    }
+
+    /// Ends a request whose caller has closed its connection.
+    fn leave(&mut self, call: usize) {
+        if self.end_call(call) {
+            self.results.left += 1;
         }
     }
 
@@ -266,6 +307,13 @@
         if self.calls[call].ended {
             return;
         }
+        let work_ms = self.ingresses[ingress]
+            .routes
+            .duration_ms(ROUTE, self.load.aim_ms);
+        let back_ms = self.gates[gate]
+            .scheduler
+            .retry_after_ms(Millis(self.now), work_ms);
+        self.calls[call].retry_after_ms = Some(back_ms);
         let ended = self.calls[call].refused_by(gate);
         match self.calls[call].refusals >= self.load.refusals_max {
             true => self.refuse(call),
@@ -340,18 +388,34 @@
         self.calls[call].ended = true;
         let took = self.now - self.calls[call].arrived;
         self.results.refuse(took, self.load.aim_ms);
+        let left = self.deadline(call).saturating_sub(self.now);
+        let refused = &self.calls[call];
+        self.results.refused_again += u64::from(refused.tries > 1);
+        let back_ms = refused.retry_after_ms.unwrap_or(DEFAULT_RETRY_AFTER_MS);
+        let back_ms = retry_after_ms(back_ms, left);
+        let delay = refused.behavior.retry_delay_ms(refused.tries, back_ms);
+        if let Some(delay) = delay.filter(|_| self.has_arrivals()) {
+            self.events.add(self.now + delay, Event::Return { call });
+        }
     }
 
     /// Ends a request whose deadline has passed.
     fn expire(&mut self, call: usize) {
+        if self.end_call(call) {
+            self.results.expired += 1;
+        }
+    }
+
+    /// Ends a request and cancels its attempts; returns false if it had ended.
+    fn end_call(&mut self, call: usize) -> bool {
         if std::mem::replace(&mut self.calls[call].ended, true) {
-            return;
+            return false;
         }
-        self.results.expired += 1;
         self.queue.retain(|c| *c != call);
         for gate in 0..self.gates.len() {
             self.cancel(call, gate);
         }
+        true
     }
 
     /// Cancels a request at a gate.
--- a/crates/oriolering/tests/load/main.rs
+++ b/crates/oriolering/tests/load/main.rs
@@ -1,10 +1,11 @@
 //! Simulates a load without a network, and compares the results with two other strategies.
 //!
 //! Some of the backend servers are several times slower than usual; every 300 ms, others are slow.
-//! Load hints arrive with a delay. Second runs are simulated where a test enables them; slowdown
-//! by concurrent requests and retries by callers are not. `--nocapture` prints the results.
+//! Load hints arrive with a delay. Second runs are simulated where a test enables them; so are callers
+//! that come back or leave early; slowdown by concurrent requests is not. `--nocapture` prints the results.
 
 mod call;
+mod callers;
 mod events;
 mod fleet;
 mod gains;
@@ -13,6 +14,7 @@
 mod limits;
 mod one_queue;
 mod results;
+mod returns;
 mod second_run;
 mod server;
 mod settings;
@@ -45,7 +47,11 @@
 /// the target latency.
 fn check(load: Load, strategy: Strategy) -> f64 {
     let results = simulate(load, strategy);
-    let ends = results.answered + results.refused_at_once + results.refused_later + results.expired;
+    let ends = results.answered
+        + results.refused_at_once
+        + results.refused_later
+        + results.expired
+        + results.left;
     assert_eq!(ends, results.requests, "each request must end exactly once");
     assert_eq!(results.late, 0, "no response may arrive after the deadline");
     assert!(results.wasted_share() <= WASTED_MAX, "{results}");
--- a/crates/oriolering/tests/load/results.rs
+++ b/crates/oriolering/tests/load/results.rs
@@ -13,6 +13,12 @@
     pub(crate) answered: u64,
     pub(crate) refused_at_once: u64,
     pub(crate) refused_later: u64,
+    /// The requests whose callers left before a response.
+    pub(crate) left: u64,
+    /// The requests that were sent again after a refusal, which are also part of `requests`.
+    pub(crate) returned: u64,
+    /// Those of them that were refused again.
+    pub(crate) refused_again: u64,
     /// The requests that got no response before their deadline.
     pub(crate) expired: u64,
     /// The responses that came after their deadline.
@@ -69,6 +75,12 @@
         self.within_aim as f64 / self.requests as f64
     }
 
+    /// Returns the fraction of the callers that got a response within the target latency of the
+    /// request that was answered.
+    pub(crate) fn caller_share(&self) -> f64 {
+        self.within_aim as f64 / (self.requests - self.returned) as f64
+    }
+
     /// Returns the fraction of the refused requests that were refused at once.
     pub(crate) fn at_once_share(&self) -> f64 {
         let refused = self.refused_at_once + self.refused_later;
--- a/crates/oriolering/tests/load/settings.rs
+++ b/crates/oriolering/tests/load/settings.rs
@@ -2,6 +2,8 @@
 
 use oriolering::{CrossZoneCost, Rate};
 
+use crate::callers::Behaviors;
+
 /// The parameters of one simulation.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Load {
@@ -70,6 +72,8 @@
     pub(crate) first_zone_percent: u32,
     /// The percentage of callers of other zones that have moved to the first one.
     pub(crate) shifted_percent: u32,
+    /// How callers behave; by default, all of them accept refusals and wait.
+    pub(crate) callers: Behaviors,
     /// The offered load, as a percentage of the capacity of the usable slots.
     pub(crate) offered_percent: u64,
     /// The time during which requests arrive, in milliseconds.
@@ -115,6 +119,7 @@
             limit_known: true,
             first_zone_percent: 100,
             shifted_percent: 0,
+            callers: Behaviors::default(),
             offered_percent,
             duration_ms: 4_000,
             seed: 1,
