--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -10,12 +10,11 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use compact_str::CompactString;
-use ntex::http::{DateService, ResponseHead};
+use ntex::http::ResponseHead;
 use oriolering::{
     Admission, Clock, GateLoad, Job, JobKey, Millis, QuarantineEntry, Rate, RefusalReason,
     RoutedService, Scheduler, SchedulerEvent, ServerRecord, ServerState, WarmUp,
@@ -111,13 +110,10 @@
 }
 
 impl Gate {
-    /// Creates the gate of the backend server at `address`, whose responses may take
-    /// `answer_bytes` of memory while they are read.
+    /// Creates the gate of the backend server that `pool` connects to.
     pub(crate) fn new(
-        address: SocketAddr,
-        answer_bytes: usize,
+        pool: Pool,
         budget: Rc<ByteBudget>,
-        date: DateService,
         clock: Clock,
         trail: Rc<Trail>,
         suspects: Rc<Suspects>,
@@ -129,7 +125,7 @@
             notices: Notices::new(clock.clone(), Rc::clone(&trail)),
             clock,
             trail,
-            pool: Pool::new(address, date, answer_bytes, &budget),
+            pool,
             budget,
             health_path: RefCell::new(CompactString::default()),
             scheduler: RefCell::new(Scheduler::new(DEFAULT_SLOTS)),
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -21,6 +21,7 @@
 use crate::gossip::Gossip;
 use crate::options::Options;
 use crate::peer::Peer;
+use crate::pool::Pool;
 use crate::server_table::{GateRef, ServerTable};
 use crate::suspects::Suspects;
 use crate::trail::{Event, LogWriter, Origin, Trail};
@@ -146,11 +147,15 @@
         let suspects = Suspects::new(clock.clone(), Rc::clone(&trail), incarnation);
         let suspects = Rc::new(suspects);
         let budget = ByteBudget::new(settings.limits.buffer_bytes());
-        let gate = Gate::new(
+        let pool = Pool::new(
             settings.backend.address,
+            date.clone(),
             settings.limits.memory_bytes as usize / RESPONSE_DIVISOR,
+            &budget,
+        );
+        let gate = Gate::new(
+            pool,
             Rc::clone(&budget),
-            date.clone(),
             clock.clone(),
             Rc::clone(&trail),
             Rc::clone(&suspects),
