--- a/crates/http/src/byte_budget.rs
+++ b/crates/http/src/byte_budget.rs
@@ -100,7 +100,7 @@
         self.released.notified().await;
     }
 
-    /// Returns whether a reservation was denied lately.
+    /// Returns whether a reservation was denied recently.
     pub(crate) fn is_short(&self) -> bool {
         let denied = self.denied_at.get();
         denied.is_some_and(|at| at.elapsed() < SHORT_TIME)
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -1,5 +1,7 @@
 //! A server connection: concurrent pipelined requests, responses in request order.
 
+mod partial_request;
+
 use std::any::Any;
 use std::collections::VecDeque;
 use std::io;
@@ -9,7 +11,7 @@
 use ntex::codec::{Decoder, Encoder};
 use ntex::http::body::BodySize;
 use ntex::http::error::DecodeError;
-use ntex::http::h1::{Codec, Message, PayloadDecoder, PayloadItem, PayloadType};
+use ntex::http::h1::{Codec, Message, PayloadItem, PayloadType};
 use ntex::http::header::{CONTENT_LENGTH, HeaderValue, RETRY_AFTER, TRANSFER_ENCODING};
 use ntex::http::{
     ConnectionType, DateService, HeaderMap, Method, RequestHead, Response, StatusCode, Version,
@@ -24,6 +26,8 @@
 use crate::streamed_body::{StreamedBody, reads_chunks};
 use crate::{Answer, BodyStream, ByteBudget, ByteReservation, ByteUse, ConnLimits, Request};
 
+use partial_request::PartialRequest;
+
 /// How long a closing connection stays half-open for the caller to read the last response.
 const LINGER_MS: u64 = 1_000;
 /// How many bytes are read ahead while the limit of pipelined requests is reached, so that the
@@ -33,11 +37,6 @@
 const EMPTY_LINE: &[u8] = b"\r\n";
 /// What a connection takes besides its buffered bytes, in bytes; many small heads add up.
 const CONN_BYTES: usize = 4 * 1024;
-/// The smallest buffer for a body without a length, in bytes.
-const MIN_BODY_BYTES: usize = 4 * 1024;
-/// How much of a large body must arrive within the header time while memory is short, in bytes;
-/// even the slowest phones send ten times as much.
-const MIN_PROGRESS_BYTES: usize = 16 * 1024;
 /// The `retry-after` of requests that do not fit into memory, in seconds: most large bodies that
 /// make progress are complete by then.
 const RETRY_AFTER_S: &str = "1";
@@ -65,57 +64,6 @@
     }
 }
 
-/// A request whose body is still arriving.
-struct PartialRequest {
-    request: Request,
-    codec: Codec,
-    keep_alive: bool,
-    decoder: PayloadDecoder,
-    /// The announced length of the body.
-    length: Option<usize>,
-    /// Grows in place, unlike [`BytesMut`], which copies the body for each chunk.
-    bytes: Vec<u8>,
-    reserved: ByteReservation,
-    /// Since when the body does not fit into memory, if it does not.
-    blocked_since: Option<Instant>,
-    /// The start of the present time for progress, and the bytes that had arrived then.
-    mark: (Instant, usize),
-}
-
-impl PartialRequest {
-    /// Reserves memory for `more` bytes, and returns whether they fit; a body with a length is
-    /// reserved as a whole, so that it never waits for memory half received.
-    fn make_room(&mut self, more: usize, limit: usize) -> bool {
-        let needed = self.bytes.len() + more;
-        let wanted = match self.length {
-            Some(length) => length,
-            None if needed <= self.reserved.bytes() => return true,
-            None => {
-                let doubled = needed.next_power_of_two().max(MIN_BODY_BYTES);
-                doubled.min(limit.max(needed))
-            }
-        };
-        if wanted <= self.reserved.bytes() || more == 0 {
-            return true;
-        }
-        if !self.reserved.resize(wanted) {
-            return false;
-        }
-        self.bytes.reserve_exact(wanted - self.bytes.len());
-        true
-    }
-
-    /// Returns whether less has arrived in the time for progress than it takes.
-    fn is_too_slow(&mut self, time: Duration) -> bool {
-        let (since, bytes) = self.mark;
-        if since.elapsed() < time {
-            return false;
-        }
-        self.mark = (Instant::now(), self.bytes.len());
-        !self.reserved.is_small() && self.bytes.len() - bytes < MIN_PROGRESS_BYTES
-    }
-}
-
 /// Which part of the input is read next.
 enum Reading {
     Head,
--- a/crates/mesh/src/gate/streaming.rs
+++ b/crates/mesh/src/gate/streaming.rs
@@ -5,7 +5,8 @@
 use oriolering_http::{BodyReader, Bytes, ClientConn, ExchangeError, Request, Response};
 use tokio::time::{Instant, timeout, timeout_at};
 
-use super::{Gate, is_response_to};
+use super::Gate;
+use super::exchange::is_response_to;
 use crate::backend_request;
 use crate::budgets::CallReservations;
 use crate::frame::{Offer, Outcome, PIECE_BYTES};
