Comments that a first reader stumbled on, and a counter of rejections

Bytes after the last request of a connection are dropped before they are counted, so that they add no rejection for memory. Otherwise comments and one message.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -333,6 +333,8 @@
 }
 
 /// Takes the next head from the front of `buf`, or returns none if it is incomplete.
+///
+/// The decoder sees at most [`HEAD_BYTES`], since it panics on a longer field name.
 fn decode_head(
     codec: &ClientCodec,
     buf: &mut BytesMut,
@@ -359,7 +361,7 @@
     ensure!(
         VALID_STATUSES.contains(&status),
         error::MalformedSnafu {
-            reason: format!("{status} is no status of HTTP"),
+            reason: format!("{status} is not a valid HTTP status"),
         }
     );
     Ok(())
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -230,6 +230,10 @@
 
     /// Counts the received bytes that are not decoded, and rejects the request if they do not fit.
     fn count_buffered(&mut self) {
+        if matches!(self.reading, Reading::Ended) {
+            // Bytes after the last request are never read as a request.
+            self.buf = BytesMut::new();
+        }
         let bytes = match self.buf.len() {
             0 => 0,
             bytes => bytes + CONN_BYTES,
--- a/crates/http/src/server/partial_request.rs
+++ b/crates/http/src/server/partial_request.rs
@@ -26,7 +26,7 @@
     pub(super) reserved: ByteReservation,
     /// Since when the body does not fit into memory, if it does not.
     pub(super) blocked_since: Option<Instant>,
-    /// The start of the present time for progress, and the bytes that had arrived then.
+    /// The start of the current progress interval, and the bytes that had arrived by then.
     pub(super) mark: (Instant, usize),
 }
 
@@ -53,7 +53,8 @@
         true
     }
 
-    /// Returns whether less has arrived in the time for progress than it takes.
+    /// Returns whether a large body got less than [`MIN_PROGRESS_BYTES`] in the last interval of
+    /// `time`; starts the next interval when one has passed.
     pub(super) fn is_too_slow(&mut self, time: Duration) -> bool {
         let (since, bytes) = self.mark;
         if since.elapsed() < time {
--- a/crates/mesh/src/attempt.rs
+++ b/crates/mesh/src/attempt.rs
@@ -118,10 +118,8 @@
     servers.choose(now, &job.service, load, crossing, tried, &mut rand::rng())
 }
 
-/// Returns the attempt that is about to be sent, if the chosen gate has a free slot by its last
-/// report.
-///
-/// Another one may wait, so the time that it takes shows nothing about its work.
+/// Returns the attempt that is about to be sent, or `None` if it may have to wait at the gate by the
+/// last report: its duration would then include waiting time.
 pub(crate) fn running_attempt(now: Millis, chosen: &ServerChoice) -> Option<RunningAttempt> {
     let load = chosen.estimate.load;
     let busy = load.running + load.waiting + chosen.estimate.sent;
--- a/crates/mesh/src/gate/streaming.rs
+++ b/crates/mesh/src/gate/streaming.rs
@@ -15,8 +15,8 @@
 /// How long the start of a body is collected for the message with the head, in milliseconds, so
 /// that a short response that arrives in several parts still takes one message.
 const COLLECT_MS: u64 = 5;
-/// How long a backend server may send nothing while its response is read, in milliseconds: no
-/// deadline applies after the head.
+/// How long a backend server may send nothing while the rest of its response is read, in
+/// milliseconds; the deadline of the request covers only the head and the start of the body.
 const SILENCE_MS: u64 = 10_000;
 
 /// A response of which the start has arrived.
@@ -124,7 +124,8 @@
     Ok(Opened { response, body })
 }
 
-/// Reads the start of a body: up to one segment of what arrives within a short time.
+/// Waits for the first bytes of a body, and adds what arrives within [`COLLECT_MS`] after them, up
+/// to one segment.
 async fn collect_start(body: &mut BodyReader) -> Result<Bytes, ExchangeError> {
     let mut start = match body.next(PIECE_BYTES).await? {
         Some(bytes) => bytes.to_vec(),
--- a/crates/mesh/src/gate/warm_up.rs
+++ b/crates/mesh/src/gate/warm_up.rs
@@ -43,8 +43,8 @@
         due && self.warm_up.borrow().is_configured()
     }
 
-    /// Returns whether the rate limit allows a health check, which it does not concern while it only
-    /// holds for want of one.
+    /// Returns whether a health check may be sent now. The rate limit does not apply to it while the
+    /// limit is in force only because a health check is missing.
     pub(super) fn may_check(&self, now: Millis) -> bool {
         let unchecked = self.cold_limit.get().is_some() && !self.warm_up.borrow().is_cold(now);
         unchecked || self.scheduler.borrow_mut().try_probe(now)
--- a/crates/mesh/src/response_sink.rs
+++ b/crates/mesh/src/response_sink.rs
@@ -102,7 +102,8 @@
         }
     }
 
-    /// Sends a segment, for which there was credit; `permit` is its memory at this node.
+    /// Sends a segment, for which there was credit. `permit` is its memory in the gate's budget,
+    /// held until the segment is written to the link; at the same node the ingress counts it.
     pub(crate) fn send(&self, bytes: Bytes, permit: BudgetPermit) {
         match &self.target {
             Target::Link { outbox, call } => outbox.push(Frame::Segment {
@@ -114,8 +115,8 @@
         }
     }
 
-    /// Sends how the call ended: the end of a stream, or a response that is not streamed, for which
-    /// `held` counts its memory.
+    /// Sends how the call ended: the end of a stream, or a response that is not streamed. `held`
+    /// counts its memory while it is queued for a link, and is released at once at the same node.
     pub(crate) fn finish(
         &self,
         outcome: Outcome,
--- a/crates/oriolering/src/route_estimates.rs
+++ b/crates/oriolering/src/route_estimates.rs
@@ -28,9 +28,10 @@
 
 /// Moving averages of the durations and response sizes of routes.
 ///
-/// An estimate changes only with responses and with requests that end at their deadlines. If it were the only reason to refuse requests, one that
-/// is too high would never be corrected, since a refused request has no response. Once an estimate
-/// may be outdated, some requests are therefore sent as trials in spite of it.
+/// An estimate changes only with responses and with requests that end at their deadlines. If it
+/// were the only reason to refuse requests, one that is too high would never be corrected, since a
+/// refused request has no response. Once an estimate may be outdated, some requests are therefore
+/// sent as trials in spite of it.
 #[derive(Clone, Debug, Default)]
 pub struct RouteEstimates {
     durations: HashMap<u64, Duration>,
@@ -41,13 +42,13 @@
 #[derive(Clone, Copy, Debug)]
 struct Duration {
     average_us: u64,
-    /// When the last request with a sample ended.
+    /// When the last response arrived, or when the entry was created.
     sampled: Millis,
-    /// When the last trial was sent, if there was no sample since.
+    /// When the last trial was sent, if no response arrived since.
     trial: Option<Millis>,
-    /// The last trial that ended at its deadline, if there was no other sample since.
+    /// The last trial that ended at its deadline, if no response arrived since.
     failed: Option<FailedTrial>,
-    /// Whether the last request with a sample ended at its deadline.
+    /// Whether a request ended at its deadline since the last response.
     unfinished: bool,
 }
 
@@ -99,6 +100,7 @@
             false if least_us > known.average_us => known.add_sample(least_us),
             false => {}
         }
+        // The request is taken for the open trial: requests of one route are not told apart here.
         if let Some(sent) = known.trial {
             known.failed = Some(FailedTrial { sent, ran_ms: ms });
         }
--- a/crates/oriolering/src/second_run.rs
+++ b/crates/oriolering/src/second_run.rs
@@ -41,11 +41,10 @@
         slow.min(SLOWDOWN_MS + rest)
     }
 
-    /// Returns the shortest duration of a second run that the first one leaves possible, in
-    /// milliseconds.
+    /// Returns the least duration to assume for a second run, in milliseconds.
     ///
-    /// Either the work needs at least what is done of it, or the backend server of the first run is
-    /// unresponsive; a second run is wasted in the former case if that alone takes the time left.
+    /// Unless the backend server of the first run is unresponsive, the work takes at least as long as
+    /// the first run has taken so far, so a second run with less time left would be wasted.
     fn least_elsewhere_ms(self) -> u64 {
         self.elsewhere_ms.max(self.done_ms)
     }
--- a/crates/oriolering/src/warm_up.rs
+++ b/crates/oriolering/src/warm_up.rs
@@ -2,7 +2,7 @@
 //!
 //! A backend server is cold after it starts, and may become cold again at any moment. It crashes if
 //! requests arrive much faster than its service allows for a cold one. All requests pass its gate,
-//! so the gate limits the rate. This decides when, from what the backend server says in health
+//! so the gate limits the rate. [`WarmUp`] decides when, from what the backend server says in health
 //! checks and in its entry in the server list.
 
 use std::collections::VecDeque;
@@ -88,7 +88,8 @@
         self.slow_start.is_some()
     }
 
-    /// Forgets all, since another run of a backend server may have begun.
+    /// Counts the backend server as cold for a whole slow start, since another run of it may have
+    /// begun. The requests already sent still count towards the rate.
     pub fn forget(&mut self, now: Millis) {
         let duration_ms = self.slow_start.map_or(0, |start| start.duration_ms);
         self.state = State::Cold {
@@ -98,7 +99,7 @@
         self.cold_since = now;
     }
 
-    /// Requires a health check before the backend server counts as warm again.
+    /// Discards the last health check, so that a busy backend server is limited until the next one.
     pub fn require_check(&mut self) {
         self.checked = None;
     }
@@ -150,7 +151,8 @@
         (self.is_cold(now) || unchecked).then_some(start.rate)
     }
 
-    /// Returns whether the backend server counts as cold, also without a recent health check.
+    /// Returns whether the backend server counts as cold; a missing health check alone does not make
+    /// it so.
     pub fn is_cold(&self, now: Millis) -> bool {
         match self.state {
             State::Cold { until } => now < until,
