The cost of a response is linear in its bytes and chunks

What callers saw: a valid 200 of some megabytes in small chunks kept its node from answering anybody. With 1 MB in chunks of 16 bytes, or 4 MB in chunks of 1,024, the other node gave up the link after 1.2 s, and the requests on it ended with 502.

Cause: the body was collected in a BytesMut of ntex, which grows by exactly what is appended, so each chunk or read copied the body so far. Found by counting what the reader allocates: 22.9 GB for 1 MB in chunks of 16 bytes, 1.67 GB for 12 MB with a length. Square: the reader of whole responses in each framing, and so the store's client and the bodies of discarded responses. Not square, by counting: the decoder, the streamed path. By reading: the link (`pending.body`, its buffers, `inbound`), the text of routes, the answer to the caller, request bodies. The older path allocates responses at once by their length; a chunked start of a request, at most 64 KB, still grows by what is appended.

Change: the body is collected in a Vec that doubles, up to the declared length. What is allocated is reserved from the memory that responses share, before it is made; where that is short, the buffer takes what is left. A Content-Length beside chunks does not count as the length of the body.

--- a/crates/bench/examples/log_cost.rs
+++ b/crates/bench/examples/log_cost.rs
@@ -4,9 +4,8 @@
 //! for instance before and after a change, it starts both in turn, so that what else the machine
 //! does weighs on both.
 
-use std::fs;
 use std::io;
-use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
@@ -14,20 +13,15 @@
 use compact_str::format_compact;
 use oriolering_bench::soak::AppSettings;
 use oriolering_bench::soak::client::{Attempt, Connection};
-use oriolering_bench::{Process, Signal, Store, StoreLimits, http_get, program};
+use oriolering_bench::{MeshInstance, Process, Signal, Store, StoreLimits, program};
 use serde_json::json;
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::time::{Instant, sleep_until};
 
 const HOST: &str = "jepu9.example";
-const APP_PORT: u16 = 8_628;
-const CALLERS_PORT: u16 = 8_629;
-const READY_PORT: u16 = 8_625;
 /// The service of each instance; requests enter at the last one and run at the first one.
 const SERVICES: [&str; 2] = ["rack", "caja"];
 const CONNECTIONS: u64 = 8;
-const POLL: Duration = Duration::from_millis(50);
-/// How long a node may take to get ready; one that is watched by a tool is slow.
-const START: Duration = Duration::from_secs(60);
+const SLOTS: u32 = 16;
 const END: Duration = Duration::from_secs(30);
 const DEADLINE_MS: u64 = 4_000;
 
@@ -53,26 +47,25 @@
         .arg(number("turns", "3"))
 }
 
-/// An instance: a node and a backend server.
+/// An instance with a node and a backend server.
 struct Instance {
-    ip: IpAddr,
+    place: MeshInstance,
     node: Process,
     _app: Process,
 }
 
 impl Instance {
     fn start(dir: &Path, node: &Path, number: usize, store: SocketAddr) -> io::Result<Self> {
-        let [_, _, high, low] = std::process::id().to_be_bytes();
-        let ip = IpAddr::from(Ipv4Addr::new(127, 20 + high % 200, low, number as u8 + 1));
+        let place = MeshInstance::new(number, SERVICES[number]);
         let file = |name: &str| dir.join(format!("{name}-{number}"));
         let settings = AppSettings {
-            listen: SocketAddr::new(ip, APP_PORT),
-            control: SocketAddr::new(ip, 8_700),
+            listen: place.server(),
+            control: SocketAddr::new(place.ip, 8_700),
             record: file("record"),
             id: format_compact!("i-{number}"),
             service: SERVICES[number].into(),
             health_path: "/health".into(),
-            slots: 16,
+            slots: SLOTS,
             queue: 16,
             connections: 240,
             idle_ms: 15_000,
@@ -82,53 +75,12 @@
         };
         let args = [serde_json::to_string(&settings)?];
         let app = Process::start(&program("app"), &args, &file("app-log"))?;
-        let text = node_settings(number, ip, store);
-        fs::write(file("settings"), text)?;
-        let path = file("settings");
-        let variables = [("ORIOLERING_NODE_FILE", path.as_path())];
-        let args = ["platform".to_owned()];
-        let node = Process::start_with(node, &args, &variables, &file("node-log"))?;
         Ok(Self {
-            ip,
-            node,
+            place,
+            node: place.start_node(dir, node, store)?,
             _app: app,
         })
     }
-
-    async fn wait_ready(&self) -> io::Result<()> {
-        let until = Instant::now() + START;
-        let address = SocketAddr::new(self.ip, READY_PORT);
-        while Instant::now() < until {
-            if matches!(http_get(address, "/v1/ready").await, Some((200, _))) {
-                return Ok(());
-            }
-            sleep(POLL).await;
-        }
-        Err(io::Error::other(format!(
-            "a node is not ready; see {}",
-            self.node.log.display()
-        )))
-    }
-}
-
-fn node_settings(number: usize, ip: IpAddr, store: SocketAddr) -> String {
-    let service = SERVICES[number];
-    format!(
-        r#"node = "sidecar-{number}"
-ip = "{ip}"
-zone = "z"
-internal_ports = [7600,7615]
-app_addr = "{ip}:{APP_PORT}"
-service = "{service}"
-bounds = ["grace_s=2"]
-[listen]
-inbound = "{ip}:8624"
-outbound = "{ip}:{CALLERS_PORT}"
-ready = "{ip}:{READY_PORT}"
-[platform]
-address = "{store}"
-"#
-    )
 }
 
 fn publish(store: &Store, instances: &[Instance]) {
@@ -145,14 +97,9 @@
             "header_timeout_ms": 3_000, "idle_timeout_ms": 15_000},
     });
     store.put("op/config", config.to_string());
-    for (number, instance) in instances.iter().enumerate() {
-        let entry = json!({
-            "service": SERVICES[number],
-            "address": SocketAddr::new(instance.ip, APP_PORT).to_string(),
-            "zone": "z", "version": "v1", "slots": 16, "state": "ready",
-            "cold_remaining_ms": 0, "sequence": 1, "born": 1,
-        });
-        store.put(&format!("servers/i-{number}"), entry.to_string());
+    for instance in instances {
+        let (key, entry) = instance.place.entry(SLOTS);
+        store.put(&key, entry.to_string());
     }
 }
 
@@ -206,9 +153,9 @@
     let mut instances: Vec<Instance> = (0..SERVICES.len()).map(start).collect::<io::Result<_>>()?;
     publish(&store, &instances);
     for instance in &instances {
-        instance.wait_ready().await?;
+        instance.place.wait_ready().await?;
     }
-    let target = SocketAddr::new(instances[1].ip, CALLERS_PORT);
+    let target = instances[1].place.callers();
     // Connections, pools and memory are in place before it counts.
     send_all(target, rate, 1).await?;
     let used = |i: &Instance| i.node.processor_us().unwrap_or_default();
--- a/crates/http/src/answer_room.rs
+++ b/crates/http/src/answer_room.rs
@@ -12,6 +12,8 @@
 /// The size up to which a response may grow even when the limit is reached, in bytes, so that
 /// endless responses do not make those of the usual size fail.
 const SMALL_BYTES: usize = 256 * 1024;
+/// The least share by which a response grows, as a divisor: smaller steps would copy it too often.
+const MIN_GROWTH_DIVISOR: usize = 8;
 
 /// The memory limit shared by the responses that are read at the same time.
 #[derive(Debug)]
@@ -60,16 +62,31 @@
 }
 
 impl Reservation {
-    /// Reserves `more` bytes for the response, and returns whether the limit allowed it.
-    pub(crate) fn grow(&mut self, more: usize) -> bool {
-        let used = self.room.used.get() + more;
-        let bytes = self.bytes + more;
-        if bytes > SMALL_BYTES && (used > self.room.limit || !self.reserved.resize(bytes)) {
+    /// Makes it `wanted` bytes long, or shorter if the limit does not allow that; returns its length,
+    /// or none if not even a little more than `needed` bytes is allowed.
+    pub(crate) fn grow(&mut self, needed: usize, wanted: usize) -> Option<usize> {
+        let most = self.allowed().max(SMALL_BYTES);
+        let wanted = wanted.min(most).max(needed);
+        let less = wanted.min(needed + needed / MIN_GROWTH_DIVISOR);
+        [wanted, less]
+            .into_iter()
+            .find(|&bytes| self.try_resize(bytes))
+    }
+
+    /// Returns how many bytes the shared limit leaves for this response.
+    fn allowed(&self) -> usize {
+        let others = self.room.used.get() - self.bytes;
+        self.room.limit.saturating_sub(others)
+    }
+
+    fn try_resize(&mut self, bytes: usize) -> bool {
+        if bytes > SMALL_BYTES && (bytes > self.allowed() || !self.reserved.resize(bytes)) {
             return false;
         }
         self.reserved.force(bytes);
+        let others = self.room.used.get() - self.bytes;
+        self.room.used.set(others + bytes);
         self.bytes = bytes;
-        self.room.used.set(used);
         true
     }
 }
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -1,5 +1,6 @@
 //! A client connection that runs one exchange at a time.
 
+mod body_buffer;
 mod body_reader;
 
 use std::io;
@@ -21,11 +22,12 @@
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::timeout;
 
-use crate::answer_room::{AnswerRoom, Reservation};
+use crate::answer_room::AnswerRoom;
 use crate::connection::{CLOSE, KEEP_ALIVE, has_option};
 use crate::error::{self, ExchangeError};
 use crate::io::{fill_up_to, flush, try_fill};
 use crate::{Request, Response};
+use body_buffer::BodyBuffer;
 
 pub use body_reader::BodyReader;
 
@@ -228,13 +230,12 @@
             return Ok(ntex::util::Bytes::new());
         }
         let payload = codec.into_payload_codec();
-        let mut body = BytesMut::new();
-        let mut reserved = self.room.reservation();
+        let mut body = BodyBuffer::new(self.room.reservation(), declared_length(head));
         let mut received = self.buf.len();
         loop {
             match payload.decode(&mut self.buf) {
-                Ok(Some(Some(chunk))) => append(&mut body, &mut reserved, &chunk)?,
-                Ok(Some(None)) => return Ok(body.freeze()),
+                Ok(Some(Some(chunk))) => body.append(&chunk)?,
+                Ok(Some(None)) => return Ok(body.into_bytes()),
                 Ok(None) if received > FRAMING_BYTES + body.len() * FRAMING_FACTOR => {
                     let reason = "its chunk framing is too long for its body".to_owned();
                     return error::MalformedSnafu { reason }.fail();
@@ -262,13 +263,12 @@
         &mut self,
         out: &mut BytesMut,
     ) -> Result<ntex::util::Bytes, ExchangeError> {
-        let mut body = BytesMut::new();
-        let mut reserved = self.room.reservation();
-        append(&mut body, &mut reserved, &self.buf.split())?;
+        let mut body = BodyBuffer::new(self.room.reservation(), None);
+        body.append(&self.buf.split())?;
         loop {
             match self.fill(out).await {
-                Ok(0) => return Ok(body.freeze()),
-                Ok(_) => append(&mut body, &mut reserved, &self.buf.split())?,
+                Ok(0) => return Ok(body.into_bytes()),
+                Ok(_) => body.append(&self.buf.split())?,
                 Err(_) => return error::TruncatedSnafu { bytes: body.len() }.fail(),
             }
         }
@@ -314,24 +314,6 @@
     })
 }
 
-fn append(
-    body: &mut BytesMut,
-    reserved: &mut Reservation,
-    chunk: &[u8],
-) -> Result<(), ExchangeError> {
-    if body.len() + chunk.len() > ANSWER_BYTES {
-        return error::TooLargeSnafu {
-            limit: ANSWER_BYTES,
-        }
-        .fail();
-    }
-    if !reserved.grow(chunk.len()) {
-        return error::MemoryFullSnafu { bytes: body.len() }.fail();
-    }
-    body.extend_from_slice(chunk);
-    Ok(())
-}
-
 /// Takes the next head from the front of `buf`, or returns none if it is incomplete.
 ///
 /// The decoder sees at most [`HEAD_BYTES`], since it panics on a longer field name.
@@ -382,9 +364,22 @@
 
 /// Returns whether the head tells the length of the body.
 fn is_framed(head: &ResponseHead) -> bool {
+    is_chunked(head) || head.headers.contains_key(CONTENT_LENGTH)
+}
+
+/// Returns whether the head announces a body in chunks.
+fn is_chunked(head: &ResponseHead) -> bool {
     let encoding = head.headers.get(TRANSFER_ENCODING);
-    let chunked = encoding.is_some_and(|e| e.as_bytes().eq_ignore_ascii_case(CHUNKED));
-    chunked || head.headers.contains_key(CONTENT_LENGTH)
+    encoding.is_some_and(|e| e.as_bytes().eq_ignore_ascii_case(CHUNKED))
+}
+
+/// Returns the length of the body that the head declares, if it does; chunks have precedence.
+fn declared_length(head: &ResponseHead) -> Option<u64> {
+    if is_chunked(head) {
+        return None;
+    }
+    let length = head.headers.get(CONTENT_LENGTH)?;
+    length.to_str().ok()?.parse().ok()
 }
 
 /// Returns whether the head announces an empty body, which the codec does not recognise in
--- a/crates/http/src/client/body_reader.rs
+++ b/crates/http/src/client/body_reader.rs
@@ -4,13 +4,12 @@
 
 use ntex::codec::Decoder;
 use ntex::http::h1::{ClientCodec, ClientPayloadCodec, MessageType};
-use ntex::http::header::CONTENT_LENGTH;
 use ntex::http::{Method, ResponseHead};
 use ntex::util::{Bytes, BytesMut};
 
 use super::{
-    ClientConn, FRAMING_BYTES, FRAMING_FACTOR, MAX_DISCARDED, encode, has_zero_length, is_bodiless,
-    is_framed, payload_error,
+    ClientConn, FRAMING_BYTES, FRAMING_FACTOR, MAX_DISCARDED, declared_length, encode,
+    has_zero_length, is_bodiless, is_framed, payload_error,
 };
 use crate::error::{self, ExchangeError};
 use crate::{Request, Response};
@@ -226,12 +225,3 @@
     }
     Framing::Payload(codec.into_payload_codec())
 }
-
-fn declared_length(head: &ResponseHead) -> Option<u64> {
-    head.headers
-        .get(CONTENT_LENGTH)?
-        .to_str()
-        .ok()?
-        .parse()
-        .ok()
-}
