No connection keeps the thread of a node while it has more to transfer

What callers saw: while a backend server sent valid chunks of one byte without end, its node answered hardly any request to other services.

Cause: all connections share one thread, and a task gives it up only when it waits. One whose socket always has more bytes never waits: the reader of responses, whole and streamed, and both directions of a link. Ruled out: the square cost of a body (with that mended, the case still failed), and memory.

Change: a connection counts what it transfers, a small transfer as 1 KB, and lets all others run after 64 KB. The connections of callers gave way already while they read a body.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -26,6 +26,7 @@
 use crate::connection::{CLOSE, KEEP_ALIVE, has_option};
 use crate::error::{self, ExchangeError};
 use crate::io::{fill_up_to, flush, try_fill};
+use crate::turn::Turn;
 use crate::{Request, Response};
 use body_buffer::BodyBuffer;
 
@@ -66,6 +67,7 @@
     room: Rc<AnswerRoom>,
     /// The most bytes that one read returns.
     read_bytes: usize,
+    turn: Turn,
 }
 
 impl ClientConn {
@@ -96,6 +98,7 @@
             idle_ms: DEFAULT_IDLE_MS,
             room: AnswerRoom::new(ANSWER_BYTES),
             read_bytes: usize::MAX,
+            turn: Turn::default(),
         })
     }
 
@@ -168,6 +171,15 @@
     /// A server may respond and close the connection before it has read the whole request, so a
     /// failed write does not stop the reading.
     async fn fill(&mut self, out: &mut BytesMut) -> io::Result<usize> {
+        self.turn.end_if_used().await;
+        let result = self.fill_or_flush(out).await;
+        if let Ok(count) = result {
+            self.turn.record(count);
+        }
+        result
+    }
+
+    async fn fill_or_flush(&mut self, out: &mut BytesMut) -> io::Result<usize> {
         loop {
             tokio::select! {
                 biased;
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -24,6 +24,7 @@
 mod response;
 mod server;
 mod streamed_body;
+mod turn;
 
 pub use answer::Answer;
 pub use answer_room::AnswerRoom;
@@ -36,6 +37,7 @@
 pub use request::Request;
 pub use response::Response;
 pub use server::{serve, serve_within};
+pub use turn::Turn;
 
 pub use ntex::http::header::{self, HeaderName, HeaderValue};
 pub use ntex::http::{HeaderMap, Method, StatusCode, Uri};
--- a/crates/http/tests/response_cost.rs
+++ b/crates/http/tests/response_cost.rs
@@ -4,6 +4,7 @@
 
 mod support;
 
+use std::cell::Cell;
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
@@ -25,6 +26,11 @@
 /// The limit of responses where that is tested, in bytes.
 const ROOM_BYTES: usize = MIB;
 
+/// How many bytes arrive before the client reads them; the buffers of the system hold them all.
+const ARRIVED_BYTES: usize = MIB / 4;
+/// The most bytes that may be read before others run.
+const TURN_BYTES: usize = 64 * 1_024;
+
 /// How the end of a body is found.
 #[derive(Clone, Copy, Debug)]
 enum Framing {
@@ -185,3 +191,63 @@
         assert_eq!(response.body.len(), length);
     });
 }
+
+// Guards against a connection that always has more bytes and keeps the thread from all others.
+#[rstest]
+#[case::chunks_of_one_byte(Framing::Chunks(1))]
+#[case::chunks_of_1000_bytes(Framing::Chunks(1_000))]
+#[case::no_length(Framing::Connection)]
+fn others_run_while_a_body_that_has_arrived_is_read(
+    #[case] framing: Framing,
+    #[values(true, false)] streamed: bool,
+) {
+    let length = match framing {
+        Framing::Chunks(1) => ARRIVED_BYTES / 6,
+        Framing::Chunks(_) | Framing::Length | Framing::Connection => ARRIVED_BYTES,
+    };
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    run(async move {
+        let conn = connect(address).await;
+        // All of it is in the buffers of the system before the client reads.
+        let (mut stream, _) = listener.accept().expect("a connection");
+        let socket = socket2::SockRef::from(&stream);
+        let buffer = socket.set_send_buffer_size(2 * ARRIVED_BYTES);
+        buffer.expect("an option");
+        let head = format!("HTTP/1.1 200 OK\r\n{}\r\n", framing.field(length));
+        stream
+            .write_all(head.as_bytes())
+            .expect("the buffer takes it");
+        let written = stream.write_all(&framing.encode(length));
+        written.expect("the buffer takes it");
+        drop(stream);
+        let turns = Rc::new(Cell::new(0));
+        let counted = Rc::clone(&turns);
+        tokio::task::spawn_local(async move {
+            loop {
+                counted.set(counted.get() + 1);
+                tokio::task::yield_now().await;
+            }
+        });
+        tokio::task::yield_now().await;
+        let before = turns.get();
+        read_all(conn, streamed, length).await;
+        let turns = turns.get() - before;
+        assert!(turns >= ARRIVED_BYTES / TURN_BYTES / 2, "{turns} turns");
+    });
+}
+
+/// Reads a body of this length.
+async fn read_all(mut conn: ClientConn, streamed: bool, length: usize) {
+    if !streamed {
+        let response = conn.exchange(get(), |_| true).await.expect("a response");
+        return assert_eq!(response.body.len(), length);
+    }
+    let exchange = conn.exchange_streamed(get(), PIECE_BYTES, |_| true);
+    let (_, mut body) = exchange.await.expect("a response");
+    let mut received = 0;
+    while let Some(piece) = body.next(PIECE_BYTES).await.expect("a piece") {
+        received += piece.len();
+    }
+    assert_eq!(received, length);
+}
--- a/crates/mesh/src/link.rs
+++ b/crates/mesh/src/link.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::{Buf, BytesMut};
-use oriolering_http::receive;
+use oriolering_http::{Turn, receive};
 use snafu::{ResultExt, Snafu};
 use tokio::net::TcpStream;
 
@@ -66,7 +66,9 @@
     let mut codec = frame::codec();
     let mut buf = BytesMut::new();
     let mut out = BytesMut::new();
+    let mut turn = Turn::default();
     loop {
+        turn.end_if_used().await;
         if out.is_empty() {
             // Frees the buffer, so that an idle link holds no memory for messages.
             out = BytesMut::new();
@@ -79,11 +81,15 @@
         }
         tokio::select! {
             biased;
-            result = write(stream, &mut out), if !out.is_empty() => result.context(IoSnafu)?,
+            result = write(stream, &mut out), if !out.is_empty() => {
+                turn.record(result.context(IoSnafu)?);
+            }
             result = receive(stream, |bytes| buf.extend_from_slice(bytes)) => {
-                if result.context(IoSnafu)? == 0 {
+                let count = result.context(IoSnafu)?;
+                if count == 0 {
                     return ClosedSnafu.fail();
                 }
+                turn.record(count);
                 while let Some(frame) = frame::decode(&mut codec, &mut buf).context(ProtocolSnafu)? {
                     on_frame(frame);
                 }
@@ -96,13 +102,14 @@
     }
 }
 
-async fn write(stream: &TcpStream, out: &mut BytesMut) -> io::Result<()> {
+/// Writes bytes from the front of `out`, and returns their count.
+async fn write(stream: &TcpStream, out: &mut BytesMut) -> io::Result<usize> {
     loop {
         match stream.try_write(out) {
             Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
             Ok(count) => {
                 out.advance(count);
-                return Ok(());
+                return Ok(count);
             }
             Err(e) if e.kind() == io::ErrorKind::WouldBlock => stream.writable().await?,
             Err(e) => return Err(e),
--- a/crates/node/tests/hostile_callers.rs
+++ b/crates/node/tests/hostile_callers.rs
@@ -4,37 +4,23 @@
 //! exceed the memory of its instance, leak descriptors or stop serving ordinary callers. The tests
 //! check no times and no share of served requests, and one of them runs at a time.
 
-use std::fs;
+mod support;
+
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{IpAddr, Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU8, Ordering};
 use std::sync::{Barrier, Mutex, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use rstest::rstest;
 use serde_json::json;
-use tokio::task::LocalSet;
-
-use store::Store;
-
-#[allow(dead_code, unreachable_pub)]
-#[path = "../../mesh/tests/support/store.rs"]
-mod store;
+use support::{BACKEND_PORT, LIMIT, Node, entry, free_ip, head, start_store_with, status};
 
-/// How long a start or an ordinary answer may take on a busy machine.
-const LIMIT: Duration = Duration::from_secs(30);
 /// How long a caller of a crowd waits for the node to read more.
 const STALL: Duration = Duration::from_secs(1);
-const CALLERS_PORT: u16 = 8_629;
-const BACKEND_PORT: u16 = 8_628;
-const STORE_PORT: u16 = 8_627;
 /// The largest body of a request in the lowered settings, in bytes.
 const BODY_BYTES: usize = 8_000_000;
 /// The memory of an instance in the lowered settings, in megabytes.
 const MEMORY_MB: u64 = 64;
-/// The largest number of descriptors of a node besides those of its callers.
-const OWN_DESCRIPTORS: usize = 64;
 /// How long the node waits for the rest of a head or a body, in milliseconds.
 const HEADER_MS: u64 = 3_000;
 /// The same for the crowd of partial heads, which must all be open at once on a busy machine.
@@ -50,122 +36,8 @@
 /// One test at a time, so that the nodes have the machine to themselves.
 static TURN: Mutex<()> = Mutex::new(());
 
-/// A node process; killed when it is dropped.
-struct Node {
-    child: Child,
-    ip: IpAddr,
-    _dir: tempfile::TempDir,
-}
-
-impl Node {
-    fn start(ip: IpAddr, service: &str, store: SocketAddr, memory_mb: u64) -> Self {
-        let dir = tempfile::tempdir().unwrap();
-        let path = dir.path().join("local.toml");
-        let settings = format!(
-            "node = \"{ip}\"\nzone = \"z\"\nip = \"{ip}\"\ninternal_ports = [7600, 7615]\n\
-             app_addr = \"{ip}:{BACKEND_PORT}\"\nservice = \"{service}\"\nbootstrap = true\n\
-             bounds = [\"grace_s=1\"]\n[listen]\noutbound = \"{ip}:{CALLERS_PORT}\"\n\
-             inbound = \"{ip}:8624\"\nready = \"{ip}:8625\"\n\
-             [limits]\nmemory_mb = {memory_mb}\n[platform]\naddress = \"{store}\"\n"
-        );
-        fs::write(&path, settings).unwrap();
-        let child = Command::new(env!("CARGO_BIN_EXE_oriolering-node"))
-            .arg("platform")
-            .env("ORIOLERING_NODE_FILE", &path)
-            .stdin(Stdio::null())
-            .stdout(Stdio::null())
-            .stderr(Stdio::null())
-            .spawn()
-            .unwrap();
-        Self {
-            child,
-            ip,
-            _dir: dir,
-        }
-    }
-
-    fn connect(&self) -> std::io::Result<TcpStream> {
-        TcpStream::connect(SocketAddr::new(self.ip, CALLERS_PORT))
-    }
-
-    /// Waits until an ordinary request is answered.
-    fn wait_serving(&self) {
-        let end = Instant::now() + LIMIT;
-        while self.get() != Some(200) {
-            assert!(Instant::now() < end, "no ordinary request is answered");
-            std::thread::sleep(Duration::from_millis(50));
-        }
-    }
-
-    fn get(&self) -> Option<u16> {
-        let mut stream = self.connect().ok()?;
-        stream.set_read_timeout(Some(LIMIT)).ok()?;
-        stream.write_all(&head("GET", "", 0)).ok()?;
-        status(&mut stream)
-    }
-
-    /// Returns the largest resident memory that the process ever had, in bytes.
-    fn peak_memory(&self) -> u64 {
-        let text = fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
-        let line = text.lines().find_map(|l| l.strip_prefix("VmHWM:"));
-        let kilobytes = line.and_then(|l| l.split_whitespace().next()?.parse::<u64>().ok());
-        kilobytes.expect("the process lives") * 1_024
-    }
-
-    fn descriptors(&self) -> usize {
-        let entries = fs::read_dir(format!("/proc/{}/fd", self.child.id())).unwrap();
-        entries.count()
-    }
-
-    fn check(&mut self, memory_mb: u64, callers: usize) {
-        let ended = self.child.try_wait().unwrap();
-        assert!(ended.is_none(), "the process ended: {ended:?}");
-        let (peak, open) = (self.peak_memory(), self.descriptors());
-        println!("{}: {peak} bytes at most, {open} descriptors", self.ip);
-        assert!(peak <= memory_mb * 1_000_000, "{peak} of {memory_mb} MB");
-        assert!(open <= callers + OWN_DESCRIPTORS, "{open} descriptors");
-    }
-}
-
-impl Drop for Node {
-    fn drop(&mut self) {
-        // It may have ended already.
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
-
-/// Returns the head of a request, with a length unless that is zero.
-fn head(method: &str, headers: &str, length: usize) -> Vec<u8> {
-    let length = match length {
-        0 => String::new(),
-        length => format!("content-length: {length}\r\n"),
-    };
-    format!(
-        "{method} /s/a HTTP/1.1\r\nhost: h.example\r\noriolering-request-id: 9c41d07b\r\n\
-         oriolering-request-deadline: 20000\r\n{headers}{length}\r\n"
-    )
-    .into_bytes()
-}
-
-/// Reads a response head, and returns its status.
-fn status(stream: &mut TcpStream) -> Option<u16> {
-    let mut line = String::new();
-    BufReader::new(stream).read_line(&mut line).ok()?;
-    line.split(' ').nth(1)?.parse().ok()
-}
-
-/// Returns an address of the loopback network that no other test uses.
-fn free_ip() -> IpAddr {
-    static NEXT: AtomicU8 = AtomicU8::new(1);
-    let process = std::process::id();
-    let number = NEXT.fetch_add(1, Ordering::Relaxed);
-    IpAddr::from([127, (process >> 8) as u8 | 128, process as u8, number])
-}
-
 /// Starts a store with one route to the backend servers of the service `s` at these addresses.
 fn start_store(backends: &[IpAddr], body_bytes: usize, header_ms: u64) -> SocketAddr {
-    let address = SocketAddr::new(free_ip(), STORE_PORT);
     let config = json!({
         "version": 1,
         "routes": [{"name": "s", "host": "h.example", "prefix": "/s/", "kind": "upload",
@@ -176,29 +48,8 @@
         "limits": {"max_header_bytes": HEAD_BYTES + 8_192, "max_body_bytes": body_bytes,
             "header_timeout_ms": header_ms, "idle_timeout_ms": 15_000},
     });
-    let backends = backends.to_vec();
-    let (ready, started) = std::sync::mpsc::channel();
-    std::thread::spawn(move || {
-        let runtime = tokio::runtime::Builder::new_current_thread()
-            .enable_all()
-            .build()
-            .unwrap();
-        let served = async {
-            let store = Store::start(address).await;
-            store.put("op/config", &config);
-            for ip in backends {
-                let entry = json!({"service": "s", "address": format!("{ip}:{BACKEND_PORT}"),
-                    "zone": "z", "version": "1", "slots": 8, "state": "ready",
-                    "cold_remaining_ms": 0, "sequence": 1});
-                store.put(&format!("servers/i-{ip}"), &entry);
-            }
-            ready.send(()).unwrap();
-            std::future::pending::<()>().await;
-        };
-        LocalSet::new().block_on(&runtime, served);
-    });
-    started.recv().unwrap();
-    address
+    let entries = backends.iter().map(|ip| entry(*ip, "s")).collect();
+    start_store_with(config, entries)
 }
 
 /// Starts a backend server that reads bodies without keeping them.
