A response that is announced too long is given up at its head

What callers saw: where a backend server announced a body longer than a node keeps, the caller got its 502 after 16 MiB had been read, or at its deadline.

Cause: the length was checked as the body arrived. Now a declared length is compared with the limit of one response, and with the memory that responses share, before the body is read. Chunks declare no length of the whole, and streamed responses have no such limit.

--- a/crates/http/src/answer_room.rs
+++ b/crates/http/src/answer_room.rs
@@ -43,6 +43,11 @@
         self.used.get()
     }
 
+    /// Returns the length of the longest response that the limit ever allows.
+    pub(crate) fn longest(&self) -> usize {
+        self.limit.max(SMALL_BYTES)
+    }
+
     /// Returns an empty reservation for a response.
     pub(crate) fn reservation(self: &Rc<Self>) -> Reservation {
         Reservation {
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -241,6 +241,7 @@
         if codec.message_type() == MessageType::None || has_zero_length(head) {
             return Ok(ntex::util::Bytes::new());
         }
+        self.check_length(head)?;
         let payload = codec.into_payload_codec();
         let mut body = BodyBuffer::new(self.room.reservation(), declared_length(head));
         let mut received = self.buf.len();
@@ -258,6 +259,14 @@
         }
     }
 
+    /// Checks that a body of the declared length can be kept whole, so that none is read in vain.
+    fn check_length(&self, head: &ResponseHead) -> Result<(), ExchangeError> {
+        let limit = ANSWER_BYTES.min(self.room.longest());
+        let fits = declared_length(head).is_none_or(|length| length <= limit as u64);
+        ensure!(fits, error::TooLargeSnafu { limit });
+        Ok(())
+    }
+
     /// Waits for more of a body of which `bytes` are decoded; returns how many bytes arrived.
     async fn fill_body(
         &mut self,
--- a/crates/http/tests/client/endless.rs
+++ b/crates/http/tests/client/endless.rs
@@ -143,3 +143,43 @@
         assert_eq!(Rc::strong_count(&room), 2);
     });
 }
+
+// Guards against a response that can't be kept whole and is read up to the limit nevertheless: it is
+// given up before any byte of its body arrives.
+#[rstest]
+#[case::the_limit_of_a_response(usize::MAX, 16 * 1_024 * 1_024)]
+#[case::the_limit_of_all_responses(ROOM_BYTES, ROOM_BYTES)]
+#[case::small_responses(0, SMALL_BYTES)]
+fn an_answer_that_is_announced_too_long_is_given_up_at_its_head(
+    #[case] room_bytes: usize,
+    #[case] longest: usize,
+) {
+    run(async {
+        let room = AnswerRoom::new(room_bytes);
+        for (length, fits) in [(longest, true), (longest + 1, false)] {
+            let (conn, mut server) = connected_pair().await;
+            let mut conn = conn.with_room(&room);
+            let serve = async {
+                server.head().await;
+                server
+                    .send(head(&format!("Content-Length: {length}\r\n\r\n")))
+                    .await;
+                if fits {
+                    server.send(vec![b'x'; length]).await;
+                }
+            };
+            let exchange = within_deadline(conn.exchange(get("1"), matches_id("1")));
+            let (result, ()) = tokio::join!(exchange, serve);
+            match result {
+                Ok(response) => assert_eq!((response.body.len(), fits), (length, true)),
+                Err(e) => {
+                    assert!(
+                        matches!(e, ExchangeError::TooLarge { limit } if limit == longest),
+                        "{e}"
+                    );
+                    assert!(!fits, "{length} bytes");
+                }
+            }
+        }
+    });
+}
