--- a/crates/http/tests/response_cost.rs
+++ b/crates/http/tests/response_cost.rs
@@ -9,7 +9,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
 
-use allocation_counter::{AllocationInfo, measure};
+use allocation_counter::measure;
 use ntex::http::DateService;
 use oriolering_http::{AnswerRoom, ClientConn, ExchangeError, HeaderMap, Method, Request, Uri};
 use rstest::rstest;
@@ -99,13 +99,19 @@
     conn.expect("a connection")
 }
 
-fn assert_linear(info: AllocationInfo, sent: usize) {
-    let allowed = sent * ALLOCATED_FACTOR + FIXED_BYTES;
-    let allocated = info.bytes_total;
-    assert!(
-        allocated <= allowed as u64,
-        "{allocated} bytes were allocated for {sent}"
-    );
+/// Reads a body of this length.
+async fn read_all(mut conn: ClientConn, streamed: bool, length: usize) {
+    if !streamed {
+        let response = conn.exchange(get(), |_| true).await.expect("a response");
+        return assert_eq!(response.body.len(), length);
+    }
+    let exchange = conn.exchange_streamed(get(), PIECE_BYTES, |_| true);
+    let (_, mut body) = exchange.await.expect("a response");
+    let mut received = 0;
+    while let Some(piece) = body.next(PIECE_BYTES).await.expect("a piece") {
+        received += piece.len();
+    }
+    assert_eq!(received, length);
 }
 
 // Guards against a body that is copied as a whole for each chunk or each read, so that its cost grows
@@ -117,41 +123,23 @@
 #[case::chunks_of_16_bytes(Framing::Chunks(16), MIB)]
 #[case::chunks_of_one_byte(Framing::Chunks(1), MIB / 4)]
 #[case::no_length(Framing::Connection, 12 * MIB)]
-fn the_cost_of_a_body_is_linear(#[case] framing: Framing, #[case] length: usize) {
-    let (address, sent) = start_server(framing, length);
-    let info = measure(|| {
-        run(async {
-            let mut conn = connect(address).await;
-            let response = conn.exchange(get(), |_| true).await.expect("a response");
-            assert_eq!(response.body.len(), length);
-        });
-    });
-    assert_linear(info, sent);
-}
-
-// The same for a body that is streamed.
-#[rstest]
-#[case::length(Framing::Length, 12 * MIB)]
-#[case::chunks_of_64_kilobytes(Framing::Chunks(65_536), 12 * MIB)]
-#[case::chunks_of_1000_bytes(Framing::Chunks(1_000), 2 * MIB)]
-#[case::chunks_of_16_bytes(Framing::Chunks(16), MIB)]
-#[case::chunks_of_one_byte(Framing::Chunks(1), MIB / 4)]
-#[case::no_length(Framing::Connection, 12 * MIB)]
-fn the_cost_of_a_streamed_body_is_linear(#[case] framing: Framing, #[case] length: usize) {
+fn the_cost_of_a_body_is_linear(
+    #[case] framing: Framing,
+    #[case] length: usize,
+    #[values(true, false)] streamed: bool,
+) {
     let (address, sent) = start_server(framing, length);
     let info = measure(|| {
         run(async {
-            let conn = connect(address).await;
-            let exchange = conn.exchange_streamed(get(), PIECE_BYTES, |_| true);
-            let (_, mut body) = exchange.await.expect("a response");
-            let mut received = 0;
-            while let Some(piece) = body.next(PIECE_BYTES).await.expect("a piece") {
-                received += piece.len();
-            }
-            assert_eq!(received, length);
+            read_all(connect(address).await, streamed, length).await;
         });
     });
-    assert_linear(info, sent);
+    let allowed = sent * ALLOCATED_FACTOR + FIXED_BYTES;
+    let allocated = info.bytes_total;
+    assert!(
+        allocated <= allowed as u64,
+        "{allocated} bytes were allocated for {sent}"
+    );
 }
 
 // Guards against a buffer that grows beyond the memory that responses share: what is allocated counts.
@@ -236,18 +224,3 @@
         assert!(turns >= ARRIVED_BYTES / TURN_BYTES / 2, "{turns} turns");
     });
 }
-
-/// Reads a body of this length.
-async fn read_all(mut conn: ClientConn, streamed: bool, length: usize) {
-    if !streamed {
-        let response = conn.exchange(get(), |_| true).await.expect("a response");
-        return assert_eq!(response.body.len(), length);
-    }
-    let exchange = conn.exchange_streamed(get(), PIECE_BYTES, |_| true);
-    let (_, mut body) = exchange.await.expect("a response");
-    let mut received = 0;
-    while let Some(piece) = body.next(PIECE_BYTES).await.expect("a piece") {
-        received += piece.len();
-    }
-    assert_eq!(received, length);
-}
