Requests name the service of the settings that are in force

Cause: the service of the settings read at the start was put into each offer, and into the hash by which a request that crashes backend servers is recognised. Reloading applied two bounds alone. Ruled out: that the file was not read; it was, and the change was logged as one that needs a restart.

Change: the service is part of the node's state and is replaced when the settings are read again, by signal or because the file has changed. A request takes it when it arrives, for all its attempts. `settings_reloaded` names `service` and `app_addr` apart; the address still needs a restart.

--- a/crates/mesh/src/attempt.rs
+++ b/crates/mesh/src/attempt.rs
@@ -22,6 +22,8 @@
     pub(crate) request: CompactString,
     /// The hash by which the request is recognised if backend servers crash while running it.
     pub(crate) fingerprint: u64,
+    /// The service of this instance when the request arrived.
+    pub(crate) caller: CompactString,
     pub(crate) service: CompactString,
     pub(crate) route: Rc<Route>,
     pub(crate) route_hash: u64,
@@ -163,7 +165,7 @@
         work_ms: work_ms as u32,
         elsewhere_ms: chosen.placement.next_best_ms.map(|ms| ms as u32),
         streamed: is_streamed(job),
-        caller: node.settings.backend.service.clone(),
+        caller: job.caller.clone(),
         method: job.method.clone(),
         target: job.target.clone(),
         headers: job.headers.clone(),
--- a/crates/mesh/src/ingress.rs
+++ b/crates/mesh/src/ingress.rs
@@ -147,11 +147,13 @@
     record.trace(&mut headers);
     record.routed(&route, part, routes, request.body.len());
     let service = &route.parts[part].service;
+    let caller = node.service.borrow().clone();
     let hold = parse_parent(id).and_then(|parent| node.gate.runs.record_call(parent, service));
     Ok(RequestJob {
         record,
         request: id.into(),
-        fingerprint: fingerprint::hash_request(service, &node.settings.backend.service, request),
+        fingerprint: fingerprint::hash_request(service, &caller, request),
+        caller,
         service: service.clone(),
         route_hash: xxh3_64(route.name.as_bytes()),
         route,
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -131,6 +131,8 @@
     pub(crate) shutdown: Cell<Option<Shutdown>>,
     /// Notified when the process is about to end, so that all callers get an answer before.
     pub(crate) ending: Notify,
+    /// The current service of the instance, which may change while the node runs.
+    pub(crate) service: RefCell<CompactString>,
     /// The current bounds, which may change while the node runs.
     pub(crate) bounds: Cell<Bounds>,
     /// The number of caller requests whose answers are not yet written.
@@ -168,6 +170,7 @@
             Rc::clone(&budgets),
         );
         Rc::new(Self {
+            service: RefCell::new(settings.backend.service.clone()),
             bounds: Cell::new(settings.bounds),
             confirmed: Cell::new(settings.first_start),
             settings,
--- a/crates/mesh/src/reload.rs
+++ b/crates/mesh/src/reload.rs
@@ -8,7 +8,7 @@
 
 use compact_str::CompactString;
 use oriolering::Millis;
-use oriolering_platform::{BUDGET_SLACK_SETTING, Bounds, GRACE_SETTING, Settings};
+use oriolering_platform::{BUDGET_SLACK_SETTING, GRACE_SETTING, SERVICE_SETTING, Settings};
 
 use crate::node::Node;
 use crate::trail::{Event, clip};
@@ -18,7 +18,7 @@
 const CHECK_MS: u64 = 2_000;
 
 /// The settings that take effect while the node runs.
-const RELOADED: [&str; 2] = [GRACE_SETTING, BUDGET_SLACK_SETTING];
+const RELOADED: [&str; 3] = [GRACE_SETTING, BUDGET_SLACK_SETTING, SERVICE_SETTING];
 
 /// The modification time and size of a file, by which a change is detected without reading it.
 type Stamp = Option<(SystemTime, u64)>;
@@ -69,7 +69,7 @@
                 return;
             }
         };
-        apply(node, settings.bounds);
+        apply(node, &settings);
         let differences = self.read.differences(&settings);
         let (changed, needs_restart): (Vec<_>, Vec<_>) = differences
             .into_iter()
@@ -88,11 +88,12 @@
     }
 }
 
-/// Applies the bounds that can change while the node runs.
-fn apply(node: &Node, next: Bounds) {
+/// Applies the settings that can change while the node runs.
+fn apply(node: &Node, next: &Settings) {
+    *node.service.borrow_mut() = next.backend.service.clone();
     let mut bounds = node.bounds.get();
-    bounds.grace_ms = next.grace_ms;
-    bounds.budget_slack = next.budget_slack;
+    bounds.grace_ms = next.bounds.grace_ms;
+    bounds.budget_slack = next.bounds.budget_slack;
     node.bounds.set(bounds);
     node.budgets.set_slack(bounds.budget_slack);
 }
--- a/crates/node/tests/endless_responses.rs
+++ b/crates/node/tests/endless_responses.rs
@@ -6,13 +6,13 @@
 mod support;
 
 use std::io::{BufRead, BufReader, Write};
-use std::net::{IpAddr, SocketAddr, TcpListener, TcpStream};
+use std::net::{IpAddr, SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Mutex, PoisonError};
 
 use rstest::rstest;
 use serde_json::json;
-use support::{BACKEND_PORT, LIMIT, Node, entry, free_ip, head_of, start_store_with};
+use support::{LIMIT, Node, entry, free_ip, head_of, start_backend_with, start_store_with};
 
 /// The memory of an instance, in megabytes.
 const MEMORY_MB: u64 = 260;
@@ -74,48 +74,16 @@
 
 /// Starts a backend server that answers probes, and all else without end if that is given.
 fn start_backend(ip: IpAddr, endless: Option<Endless>) {
-    let listener = TcpListener::bind(SocketAddr::new(ip, BACKEND_PORT)).unwrap();
-    std::thread::spawn(move || {
-        for stream in listener.incoming().flatten() {
-            // An error ends the connection alone.
-            std::thread::spawn(move || serve_backend(stream, endless));
-        }
-    });
-}
-
-fn serve_backend(stream: TcpStream, endless: Option<Endless>) -> std::io::Result<()> {
-    let mut answers = stream.try_clone()?;
-    let mut lines = BufReader::new(stream).lines();
-    while let Some(first) = lines.next().transpose()? {
-        let mut id = String::new();
-        for line in lines.by_ref() {
-            let line = line?.to_ascii_lowercase();
-            if line.is_empty() {
-                break;
-            }
-            if line.starts_with("oriolering-request-id:") {
-                id = format!("{line}\r\n");
+    start_backend_with(ip, move |head, stream| match endless {
+        Some(endless) if head.target != "/health" => {
+            stream.write_all(endless.start(&head.id_field()).as_bytes())?;
+            let more = endless.more();
+            loop {
+                stream.write_all(&more)?;
             }
         }
-        match endless {
-            Some(endless) if !first.contains("/health") => {
-                answers.write_all(endless.start(&id).as_bytes())?;
-                let more = endless.more();
-                loop {
-                    answers.write_all(&more)?;
-                }
-            }
-            Some(_) | None => answers.write_all(ordinary_answer(&id).as_bytes())?,
-        }
-    }
-    Ok(())
-}
-
-fn ordinary_answer(id: &str) -> String {
-    format!(
-        "HTTP/1.1 200 OK\r\n{id}oriolering-response-signature: 3e1b.07.5a2\r\n\
-         oriolering-server-load: 0,0,8,100\r\ncontent-length: 2\r\n\r\nok"
-    )
+        Some(_) | None => stream.write_all(head.ordinary_answer().as_bytes()),
+    });
 }
 
 /// Starts a store with routes of two kinds to the service `s`, and one to the service `t`.
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -7,8 +7,8 @@
 mod store;
 
 use std::fs;
-use std::io::{BufRead, BufReader, Write};
-use std::net::{IpAddr, SocketAddr, TcpStream};
+use std::io::{self, BufRead, BufReader, Write};
+use std::net::{IpAddr, SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::{Duration, Instant};
@@ -23,6 +23,7 @@
 pub const BACKEND_PORT: u16 = 8_628;
 const CALLERS_PORT: u16 = 8_629;
 const STORE_PORT: u16 = 8_627;
+const SETTINGS_FILE: &str = "local.toml";
 /// The largest number of descriptors of a node besides those of its callers.
 const OWN_DESCRIPTORS: usize = 64;
 
@@ -30,14 +31,14 @@
 pub struct Node {
     child: Child,
     ip: IpAddr,
-    _dir: tempfile::TempDir,
+    dir: tempfile::TempDir,
 }
 
 impl Node {
     /// Starts a node beside a backend server of a service.
     pub fn start(ip: IpAddr, service: &str, store: SocketAddr, memory_mb: u64) -> Self {
         let dir = tempfile::tempdir().unwrap();
-        let path = dir.path().join("local.toml");
+        let path = dir.path().join(SETTINGS_FILE);
         let settings = format!(
             "node = \"{ip}\"\nzone = \"z\"\nip = \"{ip}\"\ninternal_ports = [7600, 7615]\n\
              app_addr = \"{ip}:{BACKEND_PORT}\"\nservice = \"{service}\"\nbootstrap = true\n\
@@ -54,11 +55,24 @@
             .stderr(Stdio::null())
             .spawn()
             .unwrap();
-        Self {
-            child,
-            ip,
-            _dir: dir,
-        }
+        Self { child, ip, dir }
+    }
+
+    /// Names another service in the settings file.
+    pub fn change_service(&self, before: &str, after: &str) {
+        let path = self.dir.path().join(SETTINGS_FILE);
+        let settings = fs::read_to_string(&path).unwrap();
+        let line = |service: &str| format!("service = \"{service}\"");
+        let changed = settings.replace(&line(before), &line(after));
+        assert_ne!(changed, settings);
+        fs::write(&path, changed).unwrap();
+    }
+
+    /// Sends a signal to the process.
+    pub fn signal(&self, name: &str) {
+        let id = self.child.id().to_string();
+        let sent = Command::new("kill").args([name, &id]).status().unwrap();
+        assert!(sent.success());
     }
 
     /// Connects as a caller.
@@ -184,3 +198,77 @@
     started.recv().unwrap();
     address
 }
+
+/// The head of a request without a body, as a backend server received it.
+pub struct ReceivedHead {
+    pub target: String,
+    /// The names in lower case, and the values.
+    fields: Vec<(String, String)>,
+}
+
+impl ReceivedHead {
+    /// Reads the next head, or returns none at the end of the connection.
+    fn read(lines: &mut io::Lines<impl BufRead>) -> io::Result<Option<Self>> {
+        let Some(first) = lines.next().transpose()? else {
+            return Ok(None);
+        };
+        let mut fields = Vec::new();
+        for line in lines {
+            let line = line?;
+            let Some((name, value)) = line.split_once(": ") else {
+                break;
+            };
+            fields.push((name.to_ascii_lowercase(), value.to_owned()));
+        }
+        let target = first.split(' ').nth(1).unwrap_or_default().to_owned();
+        Ok(Some(Self { target, fields }))
+    }
+
+    pub fn field(&self, name: &str) -> Option<&str> {
+        let found = self.fields.iter().find(|(n, _)| n == name);
+        found.map(|(_, value)| value.as_str())
+    }
+
+    /// Returns the field that repeats the id of the request, if it has one.
+    pub fn id_field(&self) -> String {
+        let name = "oriolering-request-id";
+        let id = self.field(name);
+        id.map_or_else(String::new, |id| format!("{name}: {id}\r\n"))
+    }
+
+    /// Returns a short answer to the request.
+    pub fn ordinary_answer(&self) -> String {
+        let id = self.id_field();
+        format!(
+            "HTTP/1.1 200 OK\r\n{id}oriolering-response-signature: 3e1b.07.5a2\r\n\
+             oriolering-server-load: 0,0,8,100\r\ncontent-length: 2\r\n\r\nok"
+        )
+    }
+}
+
+/// Starts a backend server whose requests without bodies `answer` answers, each connection on a
+/// thread of its own.
+pub fn start_backend_with(
+    ip: IpAddr,
+    answer: impl Fn(&ReceivedHead, &mut TcpStream) -> io::Result<()> + Clone + Send + 'static,
+) {
+    let listener = TcpListener::bind(SocketAddr::new(ip, BACKEND_PORT)).unwrap();
+    std::thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let answer = answer.clone();
+            // An error ends the connection alone.
+            std::thread::spawn(move || serve_connection(stream, answer));
+        }
+    });
+}
+
+fn serve_connection(
+    mut stream: TcpStream,
+    answer: impl Fn(&ReceivedHead, &mut TcpStream) -> io::Result<()>,
+) -> io::Result<()> {
+    let mut lines = BufReader::new(stream.try_clone()?).lines();
+    while let Some(head) = ReceivedHead::read(&mut lines)? {
+        answer(&head, &mut stream)?;
+    }
+    Ok(())
+}
